Start: protocols, error kinds, strict settings, peer connections

The seams on which the parts are built: the callers', operators', targets' and control protocols as Connect services, the closed list of error kinds with its table, strict YAML settings, logging by fixed events, mutual TLS between own processes over HTTP/3, and the roles that serve a request.

--- /dev/null
+++ b/internal/connection/peer/peer.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+)
+
+// Bounds of one QUIC connection between two processes of the system.
+const (
+	keepAlivePeriod  = 5 * time.Second
+	idleTimeout      = 12 * time.Second
+	handshakeTimeout = 3 * time.Second
+	maxStreams       = 4096
+)
+
+// Role is the part that a process plays; it is the organizational unit of its
+// certificate.
+type Role string
+
+// The roles.
+const (
+	RoleRouter   Role = "router"
+	RoleControl  Role = "control"
+	RoleOperator Role = "operator"
+)
+
+// Identity is who a certificate speaks for.
+type Identity struct {
+	ID   string
+	Role Role
+}
+
+// IdentityOf returns the identity of the peer that sent r. It fails with the
+// kind Unauthenticated when the request came without a verified certificate.
+func IdentityOf(r *http.Request) (Identity, error) {
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return Identity{}, fault.New(fault.Unauthenticated, "no certificate")
+	}
+	subject := r.TLS.PeerCertificates[0].Subject
+	id := Identity{ID: subject.CommonName}
+	if len(subject.OrganizationalUnit) > 0 {
+		id.Role = Role(subject.OrganizationalUnit[0])
+	}
+	return id, nil
+}
+
+// RequireRole wraps h so that only peers of the given roles reach it.
+func RequireRole(h http.Handler, roles ...Role) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id, err := IdentityOf(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		for _, role := range roles {
+			if id.Role == role {
+				h.ServeHTTP(w, r)
+				return
+			}
+		}
+		http.Error(w, "role "+string(id.Role)+" may not use this service", http.StatusForbidden)
+	})
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		KeepAlivePeriod:      keepAlivePeriod,
+		MaxIdleTimeout:       idleTimeout,
+		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIncomingStreams:   maxStreams,
+	}
+}
+
+// Server serves h to peers on one UDP address.
+type Server struct {
+	h3   *http3.Server
+	conn net.PacketConn
+	done chan error
+}
+
+// Listen binds address (IP:port) and serves h until Close.
+func Listen(address string, keys *Keys, h http.Handler) (*Server, error) {
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "peer address %s", address)
+	}
+	s := &Server{
+		h3: &http3.Server{
+			TLSConfig:  http3.ConfigureTLSConfig(keys.ServerConfig()),
+			QUICConfig: quicConfig(),
+			Handler:    h,
+		},
+		conn: conn,
+		done: make(chan error, 1),
+	}
+	go func() { s.done <- s.h3.Serve(conn) }()
+	return s, nil
+}
+
+// Addr returns the bound address.
+func (s *Server) Addr() net.Addr {
+	return s.conn.LocalAddr()
+}
+
+// Close cuts all connections and frees the address.
+func (s *Server) Close() error {
+	err := s.h3.Close()
+	<-s.done
+	if closeErr := s.conn.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Trace(err)
+}
+
+// Client is an HTTP client for peers. One connection is kept for each address
+// and replaced after it went silent for the idle timeout.
+type Client struct {
+	*http.Client
+	transport *http3.Transport
+}
+
+// NewClient returns a client that shows keys to every peer.
+func NewClient(keys *Keys) *Client {
+	t := &http3.Transport{
+		TLSClientConfig:    keys.ClientConfig(),
+		QUICConfig:         quicConfig(),
+		DisableCompression: true,
+	}
+	return &Client{Client: &http.Client{Transport: t}, transport: t}
+}
+
+// Close cuts all connections.
+func (c *Client) Close() error {
+	return errors.Trace(c.transport.Close())
+}
+
+// BaseURL returns the URL under which the services of the peer at address are found.
+func BaseURL(address string) string {
+	return "https://" + address
+}
--- /dev/null
+++ b/internal/fault/answer.go
@@ -0,0 +1,55 @@
+package fault
+
+import (
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+// Answer turns err into the Connect error that the caller of requestID gets.
+// The detail carries the kind, whether the request ran and when to come back.
+func Answer(err error, requestID string) *connect.Error {
+	e := Of(err)
+	if e == nil {
+		return nil
+	}
+	c := connect.NewError(e.Kind.Row().Code, errors.New(e.Message))
+	detail, detailErr := connect.NewErrorDetail(&chicoryv1.FaultDetail{
+		Kind:         string(e.Kind),
+		Ran:          e.Ran,
+		RetryAfterMs: uint32(e.RetryAfter / time.Millisecond),
+		RequestId:    requestID,
+	})
+	if detailErr == nil {
+		c.AddDetail(detail)
+	}
+	return c
+}
+
+// FromAnswer turns a Connect error from one of our own services back into an
+// Error. It returns nil when err carries no FaultDetail, as for a cut connection
+// or an error of a target.
+func FromAnswer(err error) *Error {
+	var c *connect.Error
+	if !errors.As(err, &c) {
+		return nil
+	}
+	for _, d := range c.Details() {
+		v, valueErr := d.Value()
+		if valueErr != nil {
+			continue
+		}
+		if f, ok := v.(*chicoryv1.FaultDetail); ok {
+			return &Error{
+				Kind:       Kind(f.GetKind()),
+				Ran:        f.GetRan(),
+				RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+				Message:    c.Message(),
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/certs/certs.go
@@ -0,0 +1,155 @@
+// Package certs makes the certificate authority and the certificates with
+// which the system's own processes know each other.
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
+)
+
+// Lifetimes of what this package makes.
+const (
+	authorityLifetime   = 10 * 365 * 24 * time.Hour
+	certificateLifetime = 365 * 24 * time.Hour
+	clockAllowance      = time.Hour
+)
+
+const (
+	keyMode  = 0o600
+	certMode = 0o644
+	dirMode  = 0o755
+)
+
+// Authority signs certificates. Its files are ca.pem and ca-key.pem.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+// OpenAuthority reads the authority in dir, or makes one when there is none.
+func OpenAuthority(dir string) (*Authority, error) {
+	certPath := filepath.Join(dir, "ca.pem")
+	if _, err := os.Stat(certPath); err == nil {
+		return readAuthority(dir)
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return makeAuthority(dir)
+}
+
+func makeAuthority(dir string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	tmpl, err := template(pkix.Name{CommonName: "chicoryswitch authority"}, authorityLifetime)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	tmpl.IsCA = true
+	tmpl.BasicConstraintsValid = true
+	tmpl.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := writePair(dir, "ca", der, key); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return readAuthority(dir)
+}
+
+func readAuthority(dir string) (*Authority, error) {
+	certPEM, err := os.ReadFile(filepath.Join(dir, "ca.pem"))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	keyPEM, err := os.ReadFile(filepath.Join(dir, "ca-key.pem"))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	certBlock, _ := pem.Decode(certPEM)
+	keyBlock, _ := pem.Decode(keyPEM)
+	if certBlock == nil || keyBlock == nil {
+		return nil, errors.Errorf("authority in %s is damaged", dir)
+	}
+	cert, err := x509.ParseCertificate(certBlock.Bytes)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	key, err := x509.ParseECPrivateKey(keyBlock.Bytes)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Authority{cert: cert, key: key, dir: dir}, nil
+}
+
+// Issue writes NAME.pem and NAME-key.pem for one process into the authority's
+// folder and returns their paths.
+func (a *Authority) Issue(id peer.Identity) (peer.Files, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return peer.Files{}, errors.Trace(err)
+	}
+	name := pkix.Name{CommonName: id.ID, OrganizationalUnit: []string{string(id.Role)}}
+	tmpl, err := template(name, certificateLifetime)
+	if err != nil {
+		return peer.Files{}, errors.Trace(err)
+	}
+	tmpl.DNSNames = []string{peer.ServerName}
+	tmpl.KeyUsage = x509.KeyUsageDigitalSignature
+	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return peer.Files{}, errors.Trace(err)
+	}
+	if err := writePair(a.dir, id.ID, der, key); err != nil {
+		return peer.Files{}, errors.Trace(err)
+	}
+	return peer.Files{
+		Certificate: filepath.Join(a.dir, id.ID+".pem"),
+		Key:         filepath.Join(a.dir, id.ID+"-key.pem"),
+		Authority:   filepath.Join(a.dir, "ca.pem"),
+	}, nil
+}
+
+func template(name pkix.Name, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      name,
+		NotBefore:    now.Add(-clockAllowance),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+func writePair(dir, name string, der []byte, key *ecdsa.PrivateKey) error {
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER})
+	if err := os.WriteFile(filepath.Join(dir, name+"-key.pem"), keyPEM, keyMode); err != nil {
+		return errors.Trace(err)
+	}
+	certPEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	return errors.Trace(os.WriteFile(filepath.Join(dir, name+".pem"), certPEM, certMode))
+}
--- /dev/null
+++ b/internal/version/config/holder.go
@@ -0,0 +1,148 @@
+package config
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+)
+
+// Holder keeps the view in force and swaps it whole. Its revision only grows.
+type Holder struct {
+	mu   sync.Mutex // serializes swaps
+	view atomic.Pointer[View]
+}
+
+// Current returns the view in force, or nil before the first one.
+func (h *Holder) Current() *View {
+	return h.view.Load()
+}
+
+// ApplyFull puts c in force if its revision is later than the one in force, and
+// reports whether it did. A configuration of another cluster is refused with the
+// kind PlanRejected.
+func (h *Holder) ApplyFull(c *chicoryv1.Configuration) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.view.Load()
+	if old != nil && old.raw.GetClusterId() != c.GetClusterId() {
+		return false, fault.New(fault.PlanRejected, "configuration is of cluster %s, not %s",
+			c.GetClusterId(), old.raw.GetClusterId())
+	}
+	if old != nil && c.GetRevision() <= old.Revision() {
+		return false, nil
+	}
+	h.view.Store(NewView(c))
+	return true, nil
+}
+
+// ApplyDelta applies d to the view in force. It fails with the kind PlanStale
+// when d starts at another revision; the caller then asks for a whole one.
+func (h *Holder) ApplyDelta(d *chicoryv1.ConfigurationDelta) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.view.Load()
+	if old == nil || old.Revision() != d.GetBaseRevision() {
+		return false, fault.New(fault.PlanStale, "delta starts at revision %d", d.GetBaseRevision())
+	}
+	if d.GetChanged().GetRevision() <= old.Revision() {
+		return false, nil
+	}
+	h.view.Store(NewView(Patch(old.raw, d)))
+	return true, nil
+}
+
+// Patch returns base with d applied. base is not changed.
+func Patch(base *chicoryv1.Configuration, d *chicoryv1.ConfigurationDelta) *chicoryv1.Configuration {
+	ch := d.GetChanged()
+	return &chicoryv1.Configuration{
+		Revision:  ch.GetRevision(),
+		ClusterId: base.GetClusterId(),
+		Services:  patchList(base.GetServices(), ch.GetServices(), d.GetRemovedServices(), (*chicoryv1.Service).GetName),
+		Routes:    patchList(base.GetRoutes(), ch.GetRoutes(), d.GetRemovedRoutes(), (*chicoryv1.Route).GetName),
+		Targets:   patchList(base.GetTargets(), ch.GetTargets(), d.GetRemovedTargets(), (*chicoryv1.Target).GetAddress),
+		Teams:     patchList(base.GetTeams(), ch.GetTeams(), d.GetRemovedTeams(), (*chicoryv1.Team).GetName),
+		Moves:     patchList(base.GetMoves(), ch.GetMoves(), d.GetRemovedMoves(), (*chicoryv1.Move).GetId),
+	}
+}
+
+// patchList replaces changed items in place, leaves out removed ones and appends
+// new ones in their order.
+func patchList[T any](base, changed []T, removed []string, name func(T) string) []T {
+	if len(changed) == 0 && len(removed) == 0 {
+		return base
+	}
+	gone := make(map[string]bool, len(removed))
+	for _, n := range removed {
+		gone[n] = true
+	}
+	replaced := make(map[string]T, len(changed))
+	for _, c := range changed {
+		replaced[name(c)] = c
+	}
+	out := make([]T, 0, len(base)+len(changed))
+	for _, b := range base {
+		if c, ok := replaced[name(b)]; ok {
+			out = append(out, c)
+			delete(replaced, name(b))
+		} else if !gone[name(b)] {
+			out = append(out, b)
+		}
+	}
+	for _, c := range changed {
+		if _, ok := replaced[name(c)]; ok {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Diff returns the delta that leads from base to next.
+func Diff(base, next *chicoryv1.Configuration) *chicoryv1.ConfigurationDelta {
+	d := &chicoryv1.ConfigurationDelta{
+		BaseRevision: base.GetRevision(),
+		Changed: &chicoryv1.Configuration{
+			Revision:  next.GetRevision(),
+			ClusterId: next.GetClusterId(),
+		},
+	}
+	ch := d.Changed
+	ch.Services, d.RemovedServices = diffList(base.GetServices(), next.GetServices(), (*chicoryv1.Service).GetName)
+	ch.Routes, d.RemovedRoutes = diffList(base.GetRoutes(), next.GetRoutes(), (*chicoryv1.Route).GetName)
+	ch.Targets, d.RemovedTargets = diffList(base.GetTargets(), next.GetTargets(), (*chicoryv1.Target).GetAddress)
+	ch.Teams, d.RemovedTeams = diffList(base.GetTeams(), next.GetTeams(), (*chicoryv1.Team).GetName)
+	ch.Moves, d.RemovedMoves = diffList(base.GetMoves(), next.GetMoves(), (*chicoryv1.Move).GetId)
+	return d
+}
+
+// item is a configuration message.
+type item interface {
+	proto.Message
+	comparable
+}
+
+// diffList returns the items of next that are new or differ, and the names of
+// the items of base that next lacks. Items shared by pointer are equal.
+func diffList[T item](base, next []T, name func(T) string) (changed []T, removed []string) {
+	before := make(map[string]T, len(base))
+	for _, b := range base {
+		before[name(b)] = b
+	}
+	for _, n := range next {
+		b, ok := before[name(n)]
+		delete(before, name(n))
+		if ok && (b == n || proto.Equal(b, n)) {
+			continue
+		}
+		changed = append(changed, n)
+	}
+	for _, b := range base {
+		if _, ok := before[name(b)]; ok {
+			removed = append(removed, name(b))
+		}
+	}
+	return changed, removed
+}
--- /dev/null
+++ b/internal/version/config/view.go
@@ -0,0 +1,76 @@
+// Package config holds configuration revisions as routers use them: an indexed,
+// immutable view of one revision, and a holder that swaps views whole and only
+// for a later revision.
+package config
+
+import (
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+// View is one configuration revision, indexed. It is immutable: callers must not
+// change the messages that it returns.
+type View struct {
+	raw      *chicoryv1.Configuration
+	services map[string]*chicoryv1.Service
+	routes   map[string]*chicoryv1.Route
+	teams    map[string]*chicoryv1.Team
+	targets  map[string]*chicoryv1.Target
+	// byService lists targets by service name, in the order of the configuration.
+	byService map[string][]*chicoryv1.Target
+	// moveByRoute has the open move of a route; a route has one at most.
+	moveByRoute map[string]*chicoryv1.Move
+}
+
+// NewView indexes c, which must not be changed afterwards.
+func NewView(c *chicoryv1.Configuration) *View {
+	v := &View{
+		raw:         c,
+		services:    make(map[string]*chicoryv1.Service, len(c.GetServices())),
+		routes:      make(map[string]*chicoryv1.Route, len(c.GetRoutes())),
+		teams:       make(map[string]*chicoryv1.Team, len(c.GetTeams())),
+		targets:     make(map[string]*chicoryv1.Target, len(c.GetTargets())),
+		byService:   make(map[string][]*chicoryv1.Target),
+		moveByRoute: make(map[string]*chicoryv1.Move, len(c.GetMoves())),
+	}
+	for _, s := range c.GetServices() {
+		v.services[s.GetName()] = s
+	}
+	for _, r := range c.GetRoutes() {
+		v.routes[r.GetName()] = r
+	}
+	for _, t := range c.GetTeams() {
+		v.teams[t.GetName()] = t
+	}
+	for _, t := range c.GetTargets() {
+		v.targets[t.GetAddress()] = t
+		v.byService[t.GetService()] = append(v.byService[t.GetService()], t)
+	}
+	for _, m := range c.GetMoves() {
+		v.moveByRoute[m.GetIntent().GetRoute()] = m
+	}
+	return v
+}
+
+// Raw returns the configuration that the view was made from.
+func (v *View) Raw() *chicoryv1.Configuration { return v.raw }
+
+// Revision returns the revision's number.
+func (v *View) Revision() uint64 { return v.raw.GetRevision() }
+
+// Service returns the service with the name, or nil.
+func (v *View) Service(name string) *chicoryv1.Service { return v.services[name] }
+
+// Route returns the route with the name, or nil.
+func (v *View) Route(name string) *chicoryv1.Route { return v.routes[name] }
+
+// Team returns the team with the name, or nil.
+func (v *View) Team(name string) *chicoryv1.Team { return v.teams[name] }
+
+// Target returns the target with the address, or nil.
+func (v *View) Target(address string) *chicoryv1.Target { return v.targets[address] }
+
+// Targets returns the targets of a service, all versions.
+func (v *View) Targets(service string) []*chicoryv1.Target { return v.byService[service] }
+
+// Move returns the open move of a route, or nil.
+func (v *View) Move(route string) *chicoryv1.Move { return v.moveByRoute[route] }
