--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"container/list"
+	"hash/fnv"
+	"sync"
+)
+
+// PrefixHash names a prompt in cache events and for affinity.
+func PrefixHash(prompt string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(prompt))
+	return h.Sum64()
+}
+
+// cacheEvent tells of a prompt that entered or left the cache.
+type cacheEvent struct {
+	sequence uint64
+	hash     uint64
+	evicted  bool
+}
+
+// prefixCache is an LRU set of prompts, with listeners for its events.
+type prefixCache struct {
+	mu        sync.Mutex // guards the fields below
+	limit     int
+	order     *list.List // of uint64, the newest first
+	items     map[uint64]*list.Element
+	sequence  uint64
+	listeners map[chan cacheEvent]struct{}
+}
+
+const cacheEventBuffer = 256
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{
+		limit:     limit,
+		order:     list.New(),
+		items:     map[uint64]*list.Element{},
+		listeners: map[chan cacheEvent]struct{}{},
+	}
+}
+
+// use reports whether the prompt was cached and makes it the newest entry.
+func (c *prefixCache) use(hash uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.items[hash]; ok {
+		c.order.MoveToFront(e)
+		return true
+	}
+	c.items[hash] = c.order.PushFront(hash)
+	c.publish(hash, false)
+	if c.order.Len() > c.limit {
+		oldest := c.order.Back()
+		c.order.Remove(oldest)
+		delete(c.items, oldest.Value.(uint64))
+		c.publish(oldest.Value.(uint64), true)
+	}
+	return false
+}
+
+// publish sends to listeners with room; the others lose the event. The caller holds mu.
+func (c *prefixCache) publish(hash uint64, evicted bool) {
+	c.sequence++
+	for l := range c.listeners {
+		select {
+		case l <- cacheEvent{c.sequence, hash, evicted}:
+		default:
+		}
+	}
+}
+
+// listen returns a channel of events and a function that ends it.
+func (c *prefixCache) listen() (<-chan cacheEvent, func()) {
+	l := make(chan cacheEvent, cacheEventBuffer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners[l] = struct{}{}
+	return l, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.listeners, l)
+	}
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,34 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+)
+
+// NewServer returns a server for a replica that speaks HTTP/1.1 and HTTP/2
+// without TLS.
+func NewServer(r *Replica) *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: r.Handler(), Protocols: p}
+}
+
+// Listen starts a replica on address and returns it and its server. Closing
+// both ends it as a crash does.
+func Listen(opts Options) (*Replica, *http.Server, error) {
+	ln, err := net.Listen("tcp", opts.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	opts.Address = ln.Addr().String()
+	r := NewReplica(opts)
+	s := NewServer(r)
+	go func() { _ = s.Serve(ln) }()
+	return r, s, nil
+}
+
+// Address returns the replica's IP:port.
+func (r *Replica) Address() string {
+	return r.opts.Address
+}
--- /dev/null
+++ b/internal/standin/transaction.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+// transactionService implements the TransactionService of one replica.
+type transactionService struct {
+	r *Replica
+}
+
+func (s *transactionService) Invoke(ctx context.Context, req *connect.Request[chicoryv1.InvokeRequest]) (*connect.Response[chicoryv1.InvokeResponse], error) {
+	m := req.Msg
+	s.r.arrive(m)
+	if err := s.r.enter(m.GetRoute()); err != nil {
+		return nil, err
+	}
+	if !s.r.slots.acquire(ctx, s.r.done, chicoryv1.Priority_PRIORITY_NORMAL) {
+		return nil, connect.NewError(connect.CodeCanceled, errors.New("given up while queued"))
+	}
+	defer s.r.slots.release()
+	// A call that has started runs to its end, also when its caller went away.
+	if !sleep(s.r.slowed(s.r.opts.CallTime, m.GetRoute()), s.r.done) {
+		panic(http.ErrAbortHandler)
+	}
+	resp := s.r.finishCall(m)
+	f := s.r.currentFaults()
+	if f.GetLoseAnswers() {
+		panic(http.ErrAbortHandler)
+	}
+	if s.r.draw(f.GetCrossedPermille()) {
+		resp.CallId = s.r.otherCall(m.GetCallId())
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// otherCall returns the identity of another call than id.
+func (r *Replica) otherCall(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastCall != "" && r.lastCall != id {
+		return r.lastCall
+	}
+	return "crossed-" + id
+}
+
+func (s *transactionService) LookupKey(_ context.Context, req *connect.Request[chicoryv1.LookupKeyRequest]) (*connect.Response[chicoryv1.LookupKeyResponse], error) {
+	if !s.r.waitThaw() {
+		panic(http.ErrAbortHandler)
+	}
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	resp := &chicoryv1.LookupKeyResponse{Version: s.r.version}
+	if k := s.r.keys[req.Msg.GetKey()]; k != nil {
+		resp.Ran = k.ran
+		resp.Payload = k.payload
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// arrive counts a call the moment it arrives.
+func (r *Replica) arrive(m *chicoryv1.InvokeRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.calls++
+	if m.GetKey() == "" {
+		return
+	}
+	k := r.keys[m.GetKey()]
+	if k == nil {
+		k = &keyRecord{}
+		r.keys[m.GetKey()] = k
+	}
+	k.arrivals++
+}
+
+// finishCall runs the call and returns its answer.
+func (r *Replica) finishCall(m *chicoryv1.InvokeRequest) *chicoryv1.InvokeResponse {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	payload := fmt.Appendf(nil, "%s:%s", m.GetMethod(), m.GetPayload())
+	if k := r.keys[m.GetKey()]; k != nil {
+		k.ran = true
+		k.payload = payload
+	}
+	r.lastCall = m.GetCallId()
+	return &chicoryv1.InvokeResponse{CallId: m.GetCallId(), Payload: payload, Version: r.version}
+}
