Choose targets by load, zone, cached prefix and health

Change: two random targets of each side (own availability zone, others) are compared by corrected load per capacity, stretched by latency against the peers. Own zone and a cached prefix are preferred up to 0.25 of capacity. Results eject at most half of a service's version; targets whose polls get no answer and that had no success since are out whatever their number; when none is usable, ejected ones serve. A target returns after three probes. Leaving targets and those that report another version get nothing. The naive round-robin picker is in the package as baseline.

Tests: drawn histories against a naive statement of what may be picked; the naive picker for the set of targets when all are healthy.

--- /dev/null
+++ b/internal/request/routing/endpoint.go
@@ -0,0 +1,185 @@
+package routing
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+)
+
+// reasonsKept is the number of reasons that an endpoint remembers.
+const reasonsKept = 8
+
+// latencyWeight is the weight of a new latency in the moving average.
+const latencyWeight = 0.2
+
+// endpoint is a target with its health as this router's requests see it.
+type endpoint struct {
+	target *chicoryv1.Target
+	state  *observe.State
+	local  bool
+	// slowness multiplies the load when targets are compared: the latency relative
+	// to the median of the peers, as float64 bits; 1 means as fast as they.
+	slowness atomic.Uint64
+	// ejectedUntil is the Unix time in nanoseconds of the end of an ejection, 0 for
+	// a target in use. After that time the target is probed.
+	ejectedUntil atomic.Int64
+	// nextProbe is the Unix time in nanoseconds before which no probe is sent.
+	nextProbe atomic.Int64
+	// lastSuccess is the Unix time in nanoseconds of the last success.
+	lastSuccess atomic.Int64
+
+	mu sync.Mutex // guards the fields below
+	// rows count results of one kind without a success between.
+	errorRow, silentRow, resetRow int
+	// good and bad count recent results; review lets them fade.
+	good, bad float64
+	// latency is a moving average; 0 means none yet.
+	latency time.Duration
+	// ejections counts ejections since the target was last healthy for long.
+	ejections    int
+	probesPassed int
+	returnedAt   time.Time
+	leavingTold  bool
+	silentTold   bool
+	versionTold  bool
+	reasons      []string
+}
+
+func newEndpoint(t *chicoryv1.Target, s *observe.State, zone string) *endpoint {
+	e := &endpoint{target: t, state: s, local: t.GetAvailabilityZone() == zone}
+	e.setSlowness(1)
+	return e
+}
+
+// isSame reports whether both stand for the same target with the same state.
+func (e *endpoint) isSame(other *endpoint) bool {
+	return e.state == other.state && proto.Equal(e.target, other.target)
+}
+
+func (e *endpoint) setSlowness(x float64) { e.slowness.Store(math.Float64bits(x)) }
+
+// capacity returns the requests that the target runs at once.
+func (e *endpoint) capacity(fallback int) int {
+	if c := e.target.GetCapacity(); c > 0 {
+		return int(c)
+	}
+	if r := e.state.Report(); r != nil && r.Capacity > 0 {
+		return r.Capacity
+	}
+	return fallback
+}
+
+// score is the load that one more request would meet, in shares of capacity,
+// stretched by slowness. The lowest is best.
+func (e *endpoint) score(now time.Time, fallback int) float64 {
+	load := float64(e.state.Load(now)+1) / float64(e.capacity(fallback))
+	return load * math.Float64frombits(e.slowness.Load())
+}
+
+// status says whether a target may get new work.
+type status int
+
+const (
+	// usable: gets work.
+	usable status = iota
+	// ejected: gets work only when no target is usable, and probes.
+	ejected
+	// barred: gets no new work whatever the others do.
+	barred
+)
+
+// status returns the endpoint's status at now.
+func (e *endpoint) status(now time.Time) status {
+	if _, leaving := e.state.Leaving(); leaving || e.hasWrongVersion() {
+		return barred
+	}
+	if e.ejectedUntil.Load() != 0 || e.isDead(now) {
+		return ejected
+	}
+	return usable
+}
+
+// hasWrongVersion reports whether the target says that it serves another version.
+func (e *endpoint) hasWrongVersion() bool {
+	r := e.state.Report()
+	return r != nil && r.Version != "" && r.Version != e.target.GetVersion()
+}
+
+// isDead reports whether polls get no answer and no request succeeded meanwhile.
+func (e *endpoint) isDead(now time.Time) bool {
+	since, silent := e.state.SilentSince(now)
+	return silent && e.lastSuccess.Load() < since.UnixNano()
+}
+
+// probeDue reports whether the endpoint's ejection is over and a probe may be
+// sent, and takes the right to send it.
+func (e *endpoint) probeDue(now time.Time, interval time.Duration) bool {
+	until := e.ejectedUntil.Load()
+	if until == 0 || now.UnixNano() < until || e.isDead(now) {
+		return false
+	}
+	next := e.nextProbe.Load()
+	return now.UnixNano() >= next && e.nextProbe.CompareAndSwap(next, now.Add(interval).UnixNano())
+}
+
+// count adds one result to the endpoint's counts. It returns why the target
+// should be ejected, or "".
+func (e *endpoint) count(r request.Result, latency time.Duration, s *Settings) (why string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r == request.ResultAbandoned {
+		return ""
+	}
+	if r == request.ResultSuccess {
+		e.lastSuccess.Store(time.Now().UnixNano())
+		e.errorRow, e.silentRow, e.resetRow = 0, 0, 0
+		e.good++
+		e.addLatency(latency)
+		return ""
+	}
+	e.bad++
+	switch r {
+	case request.ResultError:
+		e.errorRow++
+	case request.ResultSilent:
+		e.silentRow++
+	case request.ResultReset:
+		e.resetRow++
+	}
+	switch {
+	case e.errorRow >= s.EjectErrors:
+		return "errors in a row"
+	case e.silentRow >= s.EjectSilences:
+		return "silent requests in a row"
+	case e.resetRow >= s.EjectResets:
+		return "reset connections in a row"
+	}
+	return ""
+}
+
+// addLatency updates the moving average. The caller holds mu.
+func (e *endpoint) addLatency(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	if e.latency == 0 {
+		e.latency = d
+		return
+	}
+	e.latency += time.Duration(latencyWeight * float64(d-e.latency))
+}
+
+// note remembers a reason for Explain. The caller holds mu.
+func (e *endpoint) note(now time.Time, reason string) {
+	if len(e.reasons) == reasonsKept {
+		e.reasons = append(e.reasons[:0], e.reasons[1:]...)
+	}
+	e.reasons = append(e.reasons, now.UTC().Format(time.RFC3339Nano)+" "+reason)
+}
--- /dev/null
+++ b/internal/request/routing/picker_test.go
@@ -0,0 +1,303 @@
+package routing
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := os.Getenv("SEED")
+	if seed == "" {
+		seed = "1"
+	}
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const testCapacity = 10
+
+// fixture is a picker over n targets of one service in three availability zones.
+type fixture struct {
+	holder *config.Holder
+	table  *observe.Table
+	picker *Picker
+	log    *bytes.Buffer
+	naive  *RoundRobin
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
+
+func newFixture(n int) *fixture {
+	f := &fixture{
+		holder: &config.Holder{},
+		table:  observe.NewTable(observe.Defaults()),
+		log:    &bytes.Buffer{},
+	}
+	f.apply(1, n)
+	f.naive = NewRoundRobin(f.holder)
+	f.picker = NewPicker(Options{
+		Holder: f.holder, Zone: "z0", Loads: f.table, Logger: logging.New(f.log, "router", "r1"),
+		Rand: counterRand(), Settings: Defaults(),
+	})
+	return f
+}
+
+// counterRand returns a generator that gives the same numbers in each run.
+func counterRand() func() uint64 {
+	state := uint64(1)
+	return func() uint64 {
+		state = state*6364136223846793005 + 1442695040888963407
+		return state >> 33
+	}
+}
+
+// apply puts a configuration of n targets in force.
+func (f *fixture) apply(revision uint64, n int) {
+	c := &chicoryv1.Configuration{Revision: revision, Services: []*chicoryv1.Service{{Name: "s"}}}
+	for i := range n {
+		c.Targets = append(c.Targets, &chicoryv1.Target{
+			Address: address(i), Service: "s", Version: "v1", Capacity: testCapacity,
+			AvailabilityZone: fmt.Sprint("z", i%3),
+		})
+	}
+	if _, err := f.holder.ApplyFull(c); err != nil {
+		panic(err)
+	}
+}
+
+func lookup() request.Work {
+	return request.Work{Route: &chicoryv1.Route{Name: "r", Service: "s"}, Version: "v1"}
+}
+
+// pick picks and returns the address; the request stays in flight until done.
+func (f *fixture) pick(t *testing.T, w request.Work, exclude ...string) (string, func(request.Result, time.Duration)) {
+	t.Helper()
+	p, err := f.picker.Pick(w, exclude)
+	assert.NilError(t, err)
+	return p.Target.GetAddress(), p.Done
+}
+
+// finish gives the target n results without picking.
+func (f *fixture) finish(i, n int, r request.Result) {
+	t := f.picker.current()
+	g := t.groups[groupKey{"s", "v1"}]
+	for range n {
+		g.finish(t.endpoints[address(i)], r, time.Millisecond)
+	}
+}
+
+// picks counts the targets of n requests that end at once.
+func (f *fixture) picks(t *testing.T, n int) map[string]int {
+	t.Helper()
+	counts := map[string]int{}
+	for range n {
+		a, done := f.pick(t, lookup())
+		done(request.ResultSuccess, time.Millisecond)
+		counts[a]++
+	}
+	return counts
+}
+
+func TestNoTargetSaysWhenToComeBack(t *testing.T) {
+	f := newFixture(0)
+	_, err := f.picker.Pick(lookup(), nil)
+	assert.Assert(t, fault.Is(err, fault.NoTarget))
+	assert.Assert(t, fault.Of(err).RetryAfter >= noTargetMinWait)
+	w := lookup()
+	w.Version = "v2"
+	f.apply(2, 3)
+	_, err = f.picker.Pick(w, nil)
+	assert.Assert(t, fault.Is(err, fault.NoTarget))
+}
+
+func TestEjectionIsToldAndEndsWithProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4)
+		f.finish(0, 2, request.ResultSilent)
+		assert.Equal(t, f.picks(t, 500)[address(0)], 0)
+		reasons := f.picker.Explain(address(0))
+		assert.Equal(t, len(reasons), 1)
+		assert.Assert(t, strings.HasSuffix(reasons[0], "ejected: silent requests in a row"))
+		assert.Equal(t, strings.Count(f.log.String(), "event=target_ejected"), 1)
+
+		time.Sleep(Defaults().EjectionTime.Std())
+		for range Defaults().ProbeSuccesses - 1 {
+			assert.Equal(t, f.picks(t, 100)[address(0)], 1)
+			time.Sleep(Defaults().ProbeInterval.Std())
+		}
+		assert.Assert(t, f.picks(t, 500)[address(0)] > 50)
+		assert.Equal(t, strings.Count(f.log.String(), "event=target_returned"), 1)
+	})
+}
+
+func TestFailedProbeEjectsForLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4)
+		f.finish(0, 3, request.ResultReset)
+		time.Sleep(Defaults().EjectionTime.Std())
+		a, done := f.pick(t, lookup())
+		assert.Equal(t, a, address(0))
+		done(request.ResultReset, 0)
+		time.Sleep(2*Defaults().EjectionTime.Std() - time.Millisecond)
+		assert.Equal(t, f.picks(t, 100)[address(0)], 0)
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, f.picks(t, 100)[address(0)], 1)
+	})
+}
+
+func TestProbesAreIdempotent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4)
+		f.finish(0, 3, request.ResultReset)
+		time.Sleep(Defaults().EjectionTime.Std())
+		booking := lookup()
+		booking.Route.NonIdempotent = true
+		for range 100 {
+			a, done := f.pick(t, booking)
+			assert.Assert(t, a != address(0))
+			done(request.ResultSuccess, 0)
+		}
+	})
+}
+
+func TestErrorShareAbovePeersEjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4)
+		for range 40 {
+			f.finish(0, 1, request.ResultError)
+			f.finish(0, 1, request.ResultSuccess)
+			for i := 1; i < 4; i++ {
+				f.finish(i, 2, request.ResultSuccess)
+			}
+		}
+		f.picks(t, 1)
+		assert.Equal(t, f.picks(t, 500)[address(0)], 0)
+		assert.Assert(t, strings.Contains(f.picker.Explain(address(0))[0], "fails 50% of requests, peers 0%"))
+	})
+}
+
+func TestCommonCauseEjectsNoMoreThanTheShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(6)
+		for i := range 6 {
+			f.finish(i, 10, request.ResultError)
+		}
+		used := map[string]bool{}
+		for range 30 {
+			a, _ := f.pick(t, lookup())
+			used[a] = true
+		}
+		assert.Equal(t, len(used), 3)
+	})
+}
+
+func TestDeadTargetsAreOutWhateverTheirNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(3)
+		for i := 1; i < 3; i++ {
+			f.table.State(address(i)).PollFailed(time.Now())
+		}
+		time.Sleep(observe.Defaults().SilentAfter.Std())
+		assert.DeepEqual(t, f.picks(t, 100), map[string]int{address(0): 100})
+		f.table.State(address(0)).PollFailed(time.Now())
+		time.Sleep(observe.Defaults().SilentAfter.Std())
+		assert.Equal(t, len(f.picks(t, 1)), 1)
+	})
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	f := newFixture(2)
+	f.table.State(address(0)).SetReport(observe.Report{Leaving: true, TakenAt: time.Now()})
+	assert.DeepEqual(t, f.picks(t, 100), map[string]int{address(1): 100})
+	f.table.State(address(1)).SetPlatformLeaving(true)
+	_, err := f.picker.Pick(lookup(), nil)
+	assert.Assert(t, fault.Is(err, fault.NoTarget))
+}
+
+func TestOwnZoneIsPreferredUntilLoaded(t *testing.T) {
+	f := newFixture(6)
+	local := 0
+	var dones []func(request.Result, time.Duration)
+	for range 12 {
+		a, done := f.pick(t, lookup())
+		dones = append(dones, done)
+		if a == address(0) || a == address(3) {
+			local++
+		}
+	}
+	// The two local targets are taken up to the bound above the idle others.
+	assert.Assert(t, local >= 4 && local < 12, "%d of 12 in the own zone", local)
+	for _, done := range dones {
+		done(request.ResultSuccess, time.Millisecond)
+	}
+}
+
+func TestSlowTargetGetsLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4)
+		for i := range 4 {
+			d := 10 * time.Millisecond
+			if i == 3 {
+				d = 100 * time.Millisecond
+			}
+			f.finish(i, 1, request.ResultSuccess)
+			e := f.picker.current().endpoints[address(i)]
+			e.latency = d
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, f.picks(t, 300)[address(3)], 0)
+	})
+}
+
+func TestPrefixGoesToItsTargetWithinTheBound(t *testing.T) {
+	f := newFixture(6)
+	w := lookup()
+	w.PrefixHash = 7
+	first, _ := f.pick(t, w)
+	for range 2 {
+		a, _ := f.pick(t, w)
+		assert.Equal(t, a, first)
+	}
+	counts := map[string]int{}
+	for range 30 {
+		a, _ := f.pick(t, w)
+		counts[a]++
+	}
+	assert.Assert(t, len(counts) > 1, "all went to the target with the prefix")
+	assert.Assert(t, f.table.State(first).InFlight() <= testCapacity)
+}
+
+func BenchmarkPick(b *testing.B) {
+	f := newFixture(20)
+	f.picker.opts.Rand = nil
+	p := NewPicker(Options{Holder: f.holder, Zone: "z0", Loads: f.table, Logger: logging.Discard(), Settings: Defaults()})
+	w := lookup()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			placed, err := p.Pick(w, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			placed.Done(request.ResultSuccess, time.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/routing/settings.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
+)
+
+// Settings tell how targets are chosen and when they are ejected.
+type Settings struct {
+	// DefaultCapacity is used for targets that neither the configuration nor a
+	// report gives a capacity, in requests at once.
+	DefaultCapacity int `yaml:"default_capacity"`
+	// ZoneBound is how much higher a target of the router's own availability zone
+	// may be loaded than one elsewhere and still be preferred, in shares of capacity.
+	ZoneBound float64 `yaml:"zone_bound"`
+	// AffinityBound is the same for a target that has the prompt prefix cached.
+	AffinityBound float64 `yaml:"affinity_bound"`
+	// MaxEjectedShare is the largest share of a service's version that failures and
+	// errors may eject.
+	MaxEjectedShare float64 `yaml:"max_ejected_share"`
+	// EjectErrors, EjectSilences and EjectResets are the numbers of results of each
+	// kind in a row that eject a target.
+	EjectErrors   int `yaml:"eject_errors"`
+	EjectSilences int `yaml:"eject_silences"`
+	EjectResets   int `yaml:"eject_resets"`
+	// EjectErrorShare is how far the share of failed requests must be above that of
+	// the peers to eject a target.
+	EjectErrorShare float64 `yaml:"eject_error_share"`
+	// MinSamples is the number of recent requests below which that share is not judged.
+	MinSamples float64 `yaml:"min_samples"`
+	// EjectionTime is how long the first ejection lasts; each further one lasts
+	// twice as long, up to MaxEjectionTime.
+	EjectionTime    settings.Duration `yaml:"ejection_time"`
+	MaxEjectionTime settings.Duration `yaml:"max_ejection_time"`
+	// ProbeInterval is the time between two requests to a target that is coming back.
+	ProbeInterval settings.Duration `yaml:"probe_interval"`
+	// ProbeSuccesses is the number of probes that must succeed before a return.
+	ProbeSuccesses int `yaml:"probe_successes"`
+	// ReviewInterval is the time between two comparisons of a target with its peers.
+	ReviewInterval settings.Duration `yaml:"review_interval"`
+}
+
+// Defaults returns the settings for a deployment in one region.
+func Defaults() Settings {
+	return Settings{
+		DefaultCapacity: 16,
+		ZoneBound:       0.25,
+		AffinityBound:   0.25,
+		MaxEjectedShare: 0.5,
+		EjectErrors:     5,
+		EjectSilences:   2,
+		EjectResets:     3,
+		EjectErrorShare: 0.3,
+		MinSamples:      20,
+		EjectionTime:    settings.Duration(time.Second),
+		MaxEjectionTime: settings.Duration(30 * time.Second),
+		ProbeInterval:   settings.Duration(300 * time.Millisecond),
+		ProbeSuccesses:  3,
+		ReviewInterval:  settings.Duration(100 * time.Millisecond),
+	}
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() (field, problem string) {
+	switch {
+	case s.DefaultCapacity <= 0:
+		return "default_capacity", "must be above 0"
+	case s.MaxEjectedShare < 0 || s.MaxEjectedShare >= 1:
+		return "max_ejected_share", "must be at least 0 and below 1"
+	case s.EjectErrors <= 0:
+		return "eject_errors", "must be above 0"
+	case s.EjectSilences <= 0:
+		return "eject_silences", "must be above 0"
+	case s.EjectResets <= 0:
+		return "eject_resets", "must be above 0"
+	case s.EjectionTime <= 0:
+		return "ejection_time", "must be above 0"
+	case s.MaxEjectionTime < s.EjectionTime:
+		return "max_ejection_time", "must be at least ejection_time"
+	case s.ProbeSuccesses <= 0:
+		return "probe_successes", "must be above 0"
+	case s.ReviewInterval <= 0:
+		return "review_interval", "must be above 0"
+	}
+	return "", ""
+}
