--- a/internal/fault/answer.go
+++ b/internal/fault/answer.go
@@ -22,6 +22,7 @@
 		Ran:          e.Ran,
 		RetryAfterMs: uint32(e.RetryAfter / time.Millisecond),
 		RequestId:    requestID,
+		Leader:       e.Leader,
 	})
 	if detailErr == nil {
 		c.AddDetail(detail)
@@ -47,6 +48,7 @@
 				Kind:       Kind(f.GetKind()),
 				Ran:        f.GetRan(),
 				RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
+				Leader:     f.GetLeader(),
 				Message:    c.Message(),
 			}
 		}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -22,6 +22,8 @@
 	Ran chicoryv1.Ran
 	// RetryAfter is the time after which coming back is useful; 0 means never.
 	RetryAfter time.Duration
+	// Leader is the identity of the leading control VM, if known. Only NotLeader has it.
+	Leader string
 	// Message is shown to the caller. It names no other team's data.
 	Message string
 }
@@ -56,6 +58,13 @@
 	return &c
 }
 
+// WithLeader returns e with the identity of the leading control VM.
+func (e *Error) WithLeader(id string) *Error {
+	c := *e
+	c.Leader = id
+	return &c
+}
+
 // Of returns the first Error in err's chain. An error of no known kind becomes
 // Internal, whose statement about having run is "unknown". Of(nil) is nil.
 func Of(err error) *Error {
--- a/internal/version/config/holder.go
+++ b/internal/version/config/holder.go
@@ -12,8 +12,33 @@
 
 // Holder keeps the view in force and swaps it whole. Its revision only grows.
 type Holder struct {
-	mu   sync.Mutex // serializes swaps
 	view atomic.Pointer[View]
+
+	mu      sync.Mutex    // serializes swaps and guards changed
+	changed chan struct{} // closed at the next swap; nil until asked for
+}
+
+// Configuration returns the configuration in force, or nil before the first one,
+// and a channel that closes at the next swap.
+func (h *Holder) Configuration() (*chicoryv1.Configuration, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = make(chan struct{})
+	}
+	if v := h.view.Load(); v != nil {
+		return v.raw, h.changed
+	}
+	return nil, h.changed
+}
+
+// swap puts c in force. The caller holds mu.
+func (h *Holder) swap(c *chicoryv1.Configuration) {
+	h.view.Store(NewView(c))
+	if h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
 }
 
 // Current returns the view in force, or nil before the first one.
@@ -35,7 +60,7 @@
 	if old != nil && c.GetRevision() <= old.Revision() {
 		return false, nil
 	}
-	h.view.Store(NewView(c))
+	h.swap(c)
 	return true, nil
 }
 
@@ -51,7 +76,7 @@
 	if d.GetChanged().GetRevision() <= old.Revision() {
 		return false, nil
 	}
-	h.view.Store(NewView(Patch(old.raw, d)))
+	h.swap(Patch(old.raw, d))
 	return true, nil
 }
 
--- /dev/null
+++ b/internal/version/config/validate.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"net/netip"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+)
+
+// wholeMillipercent is 100 % in thousandths of a percent.
+const wholeMillipercent = 100_000
+
+// Validate checks that the parts of c fit together. Errors are of the kind
+// PlanRejected and name the item.
+func Validate(c *chicoryv1.Configuration) error {
+	v := NewView(c)
+	for _, s := range c.GetServices() {
+		if err := validateService(s); err != nil {
+			return err
+		}
+	}
+	for _, r := range c.GetRoutes() {
+		if err := validateRoute(v, r); err != nil {
+			return err
+		}
+	}
+	for _, t := range c.GetTargets() {
+		if err := validateTarget(v, t); err != nil {
+			return err
+		}
+	}
+	for _, t := range c.GetTeams() {
+		if t.GetName() == "" {
+			return reject("a team has no name")
+		}
+	}
+	return validateMoves(v, c.GetMoves())
+}
+
+func reject(format string, args ...any) error {
+	return fault.New(fault.PlanRejected, format, args...)
+}
+
+func validateService(s *chicoryv1.Service) error {
+	if s.GetName() == "" {
+		return reject("a service has no name")
+	}
+	if s.GetKind() == chicoryv1.ServiceKind_SERVICE_KIND_UNSPECIFIED {
+		return reject("service %s has no kind", s.GetName())
+	}
+	return nil
+}
+
+func validateRoute(v *View, r *chicoryv1.Route) error {
+	if r.GetName() == "" {
+		return reject("a route has no name")
+	}
+	if v.Service(r.GetService()) == nil {
+		return reject("route %s names the unknown service %q", r.GetName(), r.GetService())
+	}
+	if r.GetVersion() == "" {
+		return reject("route %s has no version", r.GetName())
+	}
+	o := r.GetObjectives()
+	if o.GetAvailabilityMillipercent() > wholeMillipercent || o.GetLatencyMillipercent() > wholeMillipercent {
+		return reject("route %s has an objective above 100 %%", r.GetName())
+	}
+	return nil
+}
+
+func validateTarget(v *View, t *chicoryv1.Target) error {
+	if _, err := netip.ParseAddrPort(t.GetAddress()); err != nil {
+		return reject("target %q is not IP:port", t.GetAddress())
+	}
+	if v.Service(t.GetService()) == nil {
+		return reject("target %s names the unknown service %q", t.GetAddress(), t.GetService())
+	}
+	if t.GetVersion() == "" || t.GetAvailabilityZone() == "" {
+		return reject("target %s needs a version and an availability zone", t.GetAddress())
+	}
+	return nil
+}
+
+func validateMoves(v *View, moves []*chicoryv1.Move) error {
+	seen := map[string]bool{}
+	for _, m := range moves {
+		route := m.GetIntent().GetRoute()
+		if seen[route] {
+			return reject("route %s has two open moves", route)
+		}
+		seen[route] = true
+		r := v.Route(route)
+		if r == nil {
+			return reject("move %s names the unknown route %q", m.GetId(), route)
+		}
+		if r.GetVersion() != m.GetIntent().GetFrom() {
+			return reject("route %s is on version %s, its move starts from %s", route, r.GetVersion(), m.GetIntent().GetFrom())
+		}
+	}
+	return nil
+}
