--- /dev/null
+++ b/internal/process/consensus/join.go
@@ -0,0 +1,187 @@
+package consensus
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+)
+
+// runJoiner asks the other members to be taken in for as long as this replica
+// is not a member.
+func (n *Node) runJoiner() {
+	for {
+		if !n.isMember() {
+			n.join()
+		}
+		if !sleep(n.ctx, n.options.ElectionTimeout/2) {
+			return
+		}
+	}
+}
+
+func (n *Node) isMember() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	members, _ := n.log.current()
+	_, ok := members.find(n.self)
+	return ok
+}
+
+// join asks every other member. If all are as empty as this replica, the one
+// with the lowest ID founds the cluster of the incarnations that answered.
+// Otherwise a leader among them takes this replica in as a learner.
+func (n *Node) join() {
+	founders, ok := n.askAll()
+	if !ok || !n.isEmpty() {
+		return
+	}
+	slices.SortFunc(founders, func(a, b replica) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	if founders[0] == n.self {
+		n.found(founders)
+	}
+}
+
+// askAll returns all members' replicas if each of them answered and is empty.
+func (n *Node) askAll() ([]replica, bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, n.options.ElectionTimeout)
+	defer cancel()
+	answers := make([]*chicoryv1.JoinResponse, len(n.peers))
+	var calls sync.WaitGroup
+	for i, p := range n.peers {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			req := &chicoryv1.JoinRequest{From: n.self.message()}
+			answers[i], _ = n.options.Transport.Join(ctx, p.member, req)
+		}()
+	}
+	calls.Wait()
+	founders := []replica{n.self}
+	for _, a := range answers {
+		if a == nil || !a.GetEmpty() {
+			return nil, false
+		}
+		founders = append(founders, replicaOf(a.GetFrom()))
+	}
+	return founders, true
+}
+
+func (n *Node) isEmpty() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.emptyLocked()
+}
+
+// emptyLocked reports whether the replica has no entry and never took part in
+// an election.
+func (n *Node) emptyLocked() bool {
+	return n.log.last() == 0 && n.term == 0
+}
+
+// found writes the first entry, which names the founders, and campaigns at once.
+// A founder that loses its disk before anyone heard of the entry may found anew,
+// since nothing can have been committed without another member's log.
+func (n *Node) found(founders []replica) {
+	if n.io.lock(n.ctx) != nil {
+		return
+	}
+	defer n.io.unlock()
+	if !n.isEmpty() {
+		return
+	}
+	var members membership
+	for _, r := range founders {
+		members = append(members, member{replica: r, voter: true})
+	}
+	const firstTerm = 1
+	entry := &chicoryv1.LogEntry{Index: 1, Term: firstTerm, Membership: members.message()}
+	if n.persist(n.stateWith(firstTerm, replica{}), []*chicoryv1.LogEntry{entry}) != nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.term = firstTerm
+	n.log.put([]*chicoryv1.LogEntry{entry})
+	n.synced = 1
+	n.electionDeadline = time.Time{}
+	n.logger.Info(logging.MemberChanged, logging.Fields{"founders": len(founders)})
+}
+
+// handleJoin tells what this replica holds. A leader remembers an incarnation
+// that it doesn't know, to take it in.
+func (n *Node) handleJoin(_ context.Context, req *chicoryv1.JoinRequest) (*chicoryv1.JoinResponse, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return nil, n.failed
+	}
+	from := replicaOf(req.GetFrom())
+	members, _ := n.log.current()
+	if _, known := members.find(from); n.role == Leader && !known && n.isConfigured(from.id) {
+		n.joining[from.id] = from
+	}
+	return &chicoryv1.JoinResponse{From: n.self.message(), Empty: n.emptyLocked()}, nil
+}
+
+func (n *Node) isConfigured(id string) bool {
+	return slices.ContainsFunc(n.options.Members, func(m Member) bool { return m.ID == id })
+}
+
+// maintainMembership proposes the next change of membership, one at a time and
+// one voter at a time: the quorums before and after it then always share a
+// voter. A learner that has caught up becomes a voter beside its former
+// incarnation, which counts as a voter that never answers until it is removed.
+// mu is held; this replica is the leader.
+func (n *Node) maintainMembership(now time.Time) {
+	members, index := n.log.current()
+	if index > n.commit || n.termStart > n.commit || n.membershipQueued() {
+		return
+	}
+	if r, ok := members.superseded(); ok {
+		n.proposeMembership(members.without(r), "removed", r)
+		return
+	}
+	for _, m := range members {
+		if !m.voter && n.caughtUp(m.replica, now) {
+			n.proposeMembership(members.withVoter(m.replica), "voter", m.replica)
+			return
+		}
+	}
+	for _, r := range n.joining {
+		if _, known := members.find(r); !known {
+			n.proposeMembership(members.withLearner(r), "learner", r)
+			return
+		}
+	}
+	clear(n.joining)
+}
+
+func (n *Node) membershipQueued() bool {
+	return slices.ContainsFunc(n.queue, func(p *proposal) bool { return p.entry.GetMembership() != nil })
+}
+
+// caughtUp reports whether a learner has synced all that is committed and
+// answers now.
+func (n *Node) caughtUp(r replica, now time.Time) bool {
+	p := n.progress[r]
+	return p != nil && p.match >= n.commit && now.Sub(p.contact) < n.options.ElectionTimeout
+}
+
+func (n *Node) proposeMembership(m membership, change string, r replica) {
+	n.queue = append(n.queue, &proposal{entry: &chicoryv1.LogEntry{Membership: m.message()}})
+	n.writeWake.set()
+	n.logger.Info(logging.MemberChanged, logging.Fields{
+		"member":      r.id,
+		"incarnation": r.incarnation,
+		"change":      change,
+	})
+}
