--- /dev/null
+++ b/internal/version/move/driver_test.go
@@ -0,0 +1,166 @@
+package move
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/move/policy"
+)
+
+// replicated is a stand-in for the replicated state of open moves.
+type replicated struct {
+	moves map[string]*chicoryv1.Move
+	// quorum: proposals are committed.
+	quorum bool
+	// answerLost: a committed proposal is answered with an error.
+	answerLost bool
+	refused    int
+}
+
+func (r *replicated) OpenMoves() []*chicoryv1.Move {
+	var out []*chicoryv1.Move
+	for _, m := range r.moves {
+		if !Ended(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (r *replicated) Routers(string, string) (int, int) { return 9, 0 }
+
+func (r *replicated) Propose(_ context.Context, step *chicoryv1.MoveStep) error {
+	if !r.quorum {
+		return errors.New("no quorum")
+	}
+	id := step.GetMove().GetId()
+	next, ok := ApplyStep(r.moves[id], step)
+	if !ok {
+		r.refused++
+	}
+	r.moves[id] = next
+	if r.answerLost {
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+func (r *replicated) newLeader() *Driver {
+	return &Driver{Source: r, Store: evidence.NewStore(), Proposer: r, Decider: Decider{Policy: policy.SPRT{}}, Log: logging.Discard()}
+}
+
+// report gives the leader's store one second of evidence for every open move.
+func (r *replicated) report(d *Driver, now time.Time, errorPercent uint64) {
+	for _, m := range r.OpenMoves() {
+		st := steady(errorPercent)(m, now).Strata[0]
+		st.Old.Route, st.Old.Version = m.GetIntent().GetRoute(), m.GetIntent().GetFrom()
+		st.New.Route, st.New.Version = m.GetIntent().GetRoute(), m.GetIntent().GetTo()
+		d.Store.Add(now, "router", "", []*chicoryv1.VersionEvidence{st.Old, st.New})
+	}
+}
+
+func newReplicated() *replicated {
+	other := testMove(true)
+	other.Id, other.Intent.Route = "n", "payouts"
+	return &replicated{quorum: true, moves: map[string]*chicoryv1.Move{"m": testMove(false), "n": other}}
+}
+
+// drive ticks every second; a new leader takes over at every change.
+func (r *replicated) drive(from, until time.Time, errorPercent uint64, changeEvery time.Duration) {
+	d := r.newLeader()
+	elected := from
+	for now := from; !now.After(until); now = now.Add(time.Second) {
+		if now.Sub(elected) >= changeEvery {
+			d, elected = r.newLeader(), now
+		}
+		r.report(d, now, errorPercent)
+		d.Tick(context.Background(), now)
+	}
+}
+
+func TestDriverCarriesMovesAcrossLeaders(t *testing.T) {
+	r := newReplicated()
+	r.drive(epoch, epoch.Add(testWindow), 0, 70*time.Second)
+	for id, m := range r.moves {
+		assert.Equal(t, m.GetState(), done, "%s: %s", id, m.GetReason())
+	}
+	assert.Equal(t, r.refused, 0)
+}
+
+func TestTakeBackSurvivesALostAnswerAndALeaderChange(t *testing.T) {
+	r := newReplicated()
+	r.drive(epoch, epoch.Add(10*time.Second), 0, testWindow)
+	r.answerLost = true
+	r.drive(epoch.Add(11*time.Second), epoch.Add(2*time.Minute), 40, 15*time.Second)
+	assert.Equal(t, r.moves["m"].GetState(), takenBack, r.moves["m"].GetReason())
+	checkEndToldOnce(t, r.moves["m"])
+}
+
+func checkEndToldOnce(t *testing.T, m *chicoryv1.Move) {
+	ends := 0
+	for _, e := range m.GetEvents() {
+		if e.GetState() == done || e.GetState() == takenBack {
+			ends++
+		}
+	}
+	assert.Equal(t, ends, 1)
+}
+
+// TestDeadlineInAPartition has no quorum from the given time on; the leader
+// elected after the deadline decides.
+func TestDeadlineInAPartition(t *testing.T) {
+	cases := map[string]struct {
+		until  time.Duration // since the start, with quorum
+		errors uint64        // in percent, after the partition
+		want   chicoryv1.MoveState
+	}{
+		"unproved":                        {until: 5 * time.Second, want: takenBack},
+		"in a watch, proved":              {until: testWindow / 5, want: done},
+		"in a watch, turned bad meantime": {until: testWindow / 5, errors: 20, want: takenBack},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newReplicated()
+			delete(r.moves, "n")
+			r.drive(epoch, epoch.Add(c.until), 0, testWindow)
+			if c.until == testWindow/5 {
+				assert.Equal(t, r.moves["m"].GetState(), watching)
+			}
+			share := r.moves["m"].GetSharePermille()
+			r.quorum = false
+			r.drive(epoch.Add(c.until+time.Second), epoch.Add(testWindow+time.Minute), 0, 5*time.Minute)
+			assert.Equal(t, r.moves["m"].GetSharePermille(), share, "the share in force changed without a quorum")
+			r.quorum = true
+			r.drive(epoch.Add(testWindow+2*time.Minute), epoch.Add(testWindow+3*time.Minute), c.errors, time.Hour)
+			assert.Equal(t, r.moves["m"].GetState(), c.want, r.moves["m"].GetReason())
+			checkEndToldOnce(t, r.moves["m"])
+		})
+	}
+}
+
+func TestStaleStepIsRefused(t *testing.T) {
+	before := testMove(false)
+	next, _ := Step(before, Evidence{}, epoch)
+	step := &chicoryv1.MoveStep{Move: next, ExpectedEvents: 1}
+	taken, err := Act(before, chicoryv1.MoveActionKind_MOVE_ACTION_KIND_TAKE_BACK, "op", epoch)
+	assert.NilError(t, err)
+	paused, err := Act(before, chicoryv1.MoveActionKind_MOVE_ACTION_KIND_PAUSE, "op", epoch)
+	assert.NilError(t, err)
+	for _, current := range []*chicoryv1.Move{taken, paused, nil} {
+		got, ok := ApplyStep(current, step)
+		assert.Assert(t, !ok && got == current, "a stale step was applied")
+	}
+	got, ok := ApplyStep(before, step)
+	assert.Assert(t, ok && got == next)
+	rewritten := testMove(false)
+	rewritten.Events[0].Reason = "another"
+	_, ok = ApplyStep(before, &chicoryv1.MoveStep{Move: rewritten, ExpectedEvents: 1})
+	assert.Assert(t, !ok, "past events were rewritten")
+}
