--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -1,5 +1,8 @@
 // Package target connects a router to targets: Connect clients over net/http,
 // with HTTP/2 without TLS and pings that find connections which went silent.
+//
+// The transports resend some requests by themselves. A request made under
+// WithDispatch can't be resent: see Dispatch.
 package target
 
 import (
@@ -23,6 +26,14 @@
 // DialFunc opens a connection to an IP:port.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Options describe a pool. The zero value speaks HTTP/2 over TCP.
+type Options struct {
+	// Dial opens connections; nil uses TCP.
+	Dial DialFunc
+	// HTTP1 speaks HTTP/1.1 instead of HTTP/2.
+	HTTP1 bool
+}
+
 // Clients are the services of one target.
 type Clients struct {
 	Engine      chicoryv1connect.EngineServiceClient
@@ -32,55 +43,71 @@
 
 // Pool keeps clients by target address. It is safe for concurrent use.
 type Pool struct {
-	transport *http.Transport
-	client    *http.Client
+	opts Options
 
-	mu      sync.Mutex // guards clients
-	clients map[string]*Clients
+	mu        sync.Mutex // guards endpoints
+	endpoints map[string]*endpoint
 }
 
-// NewPool returns an empty pool. A nil dial uses TCP.
+// NewPool returns an empty pool that speaks HTTP/2. A nil dial uses TCP.
 func NewPool(dial DialFunc) *Pool {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
-	p := new(http.Protocols)
-	p.SetUnencryptedHTTP2(true)
-	t := &http.Transport{
-		DialContext:        dial,
-		Protocols:          p,
-		DisableCompression: true,
-		IdleConnTimeout:    idleTimeout,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: sendPingTimeout,
-			PingTimeout:     pingTimeout,
-		},
-	}
-	return &Pool{
-		transport: t,
-		client:    &http.Client{Transport: t},
-		clients:   map[string]*Clients{},
+	return NewPoolWith(Options{Dial: dial})
+}
+
+// NewPoolWith returns an empty pool.
+func NewPoolWith(opts Options) *Pool {
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
+	return &Pool{opts: opts, endpoints: map[string]*endpoint{}}
 }
 
-// Clients returns the clients of the target at address (IP:port).
+// Clients returns the clients of the target at address (IP:port). They stay
+// valid after Drop and then use a new connection.
 func (p *Pool) Clients(address string) *Clients {
+	return p.endpoint(address).clients
+}
+
+// Drop makes the next request to address dial anew. Requests and streams in
+// flight go on over their connection, which is closed after the last of them.
+func (p *Pool) Drop(address string) {
+	e := p.endpoint(address)
+	e.replace(e.current.Load())
+}
+
+// Close closes idle connections. Requests in flight go on.
+func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c, ok := p.clients[address]; ok {
-		return c
+	for _, e := range p.endpoints {
+		e.replace(e.current.Load())
 	}
-	url := "http://" + address
-	c := &Clients{
-		Engine:      chicoryv1connect.NewEngineServiceClient(p.client, url),
-		Transaction: chicoryv1connect.NewTransactionServiceClient(p.client, url),
-		Target:      chicoryv1connect.NewTargetServiceClient(p.client, url),
+}
+
+func (p *Pool) endpoint(address string) *endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e, ok := p.endpoints[address]; ok {
+		return e
 	}
-	p.clients[address] = c
-	return c
+	e := newEndpoint(p.opts, address)
+	p.endpoints[address] = e
+	return e
 }
 
-// Close closes idle connections. Requests in flight go on.
-func (p *Pool) Close() {
-	p.transport.CloseIdleConnections()
+// newTransport returns a transport with connections of its own.
+func newTransport(opts Options) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(opts.HTTP1)
+	protocols.SetUnencryptedHTTP2(!opts.HTTP1)
+	return &http.Transport{
+		DialContext:        opts.Dial,
+		Protocols:          protocols,
+		DisableCompression: true,
+		IdleConnTimeout:    idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: sendPingTimeout,
+			PingTimeout:     pingTimeout,
+		},
+	}
 }
