Claim calls in a ledger, dispatch once, retry lookups

Cause: a payout that lands twice makes a wallet wrong; a late lookup leaves a buyer waiting. Ruled out: dispatch before the claim commits; dispatching again a key whose claim was closed as not run, because a concurrent resend may have been told "not run" already; waiting for the outcome's commit before the answer, which costs a second quorum round. A claim is committed before its dispatch; the answer is given before its outcome is committed; an outcome is committed until it is or the process ends. Conclusion: a resend at another router gets the recorded answer, and a dead target costs no lookup, in two tests in virtual time.

--- /dev/null
+++ b/internal/request/call/attempt.go
@@ -0,0 +1,191 @@
+package call
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+)
+
+// ending says how an attempt ended.
+type ending int
+
+const (
+	// answered: the target answered this call.
+	answered ending = iota
+	// refused: the target answered this call with an error.
+	refused
+	// lost: no answer came; the call may have run.
+	lost
+	// crossed: an answer with another call's identity came; the call may have run.
+	crossed
+	// notSent: no byte was written to a target.
+	notSent
+)
+
+// attempt is one dispatch of a call to one target, after its end.
+type attempt struct {
+	ending ending
+	target string
+	resp   *chicoryv1.InvokeResponse
+	// refusal is set when the ending is refused.
+	refusal *fault.Error
+	code    connect.Code
+	latency time.Duration
+}
+
+// mayHaveRun reports whether the target may have run the call.
+func (a *attempt) mayHaveRun() bool {
+	return a.ending != notSent
+}
+
+// dispatch sends the call to a target once, waits for its answer at most until
+// ctx ends, and tells the picker and the recorder. number tells the attempts of
+// one call apart.
+func (s *Service) dispatch(ctx context.Context, c *call, p request.Placement, number int) *attempt {
+	d := &target.Dispatch{}
+	id := c.id + "-" + strconv.Itoa(number)
+	start := time.Now()
+	resp, err := s.invoke(target.WithDispatch(ctx, d), c, p.Target, id)
+	a := &attempt{target: p.Target.GetAddress(), latency: time.Since(start)}
+	a.classify(resp, err, id, d)
+	if a.ending == lost && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		d.DropConnection()
+	}
+	s.report(ctx, c, p, a)
+	return a
+}
+
+func (s *Service) invoke(ctx context.Context, c *call, t *chicoryv1.Target, id string) (*chicoryv1.InvokeResponse, error) {
+	req := &chicoryv1.InvokeRequest{
+		CallId:     id,
+		Key:        c.req.GetKey(),
+		Team:       c.req.GetTeam(),
+		Method:     c.req.GetMethod(),
+		Payload:    c.req.GetPayload(),
+		Idempotent: c.isIdempotent(),
+		TimeoutMs:  uint32(max(time.Until(c.work.Deadline).Milliseconds(), 1)),
+		Route:      c.req.GetRoute(),
+		Version:    t.GetVersion(),
+	}
+	resp, err := s.opts.Pool.Clients(t.GetAddress()).Transaction.Invoke(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// classify decides how the attempt with the identity id ended.
+func (a *attempt) classify(resp *chicoryv1.InvokeResponse, err error, id string, d *target.Dispatch) {
+	switch {
+	case err == nil && resp.GetCallId() == id:
+		a.ending, a.resp = answered, resp
+	case err == nil:
+		a.ending = crossed
+	case !d.MayHaveArrived():
+		a.ending = notSent
+	case isTargetAnswer(err):
+		a.ending = refused
+		a.code = connect.CodeOf(err)
+		a.refusal = fault.New(fault.TargetRefused, "%s", errorMessage(err))
+	default:
+		a.ending = lost
+	}
+}
+
+// unclearCodes are error codes that something between the router and the target
+// also gives, or that a target gives when it has lost sight of the call.
+var unclearCodes = []connect.Code{
+	connect.CodeCanceled,
+	connect.CodeDeadlineExceeded,
+	connect.CodeUnavailable,
+	connect.CodeUnknown,
+	connect.CodeAborted,
+}
+
+// isTargetAnswer reports whether err is the target's own answer to the call.
+func isTargetAnswer(err error) bool {
+	return connect.IsWireError(err) && !slices.Contains(unclearCodes, connect.CodeOf(err))
+}
+
+// finalCodes are error codes that each replica of a service gives alike.
+var finalCodes = []connect.Code{
+	connect.CodeInvalidArgument,
+	connect.CodeNotFound,
+	connect.CodeAlreadyExists,
+	connect.CodePermissionDenied,
+	connect.CodeFailedPrecondition,
+	connect.CodeOutOfRange,
+	connect.CodeUnimplemented,
+	connect.CodeUnauthenticated,
+}
+
+func errorMessage(err error) string {
+	var c *connect.Error
+	if errors.As(err, &c) {
+		return c.Code().String() + ": " + c.Message()
+	}
+	return err.Error()
+}
+
+// report tells the picker and the recorder how an attempt ended.
+func (s *Service) report(ctx context.Context, c *call, p request.Placement, a *attempt) {
+	result := a.result(ctx)
+	latency := time.Duration(0)
+	if result == request.ResultSuccess {
+		latency = a.latency
+	}
+	p.Done(result, latency)
+	if result == request.ResultAbandoned {
+		return
+	}
+	s.opts.Recorder.Record(request.Observation{
+		Route:            c.req.GetRoute(),
+		Version:          p.Target.GetVersion(),
+		Team:             c.req.GetTeam(),
+		AvailabilityZone: s.opts.AvailabilityZone,
+		Error:            result != request.ResultSuccess,
+		Crossed:          a.ending == crossed,
+		CallLatency:      latency,
+	})
+	if a.ending == crossed {
+		s.opts.Logger.Warn(logging.AnswerDropped, logging.Fields{
+			"request_id": c.req.GetRequestId(), "call_id": c.id, "team": c.req.GetTeam(),
+			"route": c.req.GetRoute(), "target": a.target, "reason": "another call's identity",
+		})
+	}
+}
+
+// result returns how the attempt ended for the picker.
+func (a *attempt) result(ctx context.Context) request.Result {
+	switch {
+	case a.ending == answered:
+		return request.ResultSuccess
+	case a.ending == refused || a.ending == crossed:
+		return request.ResultError
+	case errors.Is(ctx.Err(), context.Canceled):
+		return request.ResultAbandoned
+	case ctx.Err() != nil:
+		return request.ResultSilent
+	default:
+		return request.ResultReset
+	}
+}
+
+// pick chooses a target that is not excluded.
+func (s *Service) pick(c *call, exclude []string) (request.Placement, error) {
+	p, err := s.opts.Picker.Pick(c.work, exclude)
+	if err != nil {
+		return p, fault.Of(err)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/request/call/call_test.go
@@ -0,0 +1,46 @@
+package call
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
+)
+
+func TestResendAtAnotherRouterGetsTheSameAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell("10.0.0.1:1", "10.0.0.2:1")
+		defer c.close()
+		one, two := c.router("r1"), c.router("r2")
+		key := ledger.NewKey(time.Now())
+		first, err := one.Call(context.Background(), payout(key))
+		assert.NilError(t, err)
+		assert.Assert(t, !first.GetReplayed())
+		one.close(t)
+		again, err := two.Call(context.Background(), payout(key))
+		assert.NilError(t, err)
+		assert.Equal(t, string(again.GetPayload()), string(first.GetPayload()))
+		assert.Assert(t, again.GetReplayed())
+		assert.Equal(t, c.arrivals(key), uint32(1))
+		two.close(t)
+	})
+}
+
+func TestIdempotentCallOutlivesADeadTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell("10.0.0.1:1", "10.0.0.2:1")
+		defer c.close()
+		r := c.router("r1")
+		c.targets[0].kill()
+		for range 4 {
+			resp, err := r.Call(context.Background(), fare())
+			assert.NilError(t, err)
+			assert.Equal(t, string(resp.GetPayload()), "fare:7")
+		}
+		r.close(t)
+	})
+}
--- /dev/null
+++ b/internal/request/call/idempotent.go
@@ -0,0 +1,205 @@
+package call
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+)
+
+// Bounds of the attempts of an idempotent call.
+const (
+	// silenceFactor times the hedge delay without an answer counts as silence.
+	silenceFactor = 10
+	minSilence    = 100 * time.Millisecond
+	// maxBudgetWait bounds how long a retry waits for the budget.
+	maxBudgetWait = 100 * time.Millisecond
+)
+
+// callIdempotent serves a call that may run more than once: it is retried at
+// another target when an attempt fails and hedged when an attempt is late. The
+// first answer wins.
+func (s *Service) callIdempotent(ctx context.Context, c *call) (*chicoryv1.CallResponse, error) {
+	release, err := s.opts.Admitter.Admit(ctx, c.work)
+	if err != nil {
+		return nil, fault.Of(err)
+	}
+	defer release(0)
+	// Attempts that are still running when the call ends are cancelled.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.opts.Budget.OnRequest()
+	r := &race{
+		s:       s,
+		c:       c,
+		hedge:   s.latencies.hedgeDelay(c.req.GetRoute()),
+		results: make(chan *attempt, s.opts.Settings.MaxAttempts),
+	}
+	if err := r.launch(ctx); err != nil {
+		return nil, err
+	}
+	return r.run(ctx)
+}
+
+// race is the attempts of one idempotent call.
+type race struct {
+	s       *Service
+	c       *call
+	hedge   time.Duration
+	results chan *attempt
+
+	launched int
+	running  int
+	tried    []string
+	// last is the latest attempt that may have run, nil before one.
+	last *attempt
+}
+
+// launch starts an attempt at a target that was not tried. When every target was
+// tried, it takes one of them again, because its connection is a new one then.
+func (r *race) launch(ctx context.Context) error {
+	p, err := r.s.pick(r.c, r.tried)
+	if err != nil && len(r.tried) > 0 {
+		p, err = r.s.pick(r.c, nil)
+	}
+	if err != nil {
+		return err
+	}
+	r.launched++
+	r.running++
+	r.tried = append(r.tried, p.Target.GetAddress())
+	number := r.launched
+	r.s.tasks.Go(func() {
+		attemptCtx, cancel := context.WithTimeout(ctx, max(silenceFactor*r.hedge, minSilence))
+		defer cancel()
+		r.results <- r.s.dispatch(attemptCtx, r.c, p, number)
+	})
+	return nil
+}
+
+// run waits for the first answer.
+func (r *race) run(ctx context.Context) (*chicoryv1.CallResponse, error) {
+	hedge := time.NewTimer(r.hedge)
+	defer hedge.Stop()
+	for {
+		select {
+		case a := <-r.results:
+			r.running--
+			if a.ending == answered {
+				r.s.latencies.observe(r.c.req.GetRoute(), a.latency)
+				return r.c.response(a), nil
+			}
+			if a.mayHaveRun() {
+				r.last = a
+			}
+			if a.isFinal() {
+				return nil, a.refusal
+			}
+			if err := r.retry(ctx, a); err != nil {
+				return nil, err
+			}
+		case <-hedge.C:
+			r.launchHedge(ctx)
+			hedge.Reset(r.hedge)
+		case <-ctx.Done():
+			return nil, r.refusal(ctx)
+		}
+	}
+}
+
+// isFinal reports whether each replica would refuse the call alike.
+func (a *attempt) isFinal() bool {
+	return a.ending == refused && slices.Contains(finalCodes, a.code)
+}
+
+// retry starts another attempt after a failed one. It fails when no attempt is
+// running and none can be started.
+func (r *race) retry(ctx context.Context, failed *attempt) error {
+	wait, err := r.tryRetry(ctx)
+	if err == nil {
+		r.s.opts.Logger.Info(logging.CallRetried, logging.Fields{
+			"request_id": r.c.req.GetRequestId(), "route": r.c.req.GetRoute(),
+			"target": failed.target, "attempt": r.launched,
+		})
+		return nil
+	}
+	if r.running > 0 {
+		return nil
+	}
+	if ctx.Err() != nil || r.last == nil && !fault.Is(err, fault.Overloaded) {
+		return r.refusalOr(ctx, fault.Of(err))
+	}
+	return r.refusal(ctx).WithRetryAfter(atLeast(wait))
+}
+
+// tryRetry takes an attempt from the budget and starts it. It waits for the
+// budget briefly when no other attempt is running.
+func (r *race) tryRetry(ctx context.Context) (wait time.Duration, err error) {
+	if ctx.Err() != nil || r.launched >= r.s.opts.Settings.MaxAttempts {
+		return 0, errNoMoreAttempts
+	}
+	ok, wait := r.s.opts.Budget.Allow(request.RetryCall)
+	if !ok && r.running == 0 && wait > 0 && wait <= maxBudgetWait {
+		sleep(ctx, wait)
+		ok, wait = r.s.opts.Budget.Allow(request.RetryCall)
+	}
+	if !ok || ctx.Err() != nil {
+		return wait, errNoMoreAttempts
+	}
+	return 0, r.launch(ctx)
+}
+
+// errNoMoreAttempts tells that the budget, the deadline or the bound of attempts
+// allows no further attempt.
+var errNoMoreAttempts = errors.New("no further attempt is allowed")
+
+// launchHedge starts a second attempt beside a late one, if the budget allows.
+func (r *race) launchHedge(ctx context.Context) {
+	if r.running != 1 || r.launched >= r.s.opts.Settings.MaxAttempts {
+		return
+	}
+	if ok, _ := r.s.opts.Budget.Allow(request.HedgeCall); ok {
+		_ = r.launch(ctx) // without another target the first attempt goes on alone
+	}
+}
+
+// refusalOr returns e, or what the deadline says when it has passed.
+func (r *race) refusalOr(ctx context.Context, e *fault.Error) *fault.Error {
+	if ctx.Err() != nil || e.Kind == fault.Internal {
+		return r.refusal(ctx)
+	}
+	return e
+}
+
+// refusal returns the refusal of a call whose attempts all failed.
+func (r *race) refusal(ctx context.Context) *fault.Error {
+	mayHaveRun := r.last != nil || r.running > 0
+	switch {
+	case ctx.Err() != nil && !mayHaveRun:
+		return notSentInTime(ctx)
+	case ctx.Err() != nil:
+		return unknownOutcome(ctx, &attempt{ending: lost})
+	case !mayHaveRun:
+		return fault.New(fault.NoTarget, "no target can be reached")
+	case r.last.ending == refused:
+		return r.last.refusal
+	default:
+		return unknownOutcome(ctx, r.last)
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/request/call/outcome.go
@@ -0,0 +1,90 @@
+package call
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+)
+
+const (
+	keyConflictMessage     = "the key was used with another route, method or payload"
+	neverDispatchedMessage = "the call ledger did not answer in time; the call was not dispatched"
+)
+
+// closedClaim returns the claim as the attempt closes it.
+func closedClaim(claim *chicoryv1.Claim, a *attempt) *chicoryv1.Claim {
+	c := proto.CloneOf(claim)
+	c.Target = a.target
+	switch a.ending {
+	case answered:
+		c.State = chicoryv1.ClaimState_CLAIM_STATE_DONE
+		c.Payload = a.resp.GetPayload()
+		c.Version = a.resp.GetVersion()
+	case refused:
+		c.State = chicoryv1.ClaimState_CLAIM_STATE_DONE
+		c.FaultKind = string(a.refusal.Kind)
+		c.FaultMessage = a.refusal.Message
+	default:
+		c.State = chicoryv1.ClaimState_CLAIM_STATE_IN_DOUBT
+	}
+	return c
+}
+
+// notRunClaim returns the claim as it is closed when it was never dispatched.
+func notRunClaim(claim *chicoryv1.Claim, refusal *fault.Error) *chicoryv1.Claim {
+	c := proto.CloneOf(claim)
+	c.State = chicoryv1.ClaimState_CLAIM_STATE_NOT_RUN
+	c.FaultKind = string(refusal.Kind)
+	c.FaultMessage = refusal.Message
+	return c
+}
+
+// replay returns the recorded outcome of a claim that is done or not run.
+func replay(recorded *chicoryv1.Claim) (*chicoryv1.CallResponse, *fault.Error) {
+	ran := chicoryv1.Ran_RAN_RAN
+	if recorded.GetState() == chicoryv1.ClaimState_CLAIM_STATE_NOT_RUN {
+		ran = chicoryv1.Ran_RAN_NOT_RUN
+	}
+	if recorded.GetFaultKind() != "" || ran == chicoryv1.Ran_RAN_NOT_RUN {
+		return nil, fault.New(fault.Kind(recorded.GetFaultKind()), "%s", recorded.GetFaultMessage()).WithRan(ran)
+	}
+	return &chicoryv1.CallResponse{
+		Payload:  recorded.GetPayload(),
+		Version:  recorded.GetVersion(),
+		Replayed: true,
+	}, nil
+}
+
+// ledgerRefusal returns the refusal of a call whose claim got no answer.
+func ledgerRefusal(ctx context.Context, err error) *fault.Error {
+	if ctx.Err() != nil {
+		return fault.New(fault.DeadlineUnknown, "the call ledger did not answer before the deadline")
+	}
+	return fault.New(fault.LedgerUnavailable, "the call ledger can't be reached: %s", fault.Of(err).Message)
+}
+
+func (s *Service) logClosed(c *call, claim *chicoryv1.Claim, state chicoryv1.ClaimState) {
+	s.opts.Logger.Info(logging.CallEnded, logging.Fields{
+		"request_id": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
+		"route": c.req.GetRoute(), "target": claim.GetTarget(), "version": claim.GetVersion(),
+		"closed": claim.GetState(), "state": state,
+	})
+}
+
+func (s *Service) logDoubt(c *call, a *attempt) {
+	s.opts.Logger.Warn(logging.ClaimInDoubt, logging.Fields{
+		"request_id": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
+		"route": c.req.GetRoute(), "target": a.target, "reason": "no answer of the target",
+	})
+}
+
+func (s *Service) logRefusal(req *chicoryv1.CallRequest, e *fault.Error) {
+	s.opts.Logger.Info(logging.RequestRefused, logging.Fields{
+		"request_id": req.GetRequestId(), "team": req.GetTeam(), "route": req.GetRoute(),
+		"kind": e.Kind, "ran": e.Ran, "retry_after": e.RetryAfter, "reason": e.Message,
+	})
+}
