--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	test -z "$$(git status --porcelain -- api/gen)"
 
 demo: build
-	./bin/chicory-demo -bin bin
+	./scripts/demo.sh
 
 ci:
 	.ci/run
--- /dev/null
+++ b/internal/connection/caller/service.go
@@ -0,0 +1,145 @@
+// Package caller serves callers: it checks who they are, gives every request an
+// identity, hands it to the path for its kind and turns errors into answers that
+// say whether the request ran and when to come back.
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+)
+
+// Generations is the path of long generations.
+type Generations interface {
+	Generate(ctx context.Context, req *chicoryv1.GenerateRequest, send func(*chicoryv1.GenerationChunk) error) error
+	Resume(ctx context.Context, req *chicoryv1.ResumeRequest, send func(*chicoryv1.GenerationChunk) error) error
+	Cancel(ctx context.Context, req *chicoryv1.CancelRequest) error
+}
+
+// Calls is the path of short calls.
+type Calls interface {
+	Call(ctx context.Context, req *chicoryv1.CallRequest) (*chicoryv1.CallResponse, error)
+}
+
+// Service implements CallerService.
+type Service struct {
+	holder      *config.Holder
+	generations Generations
+	calls       Calls
+	ready       func() bool
+	log         *logging.Logger
+}
+
+// NewService returns a service that refuses with NotReady until ready is true.
+func NewService(h *config.Holder, g Generations, c Calls, ready func() bool, log *logging.Logger) *Service {
+	return &Service{holder: h, generations: g, calls: c, ready: ready, log: log}
+}
+
+// Generate implements CallerService.
+func (s *Service) Generate(ctx context.Context, req *connect.Request[chicoryv1.GenerateRequest], stream *connect.ServerStream[chicoryv1.GenerateResponse]) error {
+	m := req.Msg
+	m.RequestId = orDrawn(m.GetRequestId())
+	err := s.admit(req.Header(), m.GetTeam())
+	if err == nil {
+		err = s.generations.Generate(ctx, m, func(c *chicoryv1.GenerationChunk) error {
+			return stream.Send(&chicoryv1.GenerateResponse{Chunk: c})
+		})
+	}
+	return s.answer(err, m.GetRequestId(), m.GetTeam(), m.GetRoute())
+}
+
+// Resume implements CallerService. The team is that of the original request.
+func (s *Service) Resume(ctx context.Context, req *connect.Request[chicoryv1.ResumeRequest], stream *connect.ServerStream[chicoryv1.ResumeResponse]) error {
+	m := req.Msg
+	m.RequestId = orDrawn(m.GetRequestId())
+	team := m.GetOriginal().GetTeam()
+	err := s.admit(req.Header(), team)
+	if err == nil {
+		err = s.generations.Resume(ctx, m, func(c *chicoryv1.GenerationChunk) error {
+			return stream.Send(&chicoryv1.ResumeResponse{Chunk: c})
+		})
+	}
+	return s.answer(err, m.GetRequestId(), team, m.GetOriginal().GetRoute())
+}
+
+// Cancel implements CallerService.
+func (s *Service) Cancel(ctx context.Context, req *connect.Request[chicoryv1.CancelRequest]) (*connect.Response[chicoryv1.CancelResponse], error) {
+	m := req.Msg
+	m.RequestId = orDrawn(m.GetRequestId())
+	err := s.admit(req.Header(), m.GetTeam())
+	if err == nil {
+		err = s.generations.Cancel(ctx, m)
+	}
+	if err := s.answer(err, m.GetRequestId(), m.GetTeam(), ""); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&chicoryv1.CancelResponse{RequestId: m.GetRequestId()}), nil
+}
+
+// Call implements CallerService.
+func (s *Service) Call(ctx context.Context, req *connect.Request[chicoryv1.CallRequest]) (*connect.Response[chicoryv1.CallResponse], error) {
+	m := req.Msg
+	m.RequestId = orDrawn(m.GetRequestId())
+	var resp *chicoryv1.CallResponse
+	err := s.admit(req.Header(), m.GetTeam())
+	if err == nil {
+		resp, err = s.calls.Call(ctx, m)
+	}
+	if err := s.answer(err, m.GetRequestId(), m.GetTeam(), m.GetRoute()); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func orDrawn(id string) string {
+	if id == "" {
+		return rand.Text()
+	}
+	return id
+}
+
+// admit checks readiness and the team's key. Nothing has run when it fails.
+func (s *Service) admit(h http.Header, team string) error {
+	view := s.holder.Current()
+	if view == nil || !s.ready() {
+		return fault.New(fault.NotReady, "this router has no current configuration yet")
+	}
+	t := view.Team(team)
+	if t == nil {
+		return fault.New(fault.Unauthenticated, "unknown team")
+	}
+	if t.GetKeyDigest() == "" {
+		return nil
+	}
+	key := strings.TrimPrefix(h.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	given := hex.EncodeToString(sum[:])
+	if subtle.ConstantTimeCompare([]byte(given), []byte(t.GetKeyDigest())) != 1 {
+		return fault.New(fault.Unauthenticated, "the team's key is missing or wrong")
+	}
+	return nil
+}
+
+// answer logs a refusal and turns it into the caller's answer.
+func (s *Service) answer(err error, requestID, team, route string) error {
+	if err == nil {
+		return nil
+	}
+	e := fault.Of(err)
+	s.log.Info(logging.RequestRefused, logging.Fields{
+		"request": requestID, "team": team, "route": route,
+		"kind": e.Kind, "ran": e.Ran, "retry_after": e.RetryAfter, "reason": e.Message,
+	})
+	return fault.Answer(e, requestID)
+}
--- /dev/null
+++ b/internal/process/run/run.go
@@ -0,0 +1,101 @@
+// Package run is what the main functions of the servers share: the command line,
+// check-settings, signals and exit statuses.
+package run
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
+)
+
+// Exit statuses of the servers.
+const (
+	ExitOK = 0
+	// ExitError: the process could not start or stopped because of a failure.
+	ExitError = 1
+	// ExitUsage: the command line or the settings have an error; nothing was started.
+	ExitUsage = 2
+)
+
+// Server describes one server binary.
+type Server struct {
+	// Name is the binary's name; Role is its name in logs.
+	Name, Role string
+	// Example is a settings example for the help text.
+	Example string
+	// Settings returns a pointer to settings with defaults.
+	Settings func() any
+	// ID returns the process's identity from the settings.
+	ID func(s any) string
+	// Start starts the process and returns a function that shuts it down in order.
+	Start func(s any, log *logging.Logger) (stop func(), err error)
+}
+
+// Main runs the server until SIGTERM or SIGINT and returns the exit status.
+// With the word check-settings before the flags it only reads the settings.
+func (s Server) Main(args []string) int {
+	checkOnly := len(args) > 0 && args[0] == "check-settings"
+	if checkOnly {
+		args = args[1:]
+	}
+	path, err := s.parse(args)
+	if err != nil {
+		return ExitUsage
+	}
+	set := s.Settings()
+	if err := settings.Load(path, set); err != nil {
+		logging.New(os.Stderr, s.Role, "none").Error(logging.SettingsRejected, logging.Fields{"reason": err})
+		return ExitUsage
+	}
+	if checkOnly {
+		fmt.Printf("%s: settings are valid\n", path)
+		return ExitOK
+	}
+	return s.serve(set)
+}
+
+// parse reads the flags and the environment and returns the settings' path.
+func (s Server) parse(args []string) (string, error) {
+	fs := flag.NewFlagSet(s.Name, flag.ContinueOnError)
+	path := fs.String("settings", "", "path of the YAML settings file")
+	fs.Usage = func() {
+		fmt.Fprintf(fs.Output(), "%s [check-settings] -settings FILE\n\n", s.Name)
+		fs.PrintDefaults()
+		fmt.Fprintf(fs.Output(), "\nThe flag may also come from the environment as %s_SETTINGS.\n\nExamples:\n  %s check-settings -settings %s.yaml\n  %s -settings %s.yaml\n\nSettings:\n%s\n",
+			s.envPrefix(), s.Name, s.Role, s.Name, s.Role, s.Example)
+	}
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(s.envPrefix())); err != nil {
+		return "", err
+	}
+	if *path == "" {
+		fmt.Fprintln(os.Stderr, "the flag -settings is missing")
+		return "", flag.ErrHelp
+	}
+	return *path, nil
+}
+
+func (s Server) envPrefix() string {
+	return strings.ToUpper(strings.ReplaceAll(s.Name, "-", "_"))
+}
+
+func (s Server) serve(set any) int {
+	log := logging.New(os.Stderr, s.Role, s.ID(set))
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop, err := s.Start(set, log)
+	if err != nil {
+		log.Error(logging.ProcessStopped, logging.Fields{"reason": err})
+		return ExitError
+	}
+	<-signals
+	stop()
+	return ExitOK
+}
--- /dev/null
+++ b/internal/process/state/moves.go
@@ -0,0 +1,59 @@
+package state
+
+import (
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/move"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
+)
+
+// applyMoveStep takes a step of an open move if it was decided on the move's
+// present state. A step that ends the move takes it out of the configuration,
+// and moves the route to the new version when it is done.
+func (m *Machine) applyMoveStep(step *chicoryv1.MoveStep) Result {
+	current := m.openMove(step.GetMove().GetId())
+	if current == nil {
+		return Result{}
+	}
+	next, ok := move.ApplyStep(current, step)
+	if !ok {
+		return Result{}
+	}
+	if !move.Ended(next) {
+		m.swap(m.patched(&chicoryv1.ConfigurationDelta{
+			Changed: &chicoryv1.Configuration{Moves: []*chicoryv1.Move{next}},
+		}), nil)
+		return Result{Stepped: true}
+	}
+	m.endMove(next)
+	return Result{Stepped: true}
+}
+
+func (m *Machine) endMove(next *chicoryv1.Move) {
+	d := &chicoryv1.ConfigurationDelta{
+		Changed:      &chicoryv1.Configuration{},
+		RemovedMoves: []string{next.GetId()},
+	}
+	name := next.GetIntent().GetRoute()
+	touched := []plan.Item{plan.MoveItem(name)}
+	route := config.NewView(m.config).Route(name)
+	if after := move.RouteAfter(route, next); after != route {
+		d.Changed.Routes = []*chicoryv1.Route{after}
+		touched = append(touched, plan.RouteItem(name))
+	}
+	m.swap(m.patched(d), touched)
+	m.keepEnded([]*chicoryv1.Move{next})
+}
+
+func (m *Machine) patched(d *chicoryv1.ConfigurationDelta) *chicoryv1.Configuration {
+	return config.Patch(m.config, d)
+}
+
+func (m *Machine) openMove(id string) *chicoryv1.Move {
+	for _, o := range m.config.GetMoves() {
+		if o.GetId() == id {
+			return o
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/state/read.go
@@ -0,0 +1,75 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
+)
+
+// Configuration returns the configuration in force, which must not be changed,
+// and a channel that closes at the next revision.
+func (m *Machine) Configuration() (*chicoryv1.Configuration, <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.config, m.changed
+}
+
+// Plan computes the plan for changes against the present state.
+func (m *Machine) Plan(operator string, changes []*chicoryv1.Change, now time.Time) (*chicoryv1.Plan, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out, err := plan.Apply(plan.Context{Base: m.config, Now: now, MoveID: "planned", Operator: operator}, changes)
+	if err != nil {
+		return nil, err
+	}
+	p := &chicoryv1.Plan{
+		BaseRevision: m.config.GetRevision(),
+		Changes:      changes,
+		Effects:      out.Effects,
+		Warnings:     out.Warnings,
+	}
+	seen := map[plan.Item]bool{}
+	for _, item := range out.Reads {
+		if !seen[item] {
+			seen[item] = true
+			p.Reads = append(p.Reads, &chicoryv1.Read{Item: string(item), Revision: m.items[item]})
+		}
+	}
+	return p, nil
+}
+
+// Moves returns open moves and then ended ones, the newest first.
+func (m *Machine) Moves() []*chicoryv1.Move {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := slices.Clone(m.ended)
+	slices.Reverse(all)
+	return append(slices.Clone(m.config.GetMoves()), all...)
+}
+
+// History returns up to limit entries, the newest first.
+func (m *Machine) History(limit int) []*chicoryv1.HistoryEntry {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	from := max(len(m.history)-limit, 0)
+	newest := slices.Clone(m.history[from:])
+	slices.Reverse(newest)
+	return newest
+}
+
+// Claims returns the number of ledger entries and those in doubt.
+func (m *Machine) Claims() (int, []*chicoryv1.Claim) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.calls.Len(), m.calls.InDoubt()
+}
+
+// OpenClaimants returns the lives of routers that hold open claims.
+func (m *Machine) OpenClaimants() []ledger.Claimant {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.calls.OpenClaimants()
+}
--- /dev/null
+++ b/internal/process/state/snapshot.go
@@ -0,0 +1,85 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
+)
+
+// Snapshot implements consensus.StateMachine. The bytes are a StateSnapshot,
+// the same for the same state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	claims, floor := m.calls.Export()
+	s := &chicoryv1.StateSnapshot{
+		Configuration:     m.config,
+		EndedMoves:        m.ended,
+		History:           m.history,
+		Claims:            claims,
+		LedgerFloorUnixMs: floor,
+		UnixMs:            m.unixMs,
+		Fencing:           m.fencing,
+		LeaseHolder:       m.holder,
+		LeaseUntilUnixMs:  m.leaseMs,
+	}
+	for _, item := range sortedKeys(m.items) {
+		s.ItemRevisions = append(s.ItemRevisions, &chicoryv1.ItemRevision{Item: string(item), Revision: m.items[item]})
+	}
+	for _, id := range sortedKeys(m.results) {
+		s.Results = append(s.Results, m.results[id])
+	}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	return b, errors.Trace(err)
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Restore implements consensus.StateMachine. It replaces the whole state; the
+// configuration's revision never goes back, because a snapshot is installed only
+// over an older state.
+func (m *Machine) Restore(snapshot []byte) error {
+	s := &chicoryv1.StateSnapshot{}
+	if err := proto.Unmarshal(snapshot, s); err != nil {
+		return errors.Annotate(err, "state snapshot")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.config = s.GetConfiguration()
+	if m.config == nil {
+		m.config = &chicoryv1.Configuration{}
+	}
+	m.ended = s.GetEndedMoves()
+	m.history = s.GetHistory()
+	m.calls = ledger.New(m.settings)
+	if err := m.calls.Restore(s.GetClaims(), s.GetLedgerFloorUnixMs()); err != nil {
+		return errors.Annotate(err, "call ledger")
+	}
+	m.items = map[plan.Item]uint64{}
+	for _, i := range s.GetItemRevisions() {
+		m.items[plan.Item(i.GetItem())] = i.GetRevision()
+	}
+	m.results = map[string]*chicoryv1.ResultRecord{}
+	for _, r := range s.GetResults() {
+		m.results[r.GetRequestId()] = r
+	}
+	m.unixMs = s.GetUnixMs()
+	m.fencing = s.GetFencing()
+	m.holder = s.GetLeaseHolder()
+	m.leaseMs = s.GetLeaseUntilUnixMs()
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return nil
+}
--- /dev/null
+++ b/internal/process/state/state.go
@@ -0,0 +1,163 @@
+// Package state is the state machine behind the replicated log: configuration,
+// moves, the call ledger, results of confirms and the order lease. Applying the
+// same entries gives the same state on every control VM: time and randomness
+// come from the entry.
+package state
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
+)
+
+// Bounds of what is kept beside the configuration.
+const (
+	maxHistory    = 10_000
+	maxEndedMoves = 1_000
+	// resultRetention is how long a resent confirm gets its first result.
+	resultRetention = 24 * time.Hour
+)
+
+// Result is what applying one entry returns to its proposer.
+type Result struct {
+	Confirm *chicoryv1.ConfirmResponse
+	Claims  []*chicoryv1.ClaimResult
+	Closed  []chicoryv1.ClaimState
+	// Stepped reports whether a move step was taken.
+	Stepped bool
+	// Fencing is the number that a lease entry gave out; 0 when it was refused.
+	Fencing uint64
+	// Err is a *fault.Error, or nil.
+	Err error
+}
+
+// Machine is the applied state. Apply is called by one task; the readers may be
+// called from any.
+type Machine struct {
+	settings ledger.Settings
+
+	mu      sync.RWMutex // guards the fields below
+	config  *chicoryv1.Configuration
+	items   map[plan.Item]uint64 // revision that last changed the item
+	ended   []*chicoryv1.Move    // the oldest first
+	results map[string]*chicoryv1.ResultRecord
+	history []*chicoryv1.HistoryEntry // the oldest first
+	calls   *ledger.Ledger
+	unixMs  int64 // largest entry time so far
+	fencing uint64
+	holder  string
+	leaseMs int64         // unix ms until which the lease is held
+	changed chan struct{} // closed at the next revision
+}
+
+// New returns the empty state.
+func New(s ledger.Settings) *Machine {
+	return &Machine{
+		settings: s,
+		config:   &chicoryv1.Configuration{},
+		items:    map[plan.Item]uint64{},
+		results:  map[string]*chicoryv1.ResultRecord{},
+		calls:    ledger.New(s),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Apply implements consensus.StateMachine. The result is a Result.
+func (m *Machine) Apply(index uint64, command []byte) any {
+	cmd := &chicoryv1.Command{}
+	if err := proto.Unmarshal(command, cmd); err != nil {
+		return Result{Err: fault.New(fault.Internal, "entry %d is damaged: %v", index, err)}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unixMs = max(m.unixMs, cmd.GetUnixMs())
+	now := time.UnixMilli(m.unixMs)
+	switch c := cmd.GetCommand().(type) {
+	case *chicoryv1.Command_Confirm:
+		return m.applyConfirm(c.Confirm, index, now)
+	case *chicoryv1.Command_Claim:
+		return m.applyClaims(c.Claim, now)
+	case *chicoryv1.Command_Close:
+		return m.applyCloses(c.Close, now)
+	case *chicoryv1.Command_MoveStep:
+		return m.applyMoveStep(c.MoveStep)
+	case *chicoryv1.Command_Expire:
+		m.expire(now)
+	case *chicoryv1.Command_Lease:
+		return m.applyLease(c.Lease, now)
+	case *chicoryv1.Command_Found:
+		m.applyFound(c.Found)
+	case *chicoryv1.Command_RouterLost:
+		m.calls.RouterLost(c.RouterLost.GetRouterId(), c.RouterLost.GetIncarnation(), now)
+	}
+	return Result{}
+}
+
+func (m *Machine) applyClaims(req *chicoryv1.ClaimRequest, now time.Time) Result {
+	var r Result
+	for _, c := range req.GetClaims() {
+		r.Claims = append(r.Claims, m.calls.Claim(c, now))
+	}
+	return r
+}
+
+func (m *Machine) applyCloses(req *chicoryv1.CloseRequest, now time.Time) Result {
+	var r Result
+	for _, c := range req.GetClaims() {
+		r.Closed = append(r.Closed, m.calls.Close(c, now))
+	}
+	return r
+}
+
+// applyFound names the cluster once, with its first revision.
+func (m *Machine) applyFound(f *chicoryv1.FoundCommand) {
+	if m.config.GetClusterId() != "" {
+		return
+	}
+	m.swap(&chicoryv1.Configuration{ClusterId: f.GetClusterId()}, nil)
+}
+
+// swap puts next in force under a new revision. The caller holds mu.
+func (m *Machine) swap(next *chicoryv1.Configuration, touched []plan.Item) {
+	if next.ClusterId == "" {
+		next.ClusterId = m.config.GetClusterId()
+	}
+	next.Revision = m.config.GetRevision() + 1
+	for _, item := range touched {
+		m.items[item] = next.Revision
+	}
+	m.config = next
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// expire drops what is older than its retention.
+func (m *Machine) expire(now time.Time) {
+	m.calls.Expire(now)
+	oldest := now.Add(-resultRetention).UnixMilli()
+	for id, r := range m.results {
+		if r.GetUnixMs() < oldest {
+			delete(m.results, id)
+		}
+	}
+}
+
+// applyLease grants the order lease to its holder, or to another once it has run out.
+func (m *Machine) applyLease(l *chicoryv1.LeaseCommand, now time.Time) Result {
+	nowMs := now.UnixMilli()
+	if m.holder != l.GetHolder() && nowMs < m.leaseMs {
+		return Result{Err: fault.New(fault.NotLeader, "the order lease is held by %s", m.holder)}
+	}
+	if m.holder != l.GetHolder() || nowMs >= m.leaseMs {
+		m.fencing++
+	}
+	m.holder = l.GetHolder()
+	m.leaseMs = nowMs + int64(l.GetDurationMs())
+	return Result{Fencing: m.fencing}
+}
