Generate, resume and cancel generations at the router

Change: package internal/request/generation with Service (Generate, Resume, Cancel, Drain), resume tokens sealed with AES-GCM, a prefix that a hash chain proves, silence learned from the stream's gaps, a probe on a new connection (target.Pool.Fresh) that asks for the last released token again, and a restart elsewhere with prompt and prefix. Chunks carry a 4-byte proof; later chunks leave out what the caller was told already.

--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -35,8 +35,10 @@
 	transport *http.Transport
 	client    *http.Client
 
-	mu      sync.Mutex // guards clients
+	mu      sync.Mutex // guards the fields below
 	clients map[string]*Clients
+	// replaced are the transports made by Fresh.
+	replaced []*http.Transport
 }
 
 // NewPool returns an empty pool. A nil dial uses TCP.
@@ -70,17 +72,26 @@
 	if c, ok := p.clients[address]; ok {
 		return c
 	}
-	url := "http://" + address
-	c := &Clients{
-		Engine:      chicoryv1connect.NewEngineServiceClient(p.client, url),
-		Transaction: chicoryv1connect.NewTransactionServiceClient(p.client, url),
-		Target:      chicoryv1connect.NewTargetServiceClient(p.client, url),
-	}
+	c := newClients(p.client, address)
 	p.clients[address] = c
 	return c
 }
 
+func newClients(client *http.Client, address string) *Clients {
+	url := "http://" + address
+	return &Clients{
+		Engine:      chicoryv1connect.NewEngineServiceClient(client, url),
+		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url),
+		Target:      chicoryv1connect.NewTargetServiceClient(client, url),
+	}
+}
+
 // Close closes idle connections. Requests in flight go on.
 func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.transport.CloseIdleConnections()
+	for _, t := range p.replaced {
+		t.CloseIdleConnections()
+	}
 }
--- /dev/null
+++ b/internal/request/generation/harness_test.go
@@ -0,0 +1,357 @@
+package generation
+
+import (
+	"context"
+	"flag"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/standin"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+)
+
+// TestMain fixes the seed of drawn tests; SEED=n draws another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := os.Getenv("SEED")
+	if seed == "" {
+		seed = "1"
+	}
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", seed)
+	}
+	os.Exit(m.Run())
+}
+
+// cutConn is one end of a connection whose bytes can be held back for good.
+type cutConn struct {
+	net.Conn
+	once  sync.Once
+	muted chan struct{}
+	ended chan struct{}
+}
+
+func newCutConn(c net.Conn) *cutConn {
+	return &cutConn{Conn: c, muted: make(chan struct{}), ended: make(chan struct{})}
+}
+
+func (c *cutConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.muted:
+		<-c.ended
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	select {
+	case <-c.muted:
+		return len(b), nil // lost on the way
+	default:
+		return c.Conn.Write(b)
+	}
+}
+
+func (c *cutConn) Close() error {
+	c.once.Do(func() { close(c.ended) })
+	return c.Conn.Close()
+}
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// engine is one stand-in engine over connections in memory.
+type engine struct {
+	*standin.Replica
+	address  string
+	listener *pipeListener
+	server   *http.Server
+}
+
+func startEngine(opts standin.Options) *engine {
+	e := &engine{
+		Replica:  standin.NewReplica(opts),
+		address:  opts.Address,
+		listener: newPipeListener(),
+	}
+	e.server = standin.NewServer(e.Replica)
+	go func() { _ = e.server.Serve(e.listener) }()
+	return e
+}
+
+// kill ends the engine as a crash does.
+func (e *engine) kill() {
+	_ = e.listener.Close()
+	_ = e.server.Close()
+	e.Close()
+}
+
+// network is how one router reaches the engines.
+type network struct {
+	engines map[string]*engine
+
+	mu    sync.Mutex // guards the fields below
+	down  bool
+	conns []*cutConn
+}
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e := n.engines[address]
+	if n.down || e == nil {
+		return nil, errors.New("connection refused")
+	}
+	client, server := net.Pipe()
+	select {
+	case e.listener.conns <- server:
+	case <-e.listener.done:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	c := newCutConn(client)
+	n.conns = append(n.conns, c)
+	return c, nil
+}
+
+// mute holds back all bytes of the connections that are open now.
+func (n *network) mute() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		select {
+		case <-c.muted:
+		default:
+			close(c.muted)
+		}
+	}
+}
+
+// cut closes the open connections; down refuses new ones for good.
+func (n *network) cut(down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down = n.down || down
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+	n.conns = nil
+}
+
+// fakeRoles admit everything and pick targets in turn.
+type fakeRoles struct {
+	holder *config.Holder
+
+	mu   sync.Mutex // guards the fields below
+	next int
+	// wait is the answer of the budget; 0 allows.
+	wait time.Duration
+	seen []request.Observation
+}
+
+func (f *fakeRoles) Admit(context.Context, request.Work) (func(int), error) {
+	return func(int) {}, nil
+}
+
+func (f *fakeRoles) Choose(route *chicoryv1.Route, _ string) string { return route.GetVersion() }
+
+func (f *fakeRoles) Pick(w request.Work, exclude []string) (request.Placement, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	targets := f.holder.Current().Targets(w.Route.GetService())
+	for range targets {
+		t := targets[f.next%len(targets)]
+		f.next++
+		if t.GetVersion() == w.Version && !contains(exclude, t.GetAddress()) {
+			return request.Placement{Target: t, Done: func(request.Result, time.Duration) {}}, nil
+		}
+	}
+	return request.Placement{}, fault.New(fault.NoTarget, "no target")
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fakeRoles) OnRequest() {}
+
+func (f *fakeRoles) Allow(request.RetryKind) (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wait == 0, f.wait
+}
+
+func (f *fakeRoles) Record(o request.Observation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = append(f.seen, o)
+}
+
+// router is one Service with its own connections.
+type router struct {
+	*Service
+	network *network
+	pool    *target.Pool
+	roles   *fakeRoles
+}
+
+const (
+	testTeam  = "celeste"
+	testRoute = "digest"
+)
+
+// world is a set of engines and routers for one test.
+type world struct {
+	engines []*engine
+	holder  *config.Holder
+	routers []*router
+}
+
+// newWorld starts engines of the versions given and n routers.
+func newWorld(t testing.TB, n int, versions ...string) *world {
+	w := &world{holder: &config.Holder{}}
+	c := &chicoryv1.Configuration{
+		Revision: 1,
+		Services: []*chicoryv1.Service{{Name: "model", Kind: chicoryv1.ServiceKind_SERVICE_KIND_MODEL}},
+		Routes:   []*chicoryv1.Route{{Name: testRoute, Service: "model", Version: versions[0]}},
+	}
+	for i, v := range versions {
+		address := net.JoinHostPort("10.0.0."+string(rune('1'+i)), "9000")
+		w.engines = append(w.engines, startEngine(standin.Options{Address: address, Version: v, Seed: uint64(i + 1)}))
+		c.Targets = append(c.Targets, &chicoryv1.Target{Address: address, Service: "model", Version: v})
+	}
+	_, err := w.holder.ApplyFull(c)
+	assert.NilError(t, err)
+	for range n {
+		w.routers = append(w.routers, w.newRouter(t, DefaultSettings()))
+	}
+	return w
+}
+
+func (w *world) newRouter(t testing.TB, s Settings) *router {
+	n := &network{engines: map[string]*engine{}}
+	for _, e := range w.engines {
+		n.engines[e.address] = e
+	}
+	roles := &fakeRoles{holder: w.holder}
+	pool := target.NewPool(n.dial)
+	service, err := New(Options{
+		Holder: w.holder, Pool: pool, Picker: roles, Admitter: roles, Chooser: roles,
+		Budget: roles, Recorder: roles, TokenKey: []byte("0123456789abcdef"),
+		Logger: logging.Discard(), Settings: s,
+	})
+	assert.NilError(t, err)
+	return &router{Service: service, network: n, pool: pool, roles: roles}
+}
+
+// close ends everything, so that a bubble can end.
+func (w *world) close() {
+	for _, r := range w.routers {
+		_ = r.Drain(context.Background())
+		r.network.cut(true)
+		r.pool.Close()
+	}
+	for _, e := range w.engines {
+		e.kill()
+	}
+}
+
+func testRequest(tokens uint32) *chicoryv1.GenerateRequest {
+	return &chicoryv1.GenerateRequest{Team: testTeam, Route: testRoute, Prompt: "notes of the day", MaxTokens: tokens}
+}
+
+// text collects what a caller received.
+type text struct {
+	tokens []string
+	token  string
+	proof  uint32
+	finish chicoryv1.FinishReason
+	// times are when each chunk came.
+	times []time.Time
+	// on is called after each chunk with the number of tokens.
+	on func(int)
+}
+
+func (x *text) take(c *chicoryv1.GenerationChunk) error {
+	if int(c.GetOffset()) != len(x.tokens) {
+		return errors.Errorf("chunk at offset %d after %d tokens", c.GetOffset(), len(x.tokens))
+	}
+	x.tokens = append(x.tokens, c.GetTokens()...)
+	x.proof = c.GetProof()
+	x.finish = c.GetFinishReason()
+	x.times = append(x.times, time.Now())
+	if c.GetResumeToken() != "" {
+		x.token = c.GetResumeToken()
+	}
+	if x.on != nil {
+		x.on(len(x.tokens))
+	}
+	return nil
+}
+
+func (x *text) resumeRequest(original *chicoryv1.GenerateRequest) *chicoryv1.ResumeRequest {
+	return &chicoryv1.ResumeRequest{
+		Team: testTeam, ResumeToken: x.token, Offset: uint64(len(x.tokens)),
+		Original: original, Received: x.tokens, Proof: x.proof,
+	}
+}
+
+// longestGap returns the longest time between two chunks.
+func (x *text) longestGap() time.Duration {
+	longest := time.Duration(0)
+	for i := 1; i < len(x.times); i++ {
+		longest = max(longest, x.times[i].Sub(x.times[i-1]))
+	}
+	return longest
+}
+
+func checkWhole(t testing.TB, x *text, tokens int) {
+	t.Helper()
+	assert.NilError(t, standin.CheckText(x.tokens))
+	assert.Equal(t, len(x.tokens), tokens)
+}
--- /dev/null
+++ b/internal/request/generation/losses_test.go
@@ -0,0 +1,58 @@
+package generation
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+// resetBound and silenceBound are the promised times from a loss to the next token.
+const (
+	resetBound = 500 * time.Millisecond
+	lossBound  = 2 * time.Second
+)
+
+func TestSingleLosses(t *testing.T) {
+	cases := []struct {
+		name  string
+		bound time.Duration
+		lose  func(*world)
+	}{
+		{"nothing", 50 * time.Millisecond, func(*world) {}},
+		{"connection cut", resetBound, func(w *world) { w.routers[0].network.cut(false) }},
+		{"connection muted", lossBound, func(w *world) { w.routers[0].network.mute() }},
+		{"engine killed", resetBound, func(w *world) { w.engines[0].kill() }},
+		{"engine frozen", lossBound, func(w *world) { w.engines[0].SetFaults(&chicoryv1.Faults{Freeze: true}) }},
+		{"engine frozen and thawed", lossBound, func(w *world) {
+			w.engines[0].SetFaults(&chicoryv1.Faults{Freeze: true})
+			time.AfterFunc(700*time.Millisecond, func() { w.engines[0].SetFaults(&chicoryv1.Faults{}) })
+		}},
+		{"chunk skipped", resetBound, func(w *world) { w.engines[0].SetFaults(&chicoryv1.Faults{SkipAfterTokens: 30}) }},
+		{"chunks repeated", resetBound, func(w *world) { w.engines[0].SetFaults(&chicoryv1.Faults{RepeatChunks: true}) }},
+		{"too many tokens", resetBound, func(w *world) { w.engines[0].SetFaults(&chicoryv1.Faults{Overrun: true}) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1, "v1", "v1", "v1")
+				defer w.close()
+				x := &text{}
+				x.on = func(n int) {
+					if n == 20 {
+						go c.lose(w)
+					}
+				}
+				err := w.routers[0].Generate(context.Background(), testRequest(100), x.take)
+				assert.NilError(t, err)
+				checkWhole(t, x, 100)
+				assert.Assert(t, x.longestGap() <= c.bound, "gap %v", x.longestGap())
+				t.Logf("longest gap %v", x.longestGap())
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/request/generation/settings.go
@@ -0,0 +1,85 @@
+package generation
+
+import (
+	"time"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
+)
+
+// Settings bound generations. Defaults are in DefaultSettings.
+type Settings struct {
+	// MaxPromptBytes is the longest prompt that is accepted.
+	MaxPromptBytes int `yaml:"max_prompt_bytes"`
+	// MaxTokens is the highest token limit that a request may ask for.
+	MaxTokens int `yaml:"max_tokens"`
+	// DefaultTimeout applies when neither request nor route names one.
+	DefaultTimeout settings.Duration `yaml:"default_timeout"`
+	// MinSilence and MaxSilence limit the learned bound on the gap between tokens.
+	MinSilence settings.Duration `yaml:"min_silence"`
+	MaxSilence settings.Duration `yaml:"max_silence"`
+	// FixedSilence replaces the learned bound when it is not 0.
+	FixedSilence settings.Duration `yaml:"fixed_silence"`
+	// FirstToken bounds the time to the first token of an empty prompt, and
+	// FirstTokenPerKiB adds to it for each KiB of prompt and prefix.
+	FirstToken       settings.Duration `yaml:"first_token"`
+	FirstTokenPerKiB settings.Duration `yaml:"first_token_per_kib"`
+	// ProbeTimeout bounds how long a silent engine may take to show that it is alive.
+	ProbeTimeout settings.Duration `yaml:"probe_timeout"`
+	// MaxProbes is how often in a row an engine may be alive without a new token.
+	MaxProbes int `yaml:"max_probes"`
+	// MaxAttempts is how many attempts in a row may end without a new token.
+	MaxAttempts int `yaml:"max_attempts"`
+	// MaxResumeWait is the longest wait for the retry budget; beyond it the
+	// caller is told when to come back.
+	MaxResumeWait settings.Duration `yaml:"max_resume_wait"`
+	// CallerGrace is how long an engine goes on after its caller went away.
+	CallerGrace settings.Duration `yaml:"caller_grace"`
+	// CancelTimeout bounds one cancellation at an engine.
+	CancelTimeout settings.Duration `yaml:"cancel_timeout"`
+}
+
+// DefaultSettings returns the settings in use when a file names none.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxPromptBytes:   256 << 10,
+		MaxTokens:        32768,
+		DefaultTimeout:   settings.Duration(30 * time.Minute),
+		MinSilence:       settings.Duration(150 * time.Millisecond),
+		MaxSilence:       settings.Duration(time.Second),
+		FirstToken:       settings.Duration(500 * time.Millisecond),
+		FirstTokenPerKiB: settings.Duration(50 * time.Millisecond),
+		ProbeTimeout:     settings.Duration(250 * time.Millisecond),
+		MaxProbes:        5,
+		MaxAttempts:      6,
+		MaxResumeWait:    settings.Duration(time.Second),
+		CallerGrace:      settings.Duration(5 * time.Second),
+		CancelTimeout:    settings.Duration(3 * time.Second),
+	}
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() (field, problem string) {
+	switch {
+	case s.MaxPromptBytes < 1:
+		return "max_prompt_bytes", "must be positive"
+	case s.MaxTokens < 1:
+		return "max_tokens", "must be positive"
+	case s.DefaultTimeout <= 0:
+		return "default_timeout", "must be positive"
+	case s.MinSilence <= 0:
+		return "min_silence", "must be positive"
+	case s.MaxSilence < s.MinSilence:
+		return "max_silence", "must not be below min_silence"
+	case s.FirstToken <= 0:
+		return "first_token", "must be positive"
+	case s.ProbeTimeout <= 0:
+		return "probe_timeout", "must be positive"
+	case s.MaxProbes < 1:
+		return "max_probes", "must be positive"
+	case s.MaxAttempts < 1:
+		return "max_attempts", "must be positive"
+	case s.CancelTimeout <= 0:
+		return "cancel_timeout", "must be positive"
+	}
+	return "", ""
+}
