--- a/internal/connection/target/endpoint.go
+++ b/internal/connection/target/endpoint.go
@@ -34,6 +34,13 @@
 	return e
 }
 
+// clientsNow returns the clients with the current generation.
+func (e *endpoint) clientsNow() *Clients {
+	c := *e.clients
+	c.since = e.current.Load()
+	return &c
+}
+
 // RoundTrip implements http.RoundTripper over the current generation.
 func (e *endpoint) RoundTrip(req *http.Request) (*http.Response, error) {
 	g := e.acquire()
