--- /dev/null
+++ b/internal/process/consensus/network_test.go
@@ -0,0 +1,137 @@
+package consensus
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+const maxDelay = 4 * time.Millisecond
+
+// network carries messages between nodes in memory. Messages take a drawn time,
+// so they overtake each other; some are delivered twice, the second time late.
+type network struct {
+	mu       sync.Mutex // guards the fields below
+	random   *rand.Rand
+	nodes    map[string]*Node
+	blocked  map[[2]string]bool // from, to
+	frozen   map[string]bool
+	installs int // whole snapshots delivered
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		nodes:   map[string]*Node{},
+		blocked: map[[2]string]bool{},
+		frozen:  map[string]bool{},
+	}
+}
+
+func (w *network) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+func (w *network) delay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.random.Int64N(int64(maxDelay)))
+}
+
+func (w *network) chance(percent int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.IntN(100) < percent
+}
+
+// cross takes a message over one link. It waits while an end is frozen and
+// never returns from a blocked link before ctx ends.
+func (w *network) cross(ctx context.Context, from, to string) error {
+	for first := true; ; first = false {
+		if !sleep(ctx, w.delay()) {
+			return ctx.Err()
+		}
+		w.mu.Lock()
+		blocked := w.blocked[[2]string{from, to}]
+		frozen := w.frozen[from] || w.frozen[to]
+		w.mu.Unlock()
+		if first && blocked {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		if !frozen {
+			return nil
+		}
+	}
+}
+
+func (w *network) node(id string) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[id]
+}
+
+// link is the transport of one node.
+type link struct {
+	w    *network
+	from string
+}
+
+// send delivers a copy of the request and returns a copy of the answer.
+func send[Req, Resp proto.Message](ctx context.Context, l link, to Member, req Req, handle func(*Node, context.Context, Req) (Resp, error)) (Resp, error) {
+	var none Resp
+	deliver := func(ctx context.Context) (Resp, error) {
+		if err := l.w.cross(ctx, l.from, to.ID); err != nil {
+			return none, err
+		}
+		n := l.w.node(to.ID)
+		if n == nil {
+			return none, errors.New("connection refused")
+		}
+		return handle(n, ctx, proto.Clone(req).(Req))
+	}
+	if l.w.chance(5) {
+		go func() {
+			late, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			time.Sleep(20 * l.w.delay())
+			_, _ = deliver(late)
+		}()
+	}
+	resp, err := deliver(ctx)
+	if err != nil {
+		return none, err
+	}
+	if err := l.w.cross(ctx, to.ID, l.from); err != nil {
+		return none, err
+	}
+	return proto.Clone(resp).(Resp), nil
+}
+
+func (l link) Join(ctx context.Context, to Member, req *chicoryv1.JoinRequest) (*chicoryv1.JoinResponse, error) {
+	return send(ctx, l, to, req, (*Node).handleJoin)
+}
+
+func (l link) Vote(ctx context.Context, to Member, req *chicoryv1.VoteRequest) (*chicoryv1.VoteResponse, error) {
+	return send(ctx, l, to, req, (*Node).handleVote)
+}
+
+func (l link) Append(ctx context.Context, to Member, req *chicoryv1.AppendRequest) (*chicoryv1.AppendResponse, error) {
+	return send(ctx, l, to, req, (*Node).handleAppend)
+}
+
+func (l link) Install(ctx context.Context, to Member, req *chicoryv1.InstallRequest) (*chicoryv1.InstallResponse, error) {
+	resp, err := send(ctx, l, to, req, (*Node).handleInstall)
+	if err == nil && resp.GetAccepted() && req.GetLast() {
+		l.w.set(func() { l.w.installs++ })
+	}
+	return resp, err
+}
--- /dev/null
+++ b/internal/process/consensus/simulation_test.go
@@ -0,0 +1,291 @@
+package consensus
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/juju/errors"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/disk/disktest"
+)
+
+const recoveryLimit = 30 * time.Second
+
+// cluster runs nodes over one network, each with its own disk.
+type cluster struct {
+	ids     []string
+	members []Member
+	net     *network
+	disks   map[string]*disktest.Disk
+	states  map[string]*register
+	down    map[string]bool
+	single  *single
+	random  *rand.Rand
+	wipes   int
+	seed    uint64
+
+	mu      sync.Mutex // guards the fields below
+	history []porcupine.Operation
+	clock   int64
+}
+
+func newCluster(size int, seed uint64, faults disktest.Faults) *cluster {
+	c := &cluster{
+		net:    newNetwork(seed),
+		disks:  map[string]*disktest.Disk{},
+		states: map[string]*register{},
+		down:   map[string]bool{},
+		single: newSingle(),
+		random: rand.New(rand.NewPCG(seed, 2)),
+		seed:   seed,
+	}
+	for i := range size {
+		id := string(rune('a' + i))
+		c.ids = append(c.ids, id)
+		c.members = append(c.members, Member{ID: id})
+		c.disks[id] = disktest.New()
+		c.disks[id].SetFaults(faults)
+	}
+	for _, id := range c.ids {
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) start(id string) {
+	state := &register{single: c.single}
+	n, err := Start(Options{
+		ID:              id,
+		Members:         c.members,
+		DataFolder:      "data",
+		Transport:       link{c.net, id},
+		StateMachine:    state,
+		Rand:            rand.New(rand.NewPCG(c.random.Uint64(), 3)),
+		SnapshotEntries: 8,
+		FS:              c.disks[id].Mount(),
+	})
+	if err != nil {
+		c.single.report("%s does not start: %v", id, err)
+		return
+	}
+	c.down[id] = false
+	c.net.set(func() {
+		c.net.nodes[id] = n
+		c.states[id] = state
+		c.net.frozen[id] = false
+	})
+}
+
+// halt ends a node after its disk was taken away, so that it can write nothing
+// more.
+func (c *cluster) halt(id string) {
+	n := c.net.node(id)
+	c.net.set(func() { c.net.nodes[id] = nil })
+	c.down[id] = true
+	if n != nil {
+		n.Stop()
+	}
+}
+
+// repaired reports whether all members are voters under the incarnation they
+// run with, by a committed membership: then one disk may be lost.
+func (c *cluster) repaired() bool {
+	for _, id := range c.ids {
+		n := c.net.node(id)
+		if n == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		err := n.ReadBarrier(ctx)
+		cancel()
+		if err == nil && c.allVoters(n) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *cluster) allVoters(n *Node) bool {
+	n.mu.Lock()
+	members, index := n.log.current()
+	committed := index <= n.commit
+	n.mu.Unlock()
+	for _, id := range c.ids {
+		other := c.net.node(id)
+		committed = committed && other != nil && members.isVoter(other.self)
+	}
+	return committed && len(members) == len(c.ids)
+}
+
+// awaitRepaired waits until the cluster has all its members again.
+func (c *cluster) awaitRepaired() error {
+	limit := time.Now().Add(recoveryLimit)
+	for !c.repaired() {
+		if time.Now().After(limit) {
+			return errors.Errorf("not repaired after %v: %s", recoveryLimit, c.describe())
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+func (c *cluster) describe() string {
+	text := ""
+	for _, id := range c.ids {
+		if n := c.net.node(id); n != nil {
+			text += fmt.Sprintf("%+v; ", n.Status())
+		}
+	}
+	return text
+}
+
+// step is one drawn fault.
+type step struct {
+	fault string
+	node  int
+	other int
+	pause time.Duration
+}
+
+func (c *cluster) run(s step) {
+	id := c.ids[s.node%len(c.ids)]
+	other := c.ids[s.other%len(c.ids)]
+	switch s.fault {
+	case "crash":
+		c.disks[id].Crash(c.random.IntN)
+		c.halt(id)
+	case "kill":
+		c.disks[id].Unmount()
+		c.halt(id)
+	case "wipe":
+		if !c.repaired() {
+			return
+		}
+		c.wipes++
+		c.disks[id].Wipe()
+		c.halt(id)
+		c.start(id)
+	case "start":
+		if c.down[id] {
+			c.start(id)
+		}
+	case "cut":
+		c.net.set(func() { c.net.blocked[[2]string{id, other}] = true })
+	case "isolate":
+		c.net.set(func() {
+			for _, x := range c.ids {
+				c.net.blocked[[2]string{id, x}] = true
+				c.net.blocked[[2]string{x, id}] = true
+			}
+		})
+	case "heal":
+		c.net.set(func() { clear(c.net.blocked) })
+	case "freeze":
+		c.net.set(func() { c.net.frozen[id] = true })
+	case "thaw":
+		c.net.set(func() { c.net.frozen[id] = false })
+	}
+	time.Sleep(s.pause)
+}
+
+// recover ends all faults and waits until the cluster is whole and every node
+// has applied what the leader has.
+func (c *cluster) recover() error {
+	c.net.set(func() {
+		clear(c.net.blocked)
+		clear(c.net.frozen)
+	})
+	for _, id := range c.ids {
+		if c.down[id] {
+			c.start(id)
+		}
+	}
+	if err := c.awaitRepaired(); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	for _, id := range c.ids {
+		if got, want := c.states[id].read(), c.states[c.ids[0]].read(); got != want {
+			return errors.Errorf("%s holds %q and %s holds %q", id, got, c.ids[0], want)
+		}
+	}
+	return nil
+}
+
+func (c *cluster) stop() {
+	for _, id := range c.ids {
+		c.halt(id)
+	}
+	time.Sleep(2 * time.Second) // messages delivered twice end
+}
+
+// client calls drawn nodes until ctx ends and notes what it saw.
+func (c *cluster) client(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(c.seed, uint64(10+number)))
+	for i := 0; sleep(ctx, time.Duration(random.IntN(150))*time.Millisecond); i++ {
+		id := c.ids[random.IntN(len(c.ids))]
+		if n := c.net.node(id); n != nil {
+			text := ""
+			if random.IntN(3) > 0 {
+				text = fmt.Sprintf("%d.%d ", number, i)
+			}
+			c.do(ctx, n, id, number, text)
+		}
+	}
+}
+
+func (c *cluster) do(ctx context.Context, n *Node, id string, number int, text string) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	op := porcupine.Operation{ClientId: number, Input: operation{text}, Call: c.tick()}
+	var state *register
+	c.net.set(func() { state = c.states[id] })
+	var value any
+	var err error
+	if text == "" {
+		if err = n.ReadBarrier(ctx); err == nil {
+			value = state.read()
+		}
+	} else {
+		value, err = n.Propose(ctx, []byte(text))
+	}
+	op.Return = c.tick()
+	switch {
+	case err == nil:
+		op.Output = reply{value: value.(string)}
+	case text == "" || fault.Is(err, fault.NotLeader):
+		return // a read that failed or an append that surely did not happen
+	default:
+		op.Output = reply{unknown: true}
+		op.Return = math.MaxInt64
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history = append(c.history, op)
+}
+
+// tick orders the beginnings and ends of calls.
+func (c *cluster) tick() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clock++
+	return c.clock
+}
+
+// linearizable checks the history against one copy of the register.
+func (c *cluster) linearizable() error {
+	const limit = 20 * time.Second
+	switch porcupine.CheckOperationsTimeout(registerModel, c.history, limit) {
+	case porcupine.Ok:
+		return nil
+	case porcupine.Unknown:
+		return errors.Errorf("%d calls are too many to check", len(c.history))
+	}
+	return errors.Errorf("%d calls are not linearizable", len(c.history))
+}
--- /dev/null
+++ b/internal/process/wal/wal_test.go
@@ -0,0 +1,234 @@
+package wal
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/disk/disktest"
+)
+
+// TestMain sets the seed of the drawn tests; SEED replays another one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := os.Getenv("SEED")
+	if seed == "" {
+		seed = "1"
+	}
+	for name, value := range map[string]string{"rapid.seed": seed, "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const folder = "data/log"
+
+// naive is what a log must hold: a list of entries and a state.
+type naive struct {
+	after   uint64
+	entries []*chicoryv1.LogEntry
+	state   *chicoryv1.ReplicaState
+}
+
+func (n *naive) last() uint64 { return n.after + uint64(len(n.entries)) }
+
+func (n *naive) append(state *chicoryv1.ReplicaState, entries []*chicoryv1.LogEntry) {
+	if state != nil {
+		n.state = state
+	}
+	if len(entries) > 0 {
+		keep := entries[0].GetIndex() - 1 - n.after
+		n.entries = append(n.entries[:keep:keep], entries...)
+	}
+}
+
+func (n *naive) clone() *naive {
+	c := *n
+	return &c
+}
+
+// matches compares what was recovered, of which a prefix may be compacted away.
+func (n *naive) matches(r *Recovered) error {
+	if !proto.Equal(r.State, n.state) {
+		return errors.Errorf("state %v, want %v", r.State, n.state)
+	}
+	if r.lastIndex() != n.last() {
+		return errors.Errorf("last index %d, want %d", r.lastIndex(), n.last())
+	}
+	for _, e := range r.Entries {
+		if e.GetIndex() > n.after && !proto.Equal(e, n.entries[e.GetIndex()-n.after-1]) {
+			return errors.Errorf("entry %v, want %v", e, n.entries[e.GetIndex()-n.after-1])
+		}
+	}
+	return nil
+}
+
+func open(d *disktest.Disk) (*Log, *Recovered, error) {
+	return Open(Options{FS: d.Mount(), Folder: folder, SegmentBytes: 200})
+}
+
+func entriesFrom(index, term uint64, count int) []*chicoryv1.LogEntry {
+	var entries []*chicoryv1.LogEntry
+	for i := range count {
+		entries = append(entries, &chicoryv1.LogEntry{
+			Index: index + uint64(i), Term: term, Command: []byte(strings.Repeat("x", 1+i*7)),
+		})
+	}
+	return entries
+}
+
+// TestConfirmedSurvivesCrashes draws appends, truncations, resets, compactions
+// and crashes that lose unsynced writes, and compares with a naive list.
+func TestConfirmedSurvivesCrashes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := disktest.New()
+		l, _, err := open(d)
+		assert.NilError(rt, err)
+		want := &naive{}
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "crash") }
+		for step := range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			term := uint64(step + 1)
+			state := &chicoryv1.ReplicaState{Incarnation: "i", Term: term}
+			switch rapid.IntRange(0, 5).Draw(rt, "action") {
+			case 0, 1, 2:
+				first := rapid.Uint64Range(want.after+1, want.last()+1).Draw(rt, "first")
+				entries := entriesFrom(first, term, rapid.IntRange(0, 4).Draw(rt, "count"))
+				assert.NilError(rt, l.Append(state, entries))
+				want.append(state, entries)
+			case 3:
+				index := rapid.Uint64Range(want.after, want.last()).Draw(rt, "compact")
+				assert.NilError(rt, l.Compact(index))
+				want.entries = want.entries[index-want.after:]
+				want.after = index
+			case 4:
+				want = &naive{after: want.last() + 3, state: state}
+				assert.NilError(rt, l.Reset(state, want.after))
+			case 5:
+				attempt := want.clone()
+				first := rapid.Uint64Range(want.after+1, want.last()+1).Draw(rt, "first")
+				entries := entriesFrom(first, term, rapid.IntRange(0, 4).Draw(rt, "count"))
+				attempt.append(state, entries)
+				faults := disktest.Faults{FailSync: true}
+				if rapid.Bool().Draw(rt, "full") {
+					free := rapid.IntRange(0, 15).Draw(rt, "free")
+					faults = disktest.Faults{LimitBytes: true, FreeBytes: free}
+				}
+				d.SetFaults(faults)
+				assert.Assert(rt, fault.Is(l.Append(state, entries), fault.StorageFailed))
+				d.SetFaults(disktest.Faults{})
+				assert.Assert(rt, fault.Is(l.Append(state, nil), fault.StorageFailed), "accepted after a failure")
+				d.Crash(draw)
+				var r *Recovered
+				l, r, err = open(d)
+				assert.NilError(rt, err)
+				if attempt.matches(r) == nil {
+					want = attempt
+				}
+				assert.NilError(rt, want.matches(r))
+			}
+		}
+	})
+}
+
+func TestDamage(t *testing.T) {
+	fill := func(t *testing.T, frames int) *disktest.Disk {
+		d := disktest.New()
+		l, _, err := open(d)
+		assert.NilError(t, err)
+		for i := range frames {
+			state := &chicoryv1.ReplicaState{Incarnation: "i", Term: 1}
+			assert.NilError(t, l.Append(state, entriesFrom(uint64(i+1), 1, 1)))
+		}
+		return d
+	}
+	t.Run("the last frame is cut", func(t *testing.T) {
+		d := fill(t, 3)
+		d.Corrupt(d.Files(suffix)[0], -1)
+		_, r, err := open(d)
+		assert.NilError(t, err)
+		assert.Equal(t, len(r.Entries), 2)
+		assert.Assert(t, r.CutBytes > 0)
+	})
+	t.Run("damage in the middle is refused", func(t *testing.T) {
+		d := fill(t, 3)
+		d.Corrupt(d.Files(suffix)[0], 20)
+		_, _, err := open(d)
+		assert.Assert(t, fault.Is(err, fault.StorageFailed))
+		assert.ErrorContains(t, err, "damaged frame before confirmed ones")
+	})
+	t.Run("damage in an older segment is refused", func(t *testing.T) {
+		d := fill(t, 30)
+		d.Corrupt(d.Files(suffix)[0], -1)
+		_, _, err := open(d)
+		assert.Assert(t, fault.Is(err, fault.StorageFailed))
+	})
+	t.Run("a missing segment is refused", func(t *testing.T) {
+		d := fill(t, 30)
+		assert.NilError(t, d.Mount().Remove(d.Files(suffix)[1]))
+		_, _, err := open(d)
+		assert.ErrorContains(t, err, "does not follow")
+	})
+}
+
+// TestUnsyncedWritesAreSyncedOnOpen opens a log after a crash of the process
+// alone, and again after a crash of the VM.
+func TestUnsyncedWritesAreSyncedOnOpen(t *testing.T) {
+	d := disktest.New()
+	l, _, err := open(d)
+	assert.NilError(t, err)
+	state := &chicoryv1.ReplicaState{Incarnation: "i", Term: 1}
+	assert.NilError(t, l.Append(state, entriesFrom(1, 1, 1)))
+	d.SetFaults(disktest.Faults{FailSync: true})
+	assert.Assert(t, l.Append(nil, entriesFrom(2, 1, 1)) != nil)
+	d.SetFaults(disktest.Faults{})
+	d.Unmount()
+	_, r, err := open(d)
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Entries), 2)
+	d.Crash(func(int) int { return 0 })
+	_, r, err = open(d)
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Entries), 2)
+}
+
+// FuzzRecover opens a log of any bytes: it may refuse them but not panic, and
+// what it accepts it reads the same way again.
+func FuzzRecover(f *testing.F) {
+	d := disktest.New()
+	l, _, err := open(d)
+	assert.NilError(f, err)
+	state := &chicoryv1.ReplicaState{Incarnation: "i", Term: 1}
+	assert.NilError(f, l.Append(state, entriesFrom(1, 1, 2)))
+	assert.NilError(f, l.Append(nil, entriesFrom(2, 2, 1)))
+	valid, err := d.Mount().ReadFile(d.Files(suffix)[0])
+	assert.NilError(f, err)
+	f.Add(valid)
+	f.Add(valid[:len(valid)-3])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d := disktest.New()
+		file, err := d.Mount().Create(folder + "/00000000000000000001" + suffix)
+		assert.NilError(t, err)
+		_, err = file.Write(b)
+		assert.NilError(t, err)
+		_, first, err := open(d)
+		if err != nil {
+			assert.Assert(t, fault.Is(err, fault.StorageFailed))
+			return
+		}
+		_, second, err := open(d)
+		assert.NilError(t, err)
+		assert.Equal(t, len(second.Entries), len(first.Entries))
+		assert.Equal(t, second.CutBytes, 0)
+	})
+}
