Replicated log: one test for each promise

Cause: each promise needs a test that shows it by itself, beside the drawn runs. Change: cut-off leader, returning node, wiped disk, second disk lost after a repair, learner, founding, failed and full disk, shared syncs.

--- /dev/null
+++ b/internal/process/consensus/promises_test.go
@@ -0,0 +1,243 @@
+package consensus
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/disk/disktest"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+)
+
+// inCluster runs f in virtual time with three nodes of which one leads.
+func inCluster(t *testing.T, f func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, 7, disktest.Faults{})
+		defer c.stop()
+		assert.NilError(t, c.awaitRepaired())
+		f(t, c)
+		assert.NilError(t, c.single.err())
+	})
+}
+
+// leader waits for a node other than those named that leads with a quorum.
+func (c *cluster) leader(t *testing.T, except ...string) string {
+	t.Helper()
+	for limit := time.Now().Add(recoveryLimit); time.Now().Before(limit); time.Sleep(10 * time.Millisecond) {
+		for _, id := range c.ids {
+			if n := c.net.node(id); n != nil && !strings.Contains(fmt.Sprint(except), id) && n.barrier() == nil {
+				return id
+			}
+		}
+	}
+	t.Fatalf("no leader: %s", c.describe())
+	return ""
+}
+
+func (n *Node) barrier() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return n.ReadBarrier(ctx)
+}
+
+func (n *Node) propose(text string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err := n.Propose(ctx, []byte(text))
+	return err
+}
+
+// others returns the IDs of the other nodes.
+func (c *cluster) others(id string) []string {
+	var others []string
+	for _, x := range c.ids {
+		if x != id {
+			others = append(others, x)
+		}
+	}
+	return others
+}
+
+func (c *cluster) isolate(id string) {
+	for i, x := range c.ids {
+		if x == id {
+			c.run(step{fault: "isolate", node: i})
+		}
+	}
+}
+
+func (c *cluster) wipe(id string) {
+	c.disks[id].Wipe()
+	c.halt(id)
+	c.start(id)
+}
+
+func TestCutOffLeaderAnswersNothingAsIfCurrent(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		old := c.leader(t)
+		assert.NilError(t, c.net.node(old).propose("1 "))
+		c.isolate(old)
+		began := time.Now()
+		proposed := make(chan error, 1)
+		go func() { proposed <- c.net.node(old).propose("2 ") }()
+		err := c.net.node(old).barrier()
+		assert.Assert(t, fault.Is(err, fault.NoQuorum), "%v", err)
+		err = <-proposed
+		assert.Assert(t, fault.Is(err, fault.NoQuorum), "%v", err)
+		assert.Assert(t, time.Since(began) <= 1200*time.Millisecond, "answered after %v", time.Since(began))
+		assert.Equal(t, c.net.node(old).Status().LeaderID, "")
+		next := c.leader(t, old)
+		assert.Assert(t, time.Since(began) < 2*time.Second, "failover took %v", time.Since(began))
+		assert.NilError(t, c.net.node(next).propose("3 "))
+		assert.Equal(t, c.states[next].read(), "1 3 ")
+	})
+}
+
+func TestReturningNodeDisturbsNobody(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(t)
+		term := c.net.node(leader).Status().Term
+		c.isolate(c.others(leader)[0])
+		time.Sleep(20 * time.Second)
+		c.run(step{fault: "heal"})
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, c.leader(t), leader)
+		assert.Equal(t, c.net.node(leader).Status().Term, term)
+	})
+}
+
+// TestWipedDiskDoesNotVoteAsItsFormerSelf commits with two nodes, loses the
+// disk of one and the other's process: the wiped and the lagging node must not
+// elect a leader without the committed entry.
+func TestWipedDiskDoesNotVoteAsItsFormerSelf(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(t)
+		wiped, lagging := c.others(leader)[0], c.others(leader)[1]
+		c.isolate(lagging)
+		assert.NilError(t, c.net.node(leader).propose("committed "))
+		c.disks[leader].Unmount()
+		c.halt(leader)
+		c.wipe(wiped)
+		c.run(step{fault: "heal"})
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, c.net.node(lagging).Status().Role != Leader)
+		assert.Assert(t, c.net.node(wiped).Status().Role != Leader)
+		c.start(leader)
+		assert.NilError(t, c.recover())
+		assert.Equal(t, c.states[lagging].read(), "committed ")
+	})
+}
+
+// TestSecondDiskLostRightAfterRepair loses one disk after the other, each as
+// soon as the one before is repaired.
+func TestSecondDiskLostRightAfterRepair(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		want := ""
+		for i := range 9 {
+			text := fmt.Sprintf("%d ", i)
+			want += text
+			assert.NilError(t, c.net.node(c.leader(t)).propose(text))
+			c.wipe(c.ids[i%3])
+			assert.NilError(t, c.awaitRepaired())
+		}
+		c.leader(t)
+		assert.Equal(t, c.states[c.leader(t)].read(), want)
+	})
+}
+
+// TestLearnerVotesOnlyWhenCaughtUp holds back the messages to a wiped node.
+func TestLearnerVotesOnlyWhenCaughtUp(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(t)
+		wiped := c.others(leader)[0]
+		former := c.net.node(wiped).self
+		c.net.set(func() { c.net.blocked[[2]string{leader, wiped}] = true })
+		c.wipe(wiped)
+		time.Sleep(10 * time.Second)
+		c.net.node(leader).mu.Lock()
+		members, _ := c.net.node(leader).log.current()
+		c.net.node(leader).mu.Unlock()
+		learner, ok := members.find(c.net.node(wiped).self)
+		assert.Assert(t, ok && !learner.voter)
+		assert.Assert(t, members.isVoter(former), "the former incarnation still counts")
+		c.run(step{fault: "heal"})
+		assert.NilError(t, c.awaitRepaired())
+	})
+}
+
+func TestNoFoundingWithoutAllMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(1)
+		net.blocked[[2]string{"a", "c"}] = true
+		c := newClusterOn(net, 3, 1, disktest.Faults{})
+		defer c.stop()
+		time.Sleep(20 * time.Second)
+		for _, id := range c.ids {
+			assert.Equal(t, c.net.node(id).Status().Term, uint64(0))
+		}
+		c.run(step{fault: "heal"})
+		assert.NilError(t, c.awaitRepaired())
+	})
+}
+
+// TestFailedDiskStopsAcknowledging fails the leader's disk in two ways: it
+// answers with StorageFailed, logs it, and the others go on without it.
+func TestFailedDiskStopsAcknowledging(t *testing.T) {
+	for name, faults := range map[string]disktest.Faults{
+		"sync": {FailSync: true},
+		"full": {LimitBytes: true, FreeBytes: 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, c *cluster) {
+				old := c.leader(t)
+				var lines bytes.Buffer
+				c.net.node(old).logger = logging.New(&lines, "control", old)
+				c.disks[old].SetFaults(faults)
+				for range 2 {
+					err := c.net.node(old).propose("x ")
+					assert.Assert(t, fault.Is(err, fault.StorageFailed), "%v", err)
+				}
+				assert.Assert(t, fault.Is(c.net.node(old).barrier(), fault.StorageFailed))
+				assert.Assert(t, c.net.node(old).Status().Failed != nil)
+				assert.Assert(t, strings.Contains(lines.String(), "event=storage_failed"))
+				c.disks[old].SetFaults(disktest.Faults{})
+				assert.NilError(t, c.net.node(c.leader(t, old)).propose("y "))
+				assert.Assert(t, fault.Is(c.net.node(old).propose("z "), fault.StorageFailed))
+			})
+		})
+	}
+}
+
+// TestConcurrentProposalsShareSyncs has a disk that takes 10 ms for a sync.
+func TestConcurrentProposalsShareSyncs(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		var mu sync.Mutex
+		syncs := 0
+		leader := c.leader(t)
+		c.disks[leader].SetFaults(disktest.Faults{SyncDelay: func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			syncs++
+			return 10 * time.Millisecond
+		}})
+		var calls sync.WaitGroup
+		for range 500 {
+			calls.Go(func() {
+				if err := c.net.node(leader).propose("x"); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		calls.Wait()
+		assert.Assert(t, syncs < 10, "%d syncs", syncs)
+	})
+}
--- a/internal/process/consensus/simulation_test.go
+++ b/internal/process/consensus/simulation_test.go
@@ -36,8 +36,12 @@
 }
 
 func newCluster(size int, seed uint64, faults disktest.Faults) *cluster {
+	return newClusterOn(newNetwork(seed), size, seed, faults)
+}
+
+func newClusterOn(net *network, size int, seed uint64, faults disktest.Faults) *cluster {
 	c := &cluster{
-		net:    newNetwork(seed),
+		net:    net,
 		disks:  map[string]*disktest.Disk{},
 		states: map[string]*register{},
 		down:   map[string]bool{},
