--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -123,7 +123,7 @@
 	}
 	detached := time.Time{}
 	for i := a.start; i < limit; i++ {
-		if !sleep(r.slowed(r.opts.TokenGap, a.req.GetRoute()), a.cancel, r.done) || !r.waitThaw() {
+		if !sleep(r.slowed(r.tokenGap(), a.req.GetRoute()), a.cancel, r.done) || !r.waitThaw() {
 			return
 		}
 		if detached = a.detachedSince(detached); !detached.IsZero() && time.Since(detached) > detachedLifetime {
@@ -138,6 +138,17 @@
 	a.update(func() { a.finish = chicoryv1.FinishReason_FINISH_REASON_LENGTH })
 }
 
+// tokenGap returns the time to the next token.
+func (r *Replica) tokenGap() time.Duration {
+	spread := r.currentFaults().GetGapSpread()
+	if spread == 0 {
+		return r.opts.TokenGap
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.rng.Float64() * float64(spread) * float64(r.opts.TokenGap))
+}
+
 // detachedSince returns since when no stream reads the attempt, or zero.
 func (a *attempt) detachedSince(before time.Time) time.Time {
 	a.mu.Lock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -133,6 +133,9 @@
 		if !w.r.waitThaw() {
 			panic(http.ErrAbortHandler)
 		}
+		if err := w.sendStrays(chunk); err != nil {
+			return err
+		}
 		if err := w.sendSpoiled(ctx, chunk); err != nil {
 			return err
 		}
@@ -147,7 +150,8 @@
 	w.a.mu.Lock()
 	defer w.a.mu.Unlock()
 	have := w.a.start + len(w.a.tokens)
-	if w.next >= have && w.a.finish == chicoryv1.FinishReason_FINISH_REASON_UNSPECIFIED {
+	least := max(int(w.r.currentFaults().GetTokensPerChunk()), 1)
+	if have-w.next < least && w.a.finish == chicoryv1.FinishReason_FINISH_REASON_UNSPECIFIED {
 		return nil, w.a.changed
 	}
 	from := min(max(w.next-w.a.start, 0), len(w.a.tokens))
@@ -196,6 +200,30 @@
 	return w.send(c)
 }
 
+// sendStrays sends chunks of another generation and of an older attempt, as the
+// faults ask for. Their tokens are of another run at the offset that is due.
+func (w *chunkWriter) sendStrays(c *chicoryv1.EngineChunk) error {
+	f := w.r.currentFaults()
+	stray := func(generation string, attempt uint32) *chicoryv1.EngineChunk {
+		return &chicoryv1.EngineChunk{
+			GenerationId: generation,
+			Attempt:      attempt,
+			Offset:       c.GetOffset(),
+			Tokens:       []string{token(w.a.run+1, int(c.GetOffset()))},
+			Version:      c.GetVersion(),
+		}
+	}
+	if w.r.draw(f.GetCrossedChunkPermille()) {
+		if err := w.send(stray("crossed-"+c.GetGenerationId(), c.GetAttempt())); err != nil {
+			return err
+		}
+	}
+	if w.r.draw(f.GetStaleChunkPermille()) {
+		return w.send(stray(c.GetGenerationId(), c.GetAttempt()-1))
+	}
+	return nil
+}
+
 // passes reports whether a count crossed limit between before and after.
 func passes(limit uint32, before, after int) bool {
 	return limit > 0 && before <= int(limit) && after > int(limit)
