--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -17,13 +17,14 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/generation"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
 // Generations is the path of long generations.
 type Generations interface {
-	Generate(ctx context.Context, req *chicoryv1.GenerateRequest, send func(*chicoryv1.GenerationChunk) error) error
-	Resume(ctx context.Context, req *chicoryv1.ResumeRequest, send func(*chicoryv1.GenerationChunk) error) error
+	Generate(ctx context.Context, req *chicoryv1.GenerateRequest, send generation.SendFunc) error
+	Resume(ctx context.Context, req *chicoryv1.ResumeRequest, send generation.SendFunc) error
 	Cancel(ctx context.Context, req *chicoryv1.CancelRequest) error
 }
 
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,138 @@
+// Package ctl is the operators' command line: it states intents, shows plans,
+// confirms them, and reads what the system does.
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/peterbourgon/ff/v3/ffyaml"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+)
+
+// Exit statuses of chicoryctl.
+const (
+	ExitOK = 0
+	// ExitRefused: the request was refused; nothing has changed.
+	ExitRefused = 1
+	// ExitUsage: the command line or a file has an error; nothing was sent.
+	ExitUsage = 2
+	// ExitStale: something that the plan read has changed; plan again.
+	ExitStale = 3
+	// ExitUnknown: no answer; run the same command again to learn the result.
+	ExitUnknown = 4
+)
+
+// app holds the options that all commands share.
+type app struct {
+	out     io.Writer
+	control string
+	keys    peer.Files
+	output  string
+}
+
+// Run runs one command and returns the exit status.
+func Run(args []string, out, errOut io.Writer) int {
+	a := &app{out: out}
+	err := a.root().ParseAndRun(context.Background(), args)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, "chicoryctl:", err)
+	return exitStatus(err)
+}
+
+func exitStatus(err error) int {
+	var f *fault.Error
+	if !errors.As(err, &f) {
+		return ExitUsage
+	}
+	switch f.Kind {
+	case fault.PlanStale:
+		return ExitStale
+	case fault.NoQuorum, fault.NotLeader, fault.StorageFailed, fault.Internal:
+		return ExitUnknown
+	}
+	return ExitRefused
+}
+
+func (a *app) root() *ffcli.Command {
+	fs := flag.NewFlagSet("chicoryctl", flag.ContinueOnError)
+	return &ffcli.Command{
+		Name:       "chicoryctl",
+		ShortUsage: "chicoryctl <command> [flags]",
+		ShortHelp:  "Plans and confirms changes, and shows what the system does.",
+		LongHelp:   "Exit statuses: 0 done, 1 refused, 2 wrong usage, 3 plan again, 4 no answer (run the same command again).",
+		FlagSet:    fs,
+		Subcommands: []*ffcli.Command{
+			a.planCommand(), a.confirmCommand(), a.moveCommand(), a.movesCommand(),
+			a.statusCommand(), a.historyCommand(), a.explainCommand(),
+			a.claimsCommand(), a.configCommand(), a.certsCommand(), a.exampleCommand(), a.readyCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+// command returns a command that talks to the control VMs.
+func (a *app) command(name, usage, help, example string, flags func(*flag.FlagSet), exec func(context.Context, []string) error) *ffcli.Command {
+	fs := flag.NewFlagSet("chicoryctl "+name, flag.ContinueOnError)
+	fs.StringVar(&a.control, "control", "", "operator addresses of the control VMs, IP:port, separated by commas")
+	fs.StringVar(&a.keys.Certificate, "certificate", "", "PEM file of the operator's certificate")
+	fs.StringVar(&a.keys.Key, "key", "", "PEM file of the operator's key")
+	fs.StringVar(&a.keys.Authority, "authority", "", "PEM file of the system's authority")
+	fs.StringVar(&a.output, "o", "text", "output: text or json")
+	fs.String("config", "", "YAML file with values for these flags")
+	if flags != nil {
+		flags(fs)
+	}
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "chicoryctl " + usage,
+		ShortHelp:  help,
+		LongHelp:   "Example:\n  " + strings.ReplaceAll(example, "\n", "\n  "),
+		FlagSet:    fs,
+		Options: []ff.Option{
+			ff.WithEnvVarPrefix("CHICORYCTL"),
+			ff.WithConfigFileFlag("config"),
+			ff.WithConfigFileParser(ffyaml.Parser),
+			ff.WithIgnoreUndefined(true),
+		},
+		Exec: exec,
+	}
+}
+
+// print writes m as JSON when asked for, or the text.
+func (a *app) print(m proto.Message, text func(io.Writer)) error {
+	if a.output != "json" {
+		text(a.out)
+		return nil
+	}
+	b, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = fmt.Fprintln(a.out, string(b))
+	return errors.Trace(err)
+}
+
+// writeFile writes data to path, or to the output for "-".
+func (a *app) writeFile(path string, data []byte) error {
+	if path == "-" {
+		_, err := a.out.Write(data)
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.WriteFile(path, data, fileMode))
+}
+
+const fileMode = 0o644
--- /dev/null
+++ b/internal/ctl/read.go
@@ -0,0 +1,160 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+)
+
+// table writes rows in aligned columns.
+func table(w io.Writer, write func(io.Writer)) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	write(tw)
+	_ = tw.Flush()
+}
+
+func (a *app) statusCommand() *ffcli.Command {
+	return a.command("status", "status", "Shows every VM, what it runs and who leads.",
+		"chicoryctl status -config ctl.yaml", nil,
+		func(ctx context.Context, _ []string) error {
+			resp, err := ask(ctx, a, &chicoryv1.StatusRequest{}, chicoryv1connect.OperatorServiceClient.Status)
+			if err != nil {
+				return err
+			}
+			return a.print(resp, func(w io.Writer) { printStatus(w, resp) })
+		})
+}
+
+func printStatus(w io.Writer, s *chicoryv1.StatusResponse) {
+	fmt.Fprintf(w, "cluster %s  revision %d  open moves %d  claims %d (%d in doubt)\n",
+		s.GetClusterId(), s.GetRevision(), s.GetOpenMoves(), s.GetClaims(), s.GetClaimsInDoubt())
+	table(w, func(w io.Writer) {
+		fmt.Fprintln(w, "VM\tROLE\tZONE\tADDRESS\tREVISION\tSTATE")
+		for _, vm := range s.GetVms() {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", vm.GetId(), vm.GetRole(), vm.GetAvailabilityZone(), vm.GetAddress(), revisionText(vm), vmState(vm))
+		}
+	})
+}
+
+func revisionText(vm *chicoryv1.VMStatus) string {
+	if vm.GetRole() != "router" {
+		return "-"
+	}
+	return fmt.Sprint(vm.GetRevision())
+}
+
+func vmState(vm *chicoryv1.VMStatus) string {
+	switch {
+	case vm.GetLeader():
+		return "leader"
+	case vm.GetRole() == "control" && vm.GetVoter():
+		return "voter"
+	case vm.GetRole() == "control":
+		return "learner"
+	case vm.GetLive():
+		return "live"
+	}
+	return fmt.Sprintf("silent for %d s", vm.GetLastSeenMs()/1000)
+}
+
+func (a *app) historyCommand() *ffcli.Command {
+	var limit uint
+	return a.command("history", "history [-n 50]", "Shows confirmed changes: who, when, why.",
+		"chicoryctl history -config ctl.yaml -n 10",
+		func(fs *flag.FlagSet) { fs.UintVar(&limit, "n", 0, "number of entries") },
+		func(ctx context.Context, _ []string) error {
+			req := &chicoryv1.HistoryRequest{Limit: uint32(limit)}
+			resp, err := ask(ctx, a, req, chicoryv1connect.OperatorServiceClient.History)
+			if err != nil {
+				return err
+			}
+			return a.print(resp, func(w io.Writer) {
+				for _, e := range resp.GetEntries() {
+					fmt.Fprintf(w, "revision %d  %s  %s: %s\n", e.GetRevision(), timeText(e.GetUnixMs()), e.GetOperator(), e.GetWhy())
+					for _, line := range e.GetEffects() {
+						fmt.Fprintf(w, "    %s\n", line)
+					}
+				}
+			})
+		})
+}
+
+func (a *app) explainCommand() *ffcli.Command {
+	return a.command("explain", "explain SUBJECT", "Tells why things are as they are for a route, move, team or target.",
+		"chicoryctl explain -config ctl.yaml booking", nil,
+		func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return errors.New("name one route, move, team or target")
+			}
+			req := &chicoryv1.ExplainRequest{Subject: args[0]}
+			resp, err := ask(ctx, a, req, chicoryv1connect.OperatorServiceClient.Explain)
+			if err != nil {
+				return err
+			}
+			return a.print(resp, func(w io.Writer) {
+				for _, line := range resp.GetLines() {
+					fmt.Fprintln(w, line)
+				}
+			})
+		})
+}
+
+func (a *app) configCommand() *ffcli.Command {
+	return a.command("config", "config", "Shows the configuration in force as JSON.",
+		"chicoryctl config -config ctl.yaml", nil,
+		func(ctx context.Context, _ []string) error {
+			resp, err := ask(ctx, a, &chicoryv1.GetConfigurationRequest{}, chicoryv1connect.OperatorServiceClient.GetConfiguration)
+			if err != nil {
+				return err
+			}
+			a.output = "json"
+			return a.print(resp.GetConfiguration(), nil)
+		})
+}
+
+func (a *app) claimsCommand() *ffcli.Command {
+	var team, key, ran, planFile string
+	return a.command("claims", "claims [-team T -call-key K -ran yes|no -plan PLAN.json]",
+		"Lists calls whose outcome is in doubt, or plans to settle one.",
+		"chicoryctl claims -config ctl.yaml\nchicoryctl claims -config ctl.yaml -team desk -call-key KEY -ran yes -plan plan.json",
+		func(fs *flag.FlagSet) {
+			fs.StringVar(&team, "team", "", "team of the call to settle")
+			fs.StringVar(&key, "call-key", "", "key of the call to settle")
+			fs.StringVar(&ran, "ran", "", "yes if the call was found to have run, no if not")
+			fs.StringVar(&planFile, "plan", "", "file to write the plan to")
+		},
+		func(ctx context.Context, _ []string) error {
+			if key == "" {
+				return a.listClaims(ctx)
+			}
+			if ran != "yes" && ran != "no" {
+				return errors.New("say -ran yes or -ran no")
+			}
+			settle := &chicoryv1.SettleClaim{Team: team, Key: key, Ran: ran == "yes"}
+			change := &chicoryv1.Change{Change: &chicoryv1.Change_SettleClaim{SettleClaim: settle}}
+			return a.plan(ctx, []*chicoryv1.Change{change}, planFile)
+		})
+}
+
+func (a *app) listClaims(ctx context.Context) error {
+	resp, err := ask(ctx, a, &chicoryv1.ListClaimsRequest{}, chicoryv1connect.OperatorServiceClient.ListClaims)
+	if err != nil {
+		return err
+	}
+	return a.print(resp, func(w io.Writer) {
+		table(w, func(w io.Writer) {
+			fmt.Fprintln(w, "TEAM\tKEY\tCLAIMED\tROUTER\tTARGET")
+			for _, c := range resp.GetClaims() {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", c.GetTeam(), c.GetKey(), timeText(c.GetClaimedUnixMs()), c.GetRouterId(), c.GetTarget())
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/process/control/leader.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/consensus"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/move"
+)
+
+// Periods of the leader's tasks.
+const (
+	lostRouterPeriod = time.Second
+	expirePeriod     = time.Minute
+	commandTimeout   = 5 * time.Second
+)
+
+// runLeaderTasks starts the leader's tasks whenever this VM begins to lead and
+// ends them when it stops.
+func (p *Process) runLeaderTasks() {
+	defer p.tasks.Done()
+	for p.ctx.Err() == nil {
+		changed := p.node.LeadershipChanged()
+		if p.node.Status().Role == consensus.Leader {
+			p.lead(changed)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-p.ctx.Done():
+		}
+	}
+}
+
+// lead runs the leader's tasks until leadership changes. What they learned in an
+// earlier term is forgotten first.
+func (p *Process) lead(changed <-chan struct{}) {
+	ctx, cancel := context.WithCancel(p.ctx)
+	store := evidence.NewStore()
+	p.beginTerm(store)
+	var tasks sync.WaitGroup
+	for _, task := range []func(context.Context){p.runFounding, p.runLostRouters, p.runExpiry, p.moveDriver(store).Run} {
+		tasks.Add(1)
+		go func() {
+			defer tasks.Done()
+			task(ctx)
+		}()
+	}
+	select {
+	case <-changed:
+	case <-p.ctx.Done():
+	}
+	cancel()
+	tasks.Wait()
+}
+
+func (p *Process) beginTerm(store *evidence.Store) {
+	p.routers.forget()
+	p.evidence.Store(store)
+}
+
+func (p *Process) moveDriver(store *evidence.Store) *move.Driver {
+	return &move.Driver{
+		Source:   moveSource{p},
+		Store:    store,
+		Proposer: moveProposer{p},
+		Decider:  move.Decider{},
+		Log:      p.log,
+	}
+}
+
+// runFounding names the cluster if it has no name yet.
+func (p *Process) runFounding(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := p.readBarrier(ctx); err == nil {
+			c, _ := p.machine.Configuration()
+			if c.GetClusterId() != "" {
+				return
+			}
+			p.commit(ctx, &chicoryv1.Command{Command: &chicoryv1.Command_Found{
+				Found: &chicoryv1.FoundCommand{ClusterId: rand.Text()},
+			}})
+		}
+		pause(ctx, lostRouterPeriod)
+	}
+}
+
+// runLostRouters puts the open claims of routers that were silent too long in doubt.
+func (p *Process) runLostRouters(ctx context.Context) {
+	timeout := p.settings.RouterTimeout.Std()
+	// Routers that are alive report to a new leader within their timeout.
+	pause(ctx, timeout)
+	for ctx.Err() == nil {
+		for _, c := range p.machine.OpenClaimants() {
+			if p.routers.isAlive(c.RouterID, c.Incarnation, time.Now(), timeout) {
+				continue
+			}
+			p.log.Warn(logging.RouterLost, logging.Fields{"router": c.RouterID, "incarnation": c.Incarnation})
+			p.commit(ctx, &chicoryv1.Command{Command: &chicoryv1.Command_RouterLost{
+				RouterLost: &chicoryv1.RouterLostCommand{RouterId: c.RouterID, Incarnation: c.Incarnation},
+			}})
+		}
+		pause(ctx, lostRouterPeriod)
+	}
+}
+
+// runExpiry drops ledger entries and results that are older than their retention.
+func (p *Process) runExpiry(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, expirePeriod)
+		p.commit(ctx, &chicoryv1.Command{Command: &chicoryv1.Command_Expire{Expire: &chicoryv1.ExpireCommand{}}})
+	}
+}
+
+// commit proposes a command whose loss does no harm: the task proposes it again.
+func (p *Process) commit(ctx context.Context, cmd *chicoryv1.Command) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	_, _ = p.propose(ctx, cmd)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// receiveReport keeps a router's heartbeat and adds its evidence.
+func (p *Process) receiveReport(r *chicoryv1.ReportRequest) {
+	now := time.Now()
+	p.routers.receive(r, now)
+	if len(r.GetEvidence()) == 0 {
+		return
+	}
+	if p.evidence.Load().Add(now, r.GetRouterId(), r.GetReportId(), r.GetEvidence()) {
+		p.burn.Add(now, r.GetEvidence())
+	}
+}
+
+// moveSource shows the driver the replicated moves and the live routers.
+type moveSource struct {
+	p *Process
+}
+
+func (s moveSource) OpenMoves() []*chicoryv1.Move {
+	c, _ := s.p.machine.Configuration()
+	return c.GetMoves()
+}
+
+func (s moveSource) Routers(route, version string) (live, stopped int) {
+	name := route + "/" + version
+	for _, l := range s.p.routers.list() {
+		if time.Since(l.seen) >= s.p.settings.RouterTimeout.Std() {
+			continue
+		}
+		live++
+		for _, v := range l.report.GetStoppedVersions() {
+			if v == name {
+				stopped++
+			}
+		}
+	}
+	return live, stopped
+}
+
+// moveProposer commits the driver's steps.
+type moveProposer struct {
+	p *Process
+}
+
+func (m moveProposer) Propose(ctx context.Context, step *chicoryv1.MoveStep) error {
+	_, err := m.p.propose(ctx, &chicoryv1.Command{Command: &chicoryv1.Command_MoveStep{MoveStep: step}})
+	return err
+}
--- /dev/null
+++ b/internal/process/control/status.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+)
+
+// maxExplained is how many recent decisions of routers explain shows.
+const maxExplained = 20
+
+func (s *operatorService) Status(ctx context.Context, _ *connect.Request[chicoryv1.StatusRequest]) (*connect.Response[chicoryv1.StatusResponse], error) {
+	if err := s.p.readBarrier(ctx); err != nil {
+		return nil, fault.Answer(err, "")
+	}
+	c, _ := s.p.machine.Configuration()
+	entries, doubt := s.p.machine.Claims()
+	resp := &chicoryv1.StatusResponse{
+		Revision:      c.GetRevision(),
+		ClusterId:     c.GetClusterId(),
+		OpenMoves:     uint64(len(c.GetMoves())),
+		Claims:        uint64(entries),
+		ClaimsInDoubt: uint64(len(doubt)),
+	}
+	resp.Vms = append(s.p.controlRows(), s.p.routerRows()...)
+	return connect.NewResponse(resp), nil
+}
+
+func (p *Process) controlRows() []*chicoryv1.VMStatus {
+	status := p.node.Status()
+	var rows []*chicoryv1.VMStatus
+	for _, m := range status.Members {
+		row := &chicoryv1.VMStatus{
+			Id:      m.ID,
+			Role:    "control",
+			Address: p.addressOf(m.ID),
+			Voter:   m.Voter,
+
+			Incarnation: m.Incarnation,
+			Leader:      m.ID == p.settings.ID,
+			Live:        m.ID == p.settings.ID,
+		}
+		if row.GetLeader() {
+			row.AvailabilityZone = string(p.settings.AvailabilityZone)
+			row.AppliedIndex = status.Applied
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// addressOf returns the peer address of a control VM, by the settings.
+func (p *Process) addressOf(id string) string {
+	for _, vm := range p.settings.Control {
+		if vm.ID == id {
+			return string(vm.Address)
+		}
+	}
+	return ""
+}
+
+func (p *Process) routerRows() []*chicoryv1.VMStatus {
+	var rows []*chicoryv1.VMStatus
+	for _, l := range p.routers.list() {
+		age := time.Since(l.seen)
+		rows = append(rows, &chicoryv1.VMStatus{
+			Id:               l.report.GetRouterId(),
+			Role:             "router",
+			AvailabilityZone: l.report.GetAvailabilityZone(),
+			Address:          l.report.GetAddress(),
+			Revision:         l.report.GetRevision(),
+			Live:             age < p.settings.RouterTimeout.Std(),
+			LastSeenMs:       uint64(age / time.Millisecond),
+		})
+	}
+	return rows
+}
+
+// Explain tells why things are as they are for a route, a move or a target.
+func (s *operatorService) Explain(ctx context.Context, req *connect.Request[chicoryv1.ExplainRequest]) (*connect.Response[chicoryv1.ExplainResponse], error) {
+	if err := s.p.readBarrier(ctx); err != nil {
+		return nil, fault.Answer(err, "")
+	}
+	subject := req.Msg.GetSubject()
+	c, _ := s.p.machine.Configuration()
+	lines := explainConfiguration(config.NewView(c), subject)
+	for _, m := range s.p.machine.Moves() {
+		if m.GetId() == subject || m.GetIntent().GetRoute() == subject {
+			lines = append(lines, explainMove(m)...)
+		}
+	}
+	lines = append(lines, s.p.routers.decisionsAbout(subject, maxExplained)...)
+	if len(lines) == 0 {
+		err := fault.New(fault.NotFound, "nothing is known of %q", subject)
+		return nil, fault.Answer(err, "")
+	}
+	return connect.NewResponse(&chicoryv1.ExplainResponse{Lines: lines}), nil
+}
+
+func explainConfiguration(v *config.View, subject string) []string {
+	var lines []string
+	if r := v.Route(subject); r != nil {
+		lines = append(lines, fmt.Sprintf("route %s: service %s, version %s takes new work", subject, r.GetService(), r.GetVersion()))
+	}
+	if t := v.Target(subject); t != nil {
+		lines = append(lines, fmt.Sprintf("target %s: service %s, version %s, availability zone %s",
+			subject, t.GetService(), t.GetVersion(), t.GetAvailabilityZone()))
+	}
+	if t := v.Team(subject); t != nil {
+		lines = append(lines, fmt.Sprintf("team %s: %d tokens/s, %d concurrent generations, %d calls/s (0 is no limit)",
+			subject, t.GetTokensPerSecond(), t.GetConcurrentGenerations(), t.GetCallsPerSecond()))
+	}
+	return lines
+}
+
+func explainMove(m *chicoryv1.Move) []string {
+	in := m.GetIntent()
+	lines := []string{fmt.Sprintf("move %s: route %s from %s to %s, %s, share %d permille; asked for by %s: %s",
+		m.GetId(), in.GetRoute(), in.GetFrom(), in.GetTo(), m.GetState(), m.GetSharePermille(), m.GetOperator(), m.GetWhy())}
+	for _, e := range m.GetEvents() {
+		at := time.UnixMilli(e.GetUnixMs()).UTC().Format(time.RFC3339)
+		lines = append(lines, fmt.Sprintf("  %s %s share %d permille: %s", at, e.GetState(), e.GetSharePermille(), e.GetReason()))
+	}
+	if m.GetReason() != "" {
+		lines = append(lines, "  ended: "+m.GetReason())
+	}
+	return lines
+}
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -56,7 +56,22 @@
 
 // Logger writes events. The zero value is not usable; Discard serves tests.
 type Logger struct {
-	entry *logrus.Entry
+	entry    *logrus.Entry
+	observer func(Event, Fields)
+}
+
+// Observe calls f with every event that l writes from now on. It must be called
+// before l is used by several goroutines; f must be safe for concurrent use.
+func (l *Logger) Observe(f func(Event, Fields)) {
+	l.observer = f
+}
+
+// write gives one event to the observer and returns the line to write.
+func (l *Logger) write(event Event, fields Fields) *logrus.Entry {
+	if l.observer != nil {
+		l.observer(event, fields)
+	}
+	return l.entry.WithField("event", string(event)).WithFields(fields)
 }
 
 // New returns a logger that writes to w and adds the process's role and
@@ -80,15 +95,15 @@
 
 // Info writes one line for an ordinary event.
 func (l *Logger) Info(event Event, fields Fields) {
-	l.entry.WithField("event", string(event)).WithFields(fields).Info()
+	l.write(event, fields).Info()
 }
 
 // Warn writes one line for an event that an operator should know of.
 func (l *Logger) Warn(event Event, fields Fields) {
-	l.entry.WithField("event", string(event)).WithFields(fields).Warn()
+	l.write(event, fields).Warn()
 }
 
 // Error writes one line for an event that an operator must act on.
 func (l *Logger) Error(event Event, fields Fields) {
-	l.entry.WithField("event", string(event)).WithFields(fields).Error()
+	l.write(event, fields).Error()
 }
--- /dev/null
+++ b/internal/process/router/process.go
@@ -0,0 +1,249 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/caller"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/control"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/watch"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/monitor"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/admission"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/call"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/generation"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/retry"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/share"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// Process is a running router.
+type Process struct {
+	settings    Settings
+	log         *logging.Logger
+	incarnation string
+	registry    metrics.Registry
+	holder      *config.Holder
+	pool        *target.Pool
+	peers       *peer.Client
+	control     *control.Client
+	reports     *reporter
+	admitter    *admission.Admitter
+	generations *generation.Service
+	calls       *call.Service
+
+	callers  *http.Server
+	peerHTTP *peer.Server
+	monitor  *monitor.Server
+
+	ctx   context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+// Start assembles the router and serves. It refuses callers with NotReady until
+// the configuration in force is known.
+func Start(s Settings, log *logging.Logger) (*Process, error) {
+	keys, err := peer.LoadKeys(s.Keys)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	resumeKey, err := os.ReadFile(s.ResumeKeyFile)
+	if err != nil {
+		return nil, errors.Annotate(err, "resume key")
+	}
+	p := &Process{
+		settings:    s,
+		log:         log,
+		incarnation: rand.Text(),
+		registry:    metrics.NewRegistry(),
+		holder:      &config.Holder{},
+		pool:        target.NewPool(nil),
+		peers:       peer.NewClient(keys),
+	}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	p.control = control.NewClient(controlVMs(s), p.peers)
+	if err := p.assemble(resumeKey); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := p.listen(keys); err != nil {
+		p.stop()
+		return nil, errors.Trace(err)
+	}
+	log.Info(logging.ProcessStarted, logging.Fields{
+		"caller_address": s.CallerAddress, "availability_zone": s.AvailabilityZone, "incarnation": p.incarnation,
+	})
+	return p, nil
+}
+
+func controlVMs(s Settings) []control.VM {
+	var vms []control.VM
+	for _, vm := range s.Control {
+		vms = append(vms, control.VM{ID: vm.ID, Address: string(vm.Address)})
+	}
+	return vms
+}
+
+// assemble builds the paths of requests and starts the router's tasks.
+func (p *Process) assemble(resumeKey []byte) error {
+	zone := string(p.settings.AvailabilityZone)
+	loads := observe.NewTable(p.settings.Observe)
+	picker := routing.NewPicker(routing.Options{
+		Holder: p.holder, Zone: zone, Loads: loads, Logger: p.log, Settings: p.settings.Routing,
+	})
+	collector := evidence.NewCollector()
+	guard := share.NewGuard(p.holder, collector, time.Now, p.log)
+	chooser := share.NewChooser(p.holder, guard)
+	budget := retry.NewBudget(retry.Options{Settings: p.settings.Retry, Registry: p.registry})
+	p.reports = p.newReporter(collector, guard)
+	p.log.Observe(p.reports.observe)
+	p.registerGauges()
+	p.admitter = admission.New(admission.Options{
+		Holder: p.holder, Routers: p.reports.liveRouters, Capacity: picker.Capacity,
+		Registry: p.registry, Settings: p.settings.Admission,
+	})
+	var err error
+	p.generations, err = generation.New(generation.Options{
+		Holder: p.holder, Pool: p.pool, Picker: picker, Admitter: p.admitter, Chooser: chooser,
+		Budget: budget, Recorder: guard, TokenKey: resumeKey, RouterID: p.settings.ID,
+		AvailabilityZone: zone, Logger: p.log, Metrics: p.registry, Settings: p.settings.Generation,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.calls = call.New(call.Options{
+		Holder: p.holder, Pool: p.pool, Picker: picker, Admitter: p.admitter, Chooser: chooser,
+		Budget: budget, Recorder: guard, Ledger: call.NewLedgerClient(p.control, call.BatchSettings{}),
+		RouterID: p.settings.ID, Incarnation: p.incarnation,
+		AvailabilityZone: zone, Logger: p.log, Settings: p.settings.Calls.settings(),
+	})
+	p.startTasks(observe.NewWatcher(observe.Options{
+		Holder: p.holder, Table: loads, Clients: p.pool.Clients,
+		Platform: p.platform(), Settings: p.settings.Observe,
+	}))
+	return nil
+}
+
+// registerGauges shows which revision the router runs and how old it may be.
+func (p *Process) registerGauges() {
+	_ = p.registry.Register("configuration.leader_silence_ms", metrics.NewFunctionalGauge(p.reports.silenceMs))
+	_ = p.registry.Register("configuration.revision", metrics.NewFunctionalGauge(func() int64 {
+		if v := p.holder.Current(); v != nil {
+			return int64(v.Revision())
+		}
+		return 0
+	}))
+}
+
+func (p *Process) newReporter(collector *evidence.Collector, guard *share.Guard) *reporter {
+	return &reporter{
+		base: &chicoryv1.ReportRequest{
+			RouterId:         p.settings.ID,
+			Incarnation:      p.incarnation,
+			AvailabilityZone: string(p.settings.AvailabilityZone),
+			Address:          string(p.settings.CallerAddress),
+		},
+		interval:  p.settings.ReportInterval.Std(),
+		client:    p.control,
+		holder:    p.holder,
+		collector: collector,
+		stopped:   guard.Stopped,
+		wake:      make(chan struct{}, 1),
+	}
+}
+
+// platform returns the client of the platform's list, or nil when there is none.
+func (p *Process) platform() chicoryv1connect.PlatformServiceClient {
+	if p.settings.Platform == "" {
+		return nil
+	}
+	client := &http.Client{Timeout: platformTimeout}
+	return chicoryv1connect.NewPlatformServiceClient(client, "http://"+string(p.settings.Platform))
+}
+
+const platformTimeout = 2 * time.Second
+
+func (p *Process) startTasks(targets *observe.Watcher) {
+	configurations := control.NewWatcher(p.holder, p.settings.ID, p.watchAddresses(), p.peers, p.log,
+		func(uint64) { p.reports.poke() })
+	for _, task := range []func(context.Context){targets.Run, configurations.Run, p.reports.run} {
+		p.tasks.Add(1)
+		go func() {
+			defer p.tasks.Done()
+			task(p.ctx)
+		}()
+	}
+}
+
+// watchAddresses lists where configurations are watched: relays first.
+func (p *Process) watchAddresses() []string {
+	var out []string
+	for _, a := range p.settings.Relays {
+		out = append(out, string(a))
+	}
+	for _, vm := range p.settings.Control {
+		out = append(out, string(vm.Address))
+	}
+	return out
+}
+
+func (p *Process) listen(keys *peer.Keys) error {
+	mux := http.NewServeMux()
+	path, h := chicoryv1connect.NewControlServiceHandler(&relayService{
+		watches: watch.NewServer(p.holder),
+		done:    p.ctx,
+	})
+	mux.Handle(path, peer.RequireRole(h, peer.RoleRouter))
+	server, err := peer.Listen(string(p.settings.PeerAddress), keys, mux)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	p.peerHTTP = server
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.reports.ready)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(p.listenCallers())
+}
+
+func (p *Process) listenCallers() error {
+	ready := func() bool { ok, _ := p.reports.ready(); return ok }
+	service := caller.NewService(p.holder, p.generations, p.calls, ready, p.log)
+	path, h := chicoryv1connect.NewCallerServiceHandler(service)
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	p.callers = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}
+	ln, err := net.Listen("tcp", string(p.settings.CallerAddress))
+	if err != nil {
+		return errors.Annotate(err, "caller address")
+	}
+	go func() {
+		if t := p.settings.CallerTLS; t != nil {
+			_ = p.callers.ServeTLS(ln, t.Certificate, t.Key)
+			return
+		}
+		_ = p.callers.Serve(ln)
+	}()
+	return nil
+}
--- a/internal/version/plan/change.go
+++ b/internal/version/plan/change.go
@@ -80,6 +80,7 @@
 			return nil, err
 		}
 	}
+	b.warnOfEmptyRoutes()
 	b.out.Next = b.view.Raw()
 	if err := config.Validate(b.out.Next); err != nil {
 		return nil, err
--- a/internal/version/plan/items.go
+++ b/internal/version/plan/items.go
@@ -35,13 +35,22 @@
 		b.effect("route %s goes from version %s to %s at once, without a move", r.GetName(), old.GetVersion(), r.GetVersion())
 		b.warn("nothing proves version %s first; a move would", r.GetVersion())
 	}
-	if !b.hasTarget(r.GetService(), r.GetVersion()) {
-		b.warn("route %s has no target of version %s: its requests are refused", r.GetName(), r.GetVersion())
-	}
 	b.patch(&chicoryv1.ConfigurationDelta{Changed: &chicoryv1.Configuration{Routes: []*chicoryv1.Route{r}}})
 	return nil
 }
 
+// warnOfEmptyRoutes names the changed routes that nothing serves once all
+// changes are made.
+func (b *builder) warnOfEmptyRoutes() {
+	for _, item := range b.out.Touched {
+		name, ok := strings.CutPrefix(string(item), string(RouteItem("")))
+		r := b.view.Route(name)
+		if ok && r != nil && !b.hasTarget(r.GetService(), r.GetVersion()) {
+			b.warn("route %s has no target of version %s: its requests are refused", name, r.GetVersion())
+		}
+	}
+}
+
 func (b *builder) hasTarget(service, version string) bool {
 	for _, t := range b.view.Targets(service) {
 		if t.GetVersion() == version {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -88,6 +88,8 @@
 done
 [ -n "$victim" ] || fail "no engine carries the generation"
 kill -KILL "${pids[$victim]}"
+wait "${pids[$victim]}" 2>/dev/null || true
+unset "pids[$victim]"
 echo "killed $victim after $(wc -w <"$data/answer.txt") tokens"
 wait "$caller" || fail "the caller got no whole answer"
 "$bin/chicory-standin" check-text -tokens "$tokens" <"$data/answer.txt" || fail "the answer is not whole"
@@ -120,4 +122,9 @@
   wait "${pids[$vm]}" || fail "$vm stopped with status $?"
   unset "pids[$vm]"
 done
+for name in "${!pids[@]}"; do
+  kill -TERM "${pids[$name]}"
+  wait "${pids[$name]}" || fail "$name stopped with status $?"
+  unset "pids[$name]"
+done
 echo "demo: everything held"
