Spare an attempt that its caller follows through another router

Cause: a router whose caller left cancelled the engine's work after the grace period although the caller had gone on at another router; each change of router cost a second prefill. Ruled out: telling the other router (no addresses), no cancellation at all (work for nobody). Change: the cancellation asks the engine to spare an attempt that a stream reads; the caller gets the new resume token when a restart begins, not at its first token.

--- a/internal/request/generation/cancel.go
+++ b/internal/request/generation/cancel.go
@@ -13,6 +13,15 @@
 // cancelTries is how often a cancellation is sent to an engine that does not answer.
 const cancelTries = 3
 
+// cancelMode says whether a cancellation also ends an attempt that is being read.
+type cancelMode int
+
+const (
+	always cancelMode = iota
+	// ifDetached spares an attempt that the caller follows through another router.
+	ifDetached
+)
+
 // abandonment is the engine's work for a generation whose caller went away.
 type abandonment struct {
 	timer *time.Timer
@@ -37,7 +46,7 @@
 	if a := s.abandoned[id]; a != nil {
 		s.forget(id, a)
 	}
-	done := s.cancelAtEngine(state.GetTarget(), id, state.GetAttempt())
+	done := s.cancelAtEngine(state.GetTarget(), id, state.GetAttempt(), always)
 	s.mu.Unlock()
 	select {
 	case <-done:
@@ -52,14 +61,14 @@
 // cancelAtEngine cancels all attempts up to number in the background. The
 // returned channel closes at the end. An engine that is frozen finds the
 // cancellation when it goes on.
-func (s *Service) cancelAtEngine(address, id string, number uint32) <-chan struct{} {
+func (s *Service) cancelAtEngine(address, id string, number uint32, when cancelMode) <-chan struct{} {
 	done := make(chan struct{})
 	s.tasks.Add(1)
 	go func() {
 		defer s.tasks.Done()
 		defer close(done)
 		for range cancelTries {
-			if s.sendCancel(address, id, number) {
+			if s.sendCancel(address, id, number, when) {
 				return
 			}
 		}
@@ -68,7 +77,7 @@
 }
 
 // sendCancel reports whether there is nothing more to do.
-func (s *Service) sendCancel(address, id string, number uint32) bool {
+func (s *Service) sendCancel(address, id string, number uint32, when cancelMode) bool {
 	timeout := s.opts.Settings.CancelTimeout.Std()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -76,6 +85,7 @@
 	_, err := clients.Engine.Cancel(ctx, connect.NewRequest(&chicoryv1.EngineServiceCancelRequest{
 		GenerationId: id,
 		Attempt:      number,
+		OnlyDetached: when == ifDetached,
 	}))
 	if err == nil {
 		s.counters.cancelled.Inc(1)
@@ -103,7 +113,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.abandoned[id] == a {
-			s.cancelAtEngine(address, id, number)
+			s.cancelAtEngine(address, id, number, ifDetached)
 			s.forget(id, a)
 		}
 	})
--- a/internal/request/generation/ends_test.go
+++ b/internal/request/generation/ends_test.go
@@ -58,6 +58,20 @@
 	})
 }
 
+func TestCallerAtAnotherRouterKeepsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, "v1")
+		defer w.close()
+		x := &text{}
+		_ = leaveAt(w, x, 300, 5)
+		time.Sleep(time.Second)
+		// The first router's grace period ends while the second one streams.
+		assert.NilError(t, w.routers[1].Resume(context.Background(), x.resumeRequest(testRequest(300)), x.take))
+		checkWhole(t, x, 300)
+		assert.Equal(t, w.engines[0].Counts("").GetGenerations(), uint64(1))
+	})
+}
+
 func TestCancelReachesTheEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2, "v1")
--- a/internal/request/generation/harness_test.go
+++ b/internal/request/generation/harness_test.go
@@ -325,7 +325,9 @@
 	x.tokens = append(x.tokens, c.GetTokens()...)
 	x.proof = c.GetProof()
 	x.finish = c.GetFinishReason()
-	x.times = append(x.times, time.Now())
+	if len(c.GetTokens()) > 0 {
+		x.times = append(x.times, time.Now())
+	}
 	if c.GetResumeToken() != "" {
 		x.token = c.GetResumeToken()
 	}
--- a/internal/request/generation/recover.go
+++ b/internal/request/generation/recover.go
@@ -66,7 +66,7 @@
 	}
 	r.closeAttempt(resultOf(l), l)
 	if old.address != "" {
-		r.s.cancelAtEngine(old.address, r.id, old.number)
+		r.s.cancelAtEngine(old.address, r.id, old.number, always)
 		if l != lossRefused || !old.alive && old.probes == 0 {
 			r.excluded = append(r.excluded, old.address)
 		}
@@ -89,7 +89,23 @@
 	if old.version != r.attempt.version {
 		r.logResumed(logging.GenerationResumed, old.address, old.number, l, "version_change_"+old.version)
 	}
-	return r.generateSource(), nil
+	return r.generateSource(), r.tellAttempt()
+}
+
+// tellAttempt gives the caller the resume token of the new attempt before its
+// first token, so that a router lost during the prefill does not lose the prefill.
+func (r *run) tellAttempt() error {
+	if !r.sentFirst {
+		return nil
+	}
+	chunk, err := r.callerChunk(r.prefix.count, nil, unfinished)
+	if err != nil {
+		return err
+	}
+	if err := r.send(chunk); err != nil {
+		return fault.New(fault.Cancelled, "the caller went away")
+	}
+	return nil
 }
 
 func resultOf(l loss) request.Result {
--- a/internal/request/generation/run.go
+++ b/internal/request/generation/run.go
@@ -236,7 +236,7 @@
 // cancelAttempt cancels the current attempt at its engine in the background.
 func (r *run) cancelAttempt() {
 	if r.attempt.address != "" {
-		r.s.cancelAtEngine(r.attempt.address, r.id, r.attempt.number)
+		r.s.cancelAtEngine(r.attempt.address, r.id, r.attempt.number, always)
 	}
 }
 
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -189,6 +189,19 @@
 	}
 }
 
+// isRead reports whether a stream reads the attempt.
+func (r *Replica) isRead(generation string, number uint32) bool {
+	r.mu.Lock()
+	a := r.attempts[attemptKey{generation, number}]
+	r.mu.Unlock()
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.streams > 0
+}
+
 // cancelUpTo cancels every attempt of a generation up to the number, also those
 // that arrive later.
 func (r *Replica) cancelUpTo(generation string, number uint32) {
