--- a/internal/request/generation/harness_test.go
+++ b/internal/request/generation/harness_test.go
@@ -32,6 +32,7 @@
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
 		_ = flag.Set("rapid.seed", seed)
 	}
+	_ = flag.Set("rapid.nofailfile", "true") // the seed is printed
 	os.Exit(m.Run())
 }
 
@@ -324,7 +325,9 @@
 	x.tokens = append(x.tokens, c.GetTokens()...)
 	x.proof = c.GetProof()
 	x.finish = c.GetFinishReason()
-	x.times = append(x.times, time.Now())
+	if len(c.GetTokens()) > 0 {
+		x.times = append(x.times, time.Now())
+	}
 	if c.GetResumeToken() != "" {
 		x.token = c.GetResumeToken()
 	}
