Ask targets for uncompressed answers

Cause: connect asks for gzip by default, and targets spent a quarter of the processor time of the call tests on compressing answers of a few hundred bytes. Change: the clients of targets accept no compression.

--- a/internal/connection/target/endpoint.go
+++ b/internal/connection/target/endpoint.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 
+	"connectrpc.com/connect"
+
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 )
 
@@ -26,10 +28,12 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	url := "http://" + address
+	// Messages of a few hundred bytes cost more to compress than to send.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
 	e.clients = &Clients{
-		Engine:      chicoryv1connect.NewEngineServiceClient(client, url),
-		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url),
-		Target:      chicoryv1connect.NewTargetServiceClient(client, url),
+		Engine:      chicoryv1connect.NewEngineServiceClient(client, url, plain),
+		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url, plain),
+		Target:      chicoryv1connect.NewTargetServiceClient(client, url, plain),
 	}
 	return e
 }
