Prove at-most-once over drawn histories

Cause: the thin path had two tests. Change: histories in virtual time over in-memory connections: two or three routers, one to three targets, a ledger whose proposals and answers are lost, late or refused, partitions, crashes and restarts of routers, drains, refused admission, clock steps, restores, dead, frozen, slow, crossing and delaying targets, cut and silent connections.

--- a/internal/request/call/call_test.go
+++ b/internal/request/call/call_test.go
@@ -13,33 +13,33 @@
 
 func TestResendAtAnotherRouterGetsTheSameAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCell("10.0.0.1:1", "10.0.0.2:1")
+		c := newCell(2)
 		defer c.close()
-		one, two := c.router("r1"), c.router("r2")
+		one, two := c.router("r1", "1"), c.router("r2", "1")
 		key := ledger.NewKey(time.Now())
-		first, err := one.Call(context.Background(), payout(key))
+		first, err := one.Call(context.Background(), payout(key, "7"))
 		assert.NilError(t, err)
 		assert.Assert(t, !first.GetReplayed())
 		one.close(t)
-		again, err := two.Call(context.Background(), payout(key))
+		again, err := two.Call(context.Background(), payout(key, "7"))
 		assert.NilError(t, err)
 		assert.Equal(t, string(again.GetPayload()), string(first.GetPayload()))
 		assert.Assert(t, again.GetReplayed())
-		assert.Equal(t, c.arrivals(key), uint32(1))
+		assert.Equal(t, c.arrivals("7"), 1)
 		two.close(t)
 	})
 }
 
 func TestIdempotentCallOutlivesADeadTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCell("10.0.0.1:1", "10.0.0.2:1")
+		c := newCell(2)
 		defer c.close()
-		r := c.router("r1")
-		c.targets[0].kill()
+		r := c.router("r1", "1")
+		c.desks[0].kill()
 		for range 4 {
-			resp, err := r.Call(context.Background(), fare())
+			resp, err := r.Call(context.Background(), fare("7"))
 			assert.NilError(t, err)
-			assert.Equal(t, string(resp.GetPayload()), "fare:7")
+			assert.Equal(t, string(resp.GetPayload()[:len("10.0.0.2:1")]), "10.0.0.2:1")
 		}
 		r.close(t)
 	})
--- a/internal/request/call/fakes_test.go
+++ b/internal/request/call/fakes_test.go
@@ -2,110 +2,29 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
+	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
-	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
-	"github.com/chicoryswitch/chicoryswitch/internal/standin"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
-// network connects routers to targets in memory.
-type network struct {
-	mu        sync.Mutex // guards listeners
-	listeners map[string]*pipeListener
-}
-
-func newNetwork() *network {
-	return &network{listeners: map[string]*pipeListener{}}
-}
-
-// listen returns the listener of an address; it replaces a closed one.
-func (n *network) listen(address string) *pipeListener {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-	n.listeners[address] = l
-	return l
-}
-
-func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l := n.listeners[address]
-	n.mu.Unlock()
-	if l == nil {
-		return nil, errors.New("connection refused")
-	}
-	ours, theirs := net.Pipe()
-	select {
-	case l.conns <- theirs:
-		return ours, nil
-	case <-l.closed:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-type pipeListener struct {
-	conns  chan net.Conn
-	once   sync.Once
-	closed chan struct{}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// testTarget is a stand-in replica that listens in memory.
-type testTarget struct {
-	*standin.Replica
-	server *http.Server
-}
-
-func startTarget(n *network, address string) *testTarget {
-	r := standin.NewReplica(standin.Options{Address: address, Version: "v1"})
-	s := standin.NewServer(r)
-	ln := n.listen(address)
-	go func() { _ = s.Serve(ln) }()
-	return &testTarget{Replica: r, server: s}
-}
-
-// kill ends the target as a crash does.
-func (t *testTarget) kill() {
-	_ = t.server.Close()
-	t.Replica.Close()
-}
-
 // roundRobin picks targets in turn.
 type roundRobin struct {
-	mu      sync.Mutex // guards next
+	mu      sync.Mutex // guards next and results
 	targets []*chicoryv1.Target
 	next    int
+	results []request.Result
 }
 
 func (r *roundRobin) Pick(_ request.Work, exclude []string) (request.Placement, error) {
@@ -115,19 +34,28 @@
 		t := r.targets[r.next%len(r.targets)]
 		r.next++
 		if !slices.Contains(exclude, t.GetAddress()) {
-			return request.Placement{Target: t, Done: func(request.Result, time.Duration) {}}, nil
+			return request.Placement{Target: t, Done: r.done}, nil
 		}
 	}
 	return request.Placement{}, fault.New(fault.NoTarget, "no target")
 }
 
-// openAdmitter admits all, or refuses with err.
-type openAdmitter struct {
-	err error
+func (r *roundRobin) done(result request.Result, _ time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, result)
 }
 
-func (a openAdmitter) Admit(context.Context, request.Work) (func(int), error) {
-	return func(int) {}, a.err
+// admitter admits all, or refuses with the kind TeamLimit.
+type admitter struct {
+	closed atomic.Bool
+}
+
+func (a *admitter) Admit(context.Context, request.Work) (func(int), error) {
+	if a.closed.Load() {
+		return nil, fault.New(fault.TeamLimit, "limit used up")
+	}
+	return func(int) {}, nil
 }
 
 type firstVersion struct{}
@@ -161,54 +89,32 @@
 	o.all = append(o.all, x)
 }
 
-// localLedger is a Ledger without replication.
-type localLedger struct {
-	mu    sync.Mutex // guards state
-	state *ledger.Ledger
-}
-
-func newLocalLedger() *localLedger {
-	return &localLedger{state: ledger.New(ledger.DefaultSettings())}
-}
-
-func (l *localLedger) Claim(_ context.Context, c *chicoryv1.Claim) (*chicoryv1.ClaimResult, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Claim(c, time.Now()), nil
-}
-
-func (l *localLedger) Close(_ context.Context, c *chicoryv1.Claim) (chicoryv1.ClaimState, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Close(c, time.Now()), nil
-}
-
-// cell is a set of targets and what routers need to call them.
+// cell is desks, a replicated ledger and what routers need to use them.
 type cell struct {
 	network *network
-	targets []*testTarget
-	ledger  Ledger
+	desks   []*desk
+	ledger  *replicatedLedger
 	lookups bool
 	budget  *budget
 	seen    *observations
 }
 
-func newCell(addresses ...string) *cell {
+func newCell(desks int) *cell {
 	c := &cell{
 		network: newNetwork(),
-		ledger:  newLocalLedger(),
+		ledger:  newReplicatedLedger(),
 		budget:  &budget{left: 1000},
 		seen:    &observations{},
 	}
-	for _, a := range addresses {
-		c.targets = append(c.targets, startTarget(c.network, a))
+	for i := range desks {
+		c.desks = append(c.desks, newDesk(c.network, fmt.Sprintf("10.0.0.%d:1", i+1)))
 	}
 	return c
 }
 
 func (c *cell) close() {
-	for _, t := range c.targets {
-		t.kill()
+	for _, d := range c.desks {
+		d.close()
 	}
 }
 
@@ -221,8 +127,8 @@
 			{Name: "fare", Service: "desk", Version: "v1", DefaultTimeoutMs: 1000},
 		},
 	}
-	for _, t := range c.targets {
-		conf.Targets = append(conf.Targets, &chicoryv1.Target{Address: t.Address(), Service: "desk", Version: "v1"})
+	for _, d := range c.desks {
+		conf.Targets = append(conf.Targets, &chicoryv1.Target{Address: d.address, Service: "desk", Version: "v1"})
 	}
 	return conf
 }
@@ -230,61 +136,82 @@
 // testRouter is one router's call service with connections of its own.
 type testRouter struct {
 	*Service
-	pool *target.Pool
+	pool      *target.Pool
+	client    *LedgerClient
+	link      *leaderLink
+	picker    *roundRobin
+	admission *admitter
+	crashed   atomic.Bool
 }
 
-func (c *cell) router(id string, change ...func(*Options)) *testRouter {
+// router starts a router.
+func (c *cell) router(id, incarnation string, change ...func(*Options)) *testRouter {
 	h := &config.Holder{}
 	_, _ = h.ApplyFull(c.configuration())
-	pool := target.NewPool(c.network.dial)
+	r := &testRouter{
+		pool:      target.NewPool(c.network.dial),
+		link:      &leaderLink{ledger: c.ledger},
+		picker:    &roundRobin{targets: h.Current().Targets("desk")},
+		admission: &admitter{},
+	}
+	r.client = NewLedgerClient(r.link, BatchSettings{InFlight: 2, BatchTimeout: 100 * time.Millisecond})
 	o := Options{
 		Holder:      h,
-		Pool:        pool,
-		Picker:      &roundRobin{targets: h.Current().Targets("desk")},
-		Admitter:    openAdmitter{},
+		Pool:        r.pool,
+		Picker:      r.picker,
+		Admitter:    r.admission,
 		Chooser:     firstVersion{},
 		Budget:      c.budget,
 		Recorder:    c.seen,
-		Ledger:      c.ledger,
+		Ledger:      r.client,
 		RouterID:    id,
-		Incarnation: "1",
+		Incarnation: incarnation,
 		Logger:      logging.Discard(),
 	}
 	for _, f := range change {
 		f(&o)
 	}
-	return &testRouter{Service: New(o), pool: pool}
+	r.Service = New(o)
+	return r
 }
 
-// close ends the router after its calls.
+// close ends the router after its calls and outcomes.
 func (r *testRouter) close(t *testing.T) {
 	t.Helper()
 	assert.NilError(t, r.Drain(context.Background()))
+	r.stopTasks()
+}
+
+// crash ends the router in the middle of what it does.
+func (r *testRouter) crash() {
+	r.crashed.Store(true)
+	r.link.cutOff(true)
+	r.stop()
+	r.stopTasks()
+}
+
+func (r *testRouter) stopTasks() {
+	r.client.Stop()
 	r.pool.Close()
 }
 
-// arrivals sums the arrivals of a key over the targets.
-func (c *cell) arrivals(key string) uint32 {
-	n := uint32(0)
-	for _, t := range c.targets {
-		n += t.Counts(key).GetWithKey()
+// arrivals sums the arrivals of a payload over the desks.
+func (c *cell) arrivals(payload string) int {
+	n := 0
+	for _, d := range c.desks {
+		n += d.arrived(payload)
 	}
 	return n
 }
 
-func payout(key string) *chicoryv1.CallRequest {
-	return &chicoryv1.CallRequest{Team: "colonia", Route: "payout", Method: "pay", Payload: []byte("7"), Key: key}
+func payout(key, payload string) *chicoryv1.CallRequest {
+	return &chicoryv1.CallRequest{Team: "colonia", Route: "payout", Method: "pay", Payload: []byte(payload), Key: key}
 }
 
-func fare() *chicoryv1.CallRequest {
-	return &chicoryv1.CallRequest{Team: "colonia", Route: "fare", Method: "fare", Payload: []byte("7"), Idempotent: true}
+func fare(payload string) *chicoryv1.CallRequest {
+	return &chicoryv1.CallRequest{Team: "colonia", Route: "fare", Method: "fare", Payload: []byte(payload), Idempotent: true}
 }
 
-// faultOf returns the error's kind and what it says about having run.
-func faultOf(err error) (fault.Kind, chicoryv1.Ran) {
-	e := fault.Of(err)
-	if e == nil {
-		return "", chicoryv1.Ran_RAN_RAN
-	}
-	return e.Kind, e.Ran
+func note(payload string) *chicoryv1.CallRequest {
+	return &chicoryv1.CallRequest{Team: "colonia", Route: "fare", Method: "note", Payload: []byte(payload)}
 }
