Prove by arrivals that a dispatch is sent once

Cause: that net/http can't resend a call was said by its source only. Ruled out: deleting the Idempotency-Key headers as well; a request whose body can't be rewound is not resent with them either, so that code is gone. Change: servers that count the requests that arrive whole, over HTTP/1.1 and over HTTP/2 by the framer of golang.org/x/net, and then close, reset with REFUSED_STREAM, send GOAWAY or redirect, on new and reused connections, for calls with and without a body.

--- a/internal/connection/target/dispatch.go
+++ b/internal/connection/target/dispatch.go
@@ -73,15 +73,9 @@
 	once := req.Clone(httptrace.WithClientTrace(req.Context(), trace))
 	once.GetBody = nil
 	once.Body = newOnceBody(req.Body)
-	for _, h := range resendHeaders {
-		once.Header.Del(h)
-	}
 	return once, nil
 }
 
-// resendHeaders make net/http regard any request as idempotent.
-var resendHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
-
 // onceBody hides that a body is empty or can be rewound: a transport resends a
 // request without a body.
 type onceBody struct {
--- /dev/null
+++ b/internal/connection/target/server_test.go
@@ -0,0 +1,197 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+// breakage is what a rawServer does with a request in place of an answer.
+type breakage int
+
+const (
+	answers breakage = iota
+	// closes the connection after the whole request.
+	closes
+	// refusesStream resets the stream with REFUSED_STREAM; HTTP/2 only.
+	refusesStream
+	// goesAway sends GOAWAY that names no processed stream; HTTP/2 only.
+	goesAway
+	// redirects answers with a redirect that keeps method and body.
+	redirects
+)
+
+// rawServer counts the requests that arrive whole, on any connection. Requests
+// meet the planned breakages in turn; later ones are answered.
+type rawServer struct {
+	listener net.Listener
+	http1    bool
+	answer   []byte
+
+	mu       sync.Mutex // guards the fields below
+	plan     []breakage
+	arrivals int
+	conns    []net.Conn
+}
+
+func startRawServer(t *testing.T, http1 bool, plan ...breakage) *rawServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	answer, err := proto.Marshal(&chicoryv1.InvokeResponse{CallId: "c"})
+	assert.NilError(t, err)
+	s := &rawServer{listener: ln, http1: http1, answer: answer, plan: plan}
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.accept(&tasks) })
+	t.Cleanup(func() {
+		_ = ln.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		tasks.Wait()
+	})
+	return s
+}
+
+func (s *rawServer) address() string { return s.listener.Addr().String() }
+
+func (s *rawServer) accept(tasks *sync.WaitGroup) {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns = append(s.conns, c)
+		s.mu.Unlock()
+		tasks.Go(func() {
+			defer func() { _ = c.Close() }()
+			if s.http1 {
+				s.serveHTTP1(c)
+			} else {
+				s.serveHTTP2(c)
+			}
+		})
+	}
+}
+
+// arrive counts a request and returns what it meets.
+func (s *rawServer) arrive() breakage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals++
+	if len(s.plan) == 0 {
+		return answers
+	}
+	b := s.plan[0]
+	s.plan = s.plan[1:]
+	return b
+}
+
+func (s *rawServer) arrived() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
+func (s *rawServer) serveHTTP1(c net.Conn) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		resp := &http.Response{ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, StatusCode: http.StatusOK}
+		switch s.arrive() {
+		case closes:
+			return
+		case redirects:
+			resp.StatusCode = http.StatusTemporaryRedirect
+			resp.Header.Set("Location", "http://"+s.address()+req.URL.Path)
+		default:
+			resp.Header.Set("Content-Type", "application/proto")
+			resp.ContentLength = int64(len(s.answer))
+			resp.Body = io.NopCloser(bytes.NewReader(s.answer))
+		}
+		if err := resp.Write(c); err != nil {
+			return
+		}
+	}
+}
+
+func (s *rawServer) serveHTTP2(c net.Conn) {
+	if _, err := io.ReadFull(c, make([]byte, len(http2.ClientPreface))); err != nil {
+		return
+	}
+	framer := http2.NewFramer(c, c)
+	if framer.WriteSettings() != nil {
+		return
+	}
+	for {
+		f, err := framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		h := f.Header()
+		switch f := f.(type) {
+		case *http2.SettingsFrame:
+			if !f.IsAck() {
+				_ = framer.WriteSettingsAck()
+			}
+		case *http2.PingFrame:
+			if !f.IsAck() {
+				_ = framer.WritePing(true, f.Data)
+			}
+		case *http2.DataFrame, *http2.HeadersFrame:
+			if h.Flags.Has(http2.FlagDataEndStream) && !s.respond(framer, h.StreamID) {
+				return
+			}
+		}
+	}
+}
+
+// respond meets a whole request on a stream. It reports false when the
+// connection is to be closed.
+func (s *rawServer) respond(framer *http2.Framer, stream uint32) bool {
+	switch s.arrive() {
+	case closes:
+		return false
+	case refusesStream:
+		_ = framer.WriteRSTStream(stream, http2.ErrCodeRefusedStream)
+	case goesAway:
+		_ = framer.WriteGoAway(0, http2.ErrCodeNo, nil)
+	case redirects:
+		s.writeHeaders(framer, stream, true, ":status", "307", "location", "http://"+s.address()+"/")
+	default:
+		s.writeHeaders(framer, stream, false, ":status", "200", "content-type", "application/proto")
+		_ = framer.WriteData(stream, true, s.answer)
+	}
+	return true
+}
+
+func (s *rawServer) writeHeaders(framer *http2.Framer, stream uint32, end bool, pairs ...string) {
+	var block bytes.Buffer
+	enc := hpack.NewEncoder(&block)
+	for i := 0; i < len(pairs); i += 2 {
+		_ = enc.WriteField(hpack.HeaderField{Name: pairs[i], Value: pairs[i+1]})
+	}
+	_ = framer.WriteHeaders(http2.HeadersFrameParam{
+		StreamID: stream, BlockFragment: block.Bytes(), EndStream: end, EndHeaders: true,
+	})
+}
