--- a/internal/process/consensus/loopback_test.go
+++ b/internal/process/consensus/loopback_test.go
@@ -55,7 +55,7 @@
 	_ = l.client.Close()
 }
 
-func startLoopback(t *testing.T, authority *certs.Authority, folder string, members []Member, i int) *loopbackNode {
+func startLoopback(t *testing.T, authority *certs.Authority, folder string, members []Member, i int, listen string) *loopbackNode {
 	t.Helper()
 	files, err := authority.Issue(peer.Identity{ID: members[i].ID, Role: peer.RoleControl})
 	assert.NilError(t, err)
@@ -72,7 +72,7 @@
 	assert.NilError(t, err)
 	mux := http.NewServeMux()
 	mux.Handle(l.Handler())
-	l.server, err = peer.Listen(members[i].Address, keys, mux)
+	l.server, err = peer.Listen(listen, keys, mux)
 	assert.NilError(t, err)
 	return l
 }
@@ -112,7 +112,7 @@
 	}
 	nodes := make([]*loopbackNode, 3)
 	for i := range nodes {
-		nodes[i] = startLoopback(t, authority, folder, members, i)
+		nodes[i] = startLoopback(t, authority, folder, members, i, members[i].Address)
 	}
 	ctx := context.Background()
 	leader := awaitLeader(t, nodes)
@@ -130,7 +130,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got, any(uint64(21)))
 
-	nodes[stopped] = startLoopback(t, authority, folder, members, stopped)
+	nodes[stopped] = startLoopback(t, authority, folder, members, stopped, members[stopped].Address)
 	for nodes[stopped].Status().Applied < nodes[leader].Status().Applied {
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/process/consensus/promises_test.go
+++ b/internal/process/consensus/promises_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/disk/disktest"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
@@ -241,3 +243,157 @@
 		assert.Assert(t, syncs < 10, "%d syncs", syncs)
 	})
 }
+
+// TestVoteSurvivesCrash asks for two votes of one term, with a crash between.
+func TestVoteSurvivesCrash(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		voter := c.others(c.leader(t))[0]
+		c.isolate(voter)
+		time.Sleep(2 * time.Second)
+		ask := func(candidate string) bool {
+			resp, err := c.net.node(voter).handleVote(context.Background(), &chicoryv1.VoteRequest{
+				Term: 100, LastTerm: 100, LastIndex: 100,
+				Candidate: &chicoryv1.Replica{Id: candidate, Incarnation: "i"},
+			})
+			assert.NilError(t, err)
+			return resp.GetGranted()
+		}
+		assert.Assert(t, ask("x"))
+		c.disks[voter].Crash(func(int) int { return 0 })
+		c.halt(voter)
+		c.start(voter)
+		assert.Assert(t, !ask("y"), "two votes in one term")
+		assert.Assert(t, ask("x"))
+	})
+}
+
+// TestAnswerOfAnotherIncarnationIsNotCounted gives the leader a confirmation
+// from a replica with the ID of a member but another incarnation.
+func TestAnswerOfAnotherIncarnationIsNotCounted(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		n := c.net.node(c.leader(t))
+		p := n.peers[0]
+		n.mu.Lock()
+		to, _ := p.target()
+		before := *n.progress[to]
+		req := &chicoryv1.AppendRequest{Term: n.term}
+		n.mu.Unlock()
+		err := p.handleAppendAnswer(&batch{to: to, round: 1000, req: req}, &chicoryv1.AppendResponse{
+			From: &chicoryv1.Replica{Id: to.id, Incarnation: "another"}, Accepted: true, MatchIndex: 1000,
+		})
+		assert.Assert(t, err != nil)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		assert.Equal(t, n.progress[to].match, before.match)
+		assert.Equal(t, n.progress[to].round, before.round)
+	})
+}
+
+// TestNewLeaderReadsWhatTheOldOneCommitted reads as soon as a new leader stands,
+// while its own disk is slow, so that it can't have committed an entry yet.
+func TestNewLeaderReadsWhatTheOldOneCommitted(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		old := c.leader(t)
+		assert.NilError(t, c.net.node(old).propose("x "))
+		c.disks[old].Unmount()
+		c.halt(old)
+		for _, id := range c.others(old) {
+			c.disks[id].SetFaults(disktest.Faults{SyncDelay: func() time.Duration { return 50 * time.Millisecond }})
+		}
+		var next string
+		for next == "" {
+			time.Sleep(time.Millisecond)
+			for _, id := range c.others(old) {
+				if c.net.node(id).Status().Role == Leader {
+					next = id
+				}
+			}
+		}
+		assert.NilError(t, c.net.node(next).barrier())
+		assert.Equal(t, c.states[next].read(), "x ")
+	})
+}
+
+// TestEntryOfAnEarlierTermIsNotCommittedAlone has a quorum for an entry of term
+// 2 in term 4: a candidate with an entry of term 3 could still replace it.
+func TestEntryOfAnEarlierTermIsNotCommittedAlone(t *testing.T) {
+	a, b, c := replica{"a", "1"}, replica{"b", "1"}, replica{"c", "1"}
+	members := membership{{a, true}, {b, true}, {c, true}}
+	n := &Node{
+		self: a, role: Leader, term: 4, synced: 2, commit: 1,
+		progress:  map[replica]*progress{b: {match: 2}, c: {}},
+		applyWake: newSignal(),
+	}
+	n.log.put([]*chicoryv1.LogEntry{
+		{Index: 1, Term: 1, Membership: members.message()},
+		{Index: 2, Term: 2},
+	})
+	n.advanceCommit()
+	assert.Equal(t, n.commit, uint64(1))
+	n.log.put([]*chicoryv1.LogEntry{{Index: 3, Term: 4}})
+	n.synced, n.progress[b].match = 3, 3
+	n.advanceCommit()
+	assert.Equal(t, n.commit, uint64(3))
+}
+
+// TestLeaderCountsItselfOnlyWhenSynced leaves the leader one follower and gives
+// it a slow disk.
+func TestLeaderCountsItselfOnlyWhenSynced(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		const slow = 700 * time.Millisecond
+		leader := c.leader(t)
+		c.isolate(c.others(leader)[0])
+		c.disks[leader].SetFaults(disktest.Faults{SyncDelay: func() time.Duration { return slow }})
+		began := time.Now()
+		assert.NilError(t, c.net.node(leader).propose("x "))
+		assert.Assert(t, time.Since(began) >= slow, "committed after %v", time.Since(began))
+	})
+}
+
+// TestFollowerCommitsOnlyWhatMatches tells a follower a commit index beyond the
+// entry up to which its log is known to agree.
+func TestFollowerCommitsOnlyWhatMatches(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		n := c.net.node(c.others(c.leader(t))[0])
+		c.isolate(n.self.id)
+		commit := n.Status().Commit
+		n.mu.Lock()
+		previousTerm, _ := n.log.term(commit)
+		n.mu.Unlock()
+		hear := func(term uint64, commitIndex uint64, entries ...*chicoryv1.LogEntry) {
+			resp, err := n.handleAppend(context.Background(), &chicoryv1.AppendRequest{
+				Term: term, Leader: &chicoryv1.Replica{Id: "x", Incarnation: "i"}, CommitIndex: commitIndex,
+				PreviousIndex: commit, PreviousTerm: previousTerm, Entries: entries,
+			})
+			assert.NilError(t, err)
+			assert.Assert(t, resp.GetAccepted())
+		}
+		hear(100, commit, &chicoryv1.LogEntry{Index: commit + 1, Term: 100})
+		hear(101, commit+1)
+		assert.Equal(t, n.Status().Commit, commit)
+	})
+}
+
+// TestMembershipChangesOneVoterAtATime looks at every membership of a repair:
+// the voters of one and the next differ by one, so their quorums intersect.
+func TestMembershipChangesOneVoterAtATime(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(t)
+		c.wipe(c.others(leader)[0])
+		assert.NilError(t, c.awaitRepaired())
+		n := c.net.node(leader)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		assert.Equal(t, len(n.log.memberships), 4, "founded, learner, voter, former incarnation removed")
+		for i, at := range n.log.memberships[1:] {
+			before := n.log.memberships[i].members
+			changed := map[replica]bool{}
+			for _, m := range slices.Concat(before, at.members) {
+				if before.isVoter(m.replica) != at.members.isVoter(m.replica) {
+					changed[m.replica] = true
+				}
+			}
+			assert.Assert(t, len(changed) <= 1, "%v after %v", at.members, before)
+		}
+	})
+}
