Orders to targets go out from the lease holder only

Cause: some deployments' engines ignore fencing numbers, so two holders must never act at once. Ruled out: granting by the entries' wall clock, since a leader whose clock is ahead would take the lease early. Change: the holder counts its lease from before it proposed the renewal; a successor waits the lease and a tenth from when it saw the renewal, both by their own clocks, and names the number it follows.

--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -44,7 +44,9 @@
 	store := evidence.NewStore()
 	p.beginTerm(store)
 	var tasks sync.WaitGroup
-	for _, task := range []func(context.Context){p.runFounding, p.runLostRouters, p.runExpiry, p.moveDriver(store).Run} {
+	for _, task := range []func(context.Context){
+		p.runFounding, p.runLostRouters, p.runExpiry, p.moveDriver(store).Run, p.orderDispatcher().Run,
+	} {
 		tasks.Add(1)
 		go func() {
 			defer tasks.Done()
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/watch"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/consensus"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
@@ -39,6 +40,7 @@
 	watches  *watch.Server
 	registry metrics.Registry
 
+	targets   *target.Pool
 	peers     *peer.Client
 	peerHTTP  *peer.Server
 	operators *http.Server
@@ -62,6 +64,7 @@
 		routers:  newRouterTable(),
 		burn:     noBurn{},
 		registry: metrics.NewRegistry(),
+		targets:  target.NewPool(nil),
 		peers:    peer.NewClient(keys),
 	}
 	p.evidence.Store(evidence.NewStore())
@@ -165,6 +168,7 @@
 		_ = p.peerHTTP.Close()
 	}
 	_ = p.peers.Close()
+	p.targets.Close()
 	if p.monitor != nil {
 		_ = p.monitor.Close()
 	}
--- a/internal/process/control/settings.go
+++ b/internal/process/control/settings.go
@@ -42,6 +42,9 @@
 	// RouterTimeout is how long a router may be silent before its open claims
 	// are put in doubt.
 	RouterTimeout settings.Duration `yaml:"router_timeout"`
+	// LoadInterval is the shortest time between two orders to load a version, as the
+	// weight store allows.
+	LoadInterval settings.Duration `yaml:"load_interval"`
 }
 
 // VM names one control VM and its peer address.
@@ -54,6 +57,7 @@
 const (
 	defaultKeyRetention  = 24 * time.Hour
 	defaultRouterTimeout = 10 * time.Second
+	defaultLoadInterval  = 5 * time.Second
 )
 
 // Defaults returns settings with every optional value set.
@@ -61,6 +65,7 @@
 	return Settings{
 		KeyRetention:  settings.Duration(defaultKeyRetention),
 		RouterTimeout: settings.Duration(defaultRouterTimeout),
+		LoadInterval:  settings.Duration(defaultLoadInterval),
 	}
 }
 
--- a/internal/process/state/snapshot.go
+++ b/internal/process/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
@@ -26,7 +27,7 @@
 		UnixMs:            m.unixMs,
 		Fencing:           m.fencing,
 		LeaseHolder:       m.holder,
-		LeaseUntilUnixMs:  m.leaseMs,
+		LeaseDurationMs:   m.leaseMs,
 	}
 	for _, item := range sortedKeys(m.items) {
 		s.ItemRevisions = append(s.ItemRevisions, &chicoryv1.ItemRevision{Item: string(item), Revision: m.items[item]})
@@ -78,7 +79,8 @@
 	m.unixMs = s.GetUnixMs()
 	m.fencing = s.GetFencing()
 	m.holder = s.GetLeaseHolder()
-	m.leaseMs = s.GetLeaseUntilUnixMs()
+	m.leaseMs = s.GetLeaseDurationMs()
+	m.leaseSeen = time.Now()
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
--- a/internal/process/state/state.go
+++ b/internal/process/state/state.go
@@ -52,8 +52,11 @@
 	unixMs  int64 // largest entry time so far
 	fencing uint64
 	holder  string
-	leaseMs int64         // unix ms until which the lease is held
-	changed chan struct{} // closed at the next revision
+	leaseMs uint32 // duration of the lease
+	// leaseSeen is when the lease's newest renewal was applied here. It is the only
+	// field that differs between replicas.
+	leaseSeen time.Time
+	changed   chan struct{} // closed at the next revision
 }
 
 // New returns the empty state.
@@ -90,7 +93,7 @@
 	case *chicoryv1.Command_Expire:
 		m.expire(now)
 	case *chicoryv1.Command_Lease:
-		return m.applyLease(c.Lease, now)
+		return m.applyLease(c.Lease)
 	case *chicoryv1.Command_Found:
 		m.applyFound(c.Found)
 	case *chicoryv1.Command_RouterLost:
@@ -148,16 +151,40 @@
 	}
 }
 
-// applyLease grants the order lease to its holder, or to another once it has run out.
-func (m *Machine) applyLease(l *chicoryv1.LeaseCommand, now time.Time) Result {
-	nowMs := now.UnixMilli()
-	if m.holder != l.GetHolder() && nowMs < m.leaseMs {
-		return Result{Err: fault.New(fault.NotLeader, "the order lease is held by %s", m.holder)}
+// applyLease renews the lease of its holder, or gives it to another control VM
+// that names the present number: it says by that that the lease has run out by its
+// own clock. Wall clocks play no part.
+func (m *Machine) applyLease(l *chicoryv1.LeaseCommand) Result {
+	if m.holder != l.GetHolder() && m.fencing != l.GetExpectedFencing() {
+		return Result{Err: fault.New(fault.FencingRefused, "the order lease has number %d now", m.fencing)}
 	}
-	if m.holder != l.GetHolder() || nowMs >= m.leaseMs {
+	if m.holder != l.GetHolder() {
 		m.fencing++
 	}
 	m.holder = l.GetHolder()
-	m.leaseMs = nowMs + int64(l.GetDurationMs())
+	m.leaseMs = l.GetDurationMs()
+	m.leaseSeen = time.Now()
 	return Result{Fencing: m.fencing}
 }
+
+// Lease is the order lease as this VM knows it.
+type Lease struct {
+	Holder   string
+	Fencing  uint64
+	Duration time.Duration
+	// Seen is when this VM applied the lease's newest renewal. It is by this VM's
+	// own clock, later than the renewal was proposed, and no part of the state.
+	Seen time.Time
+}
+
+// Lease returns the order lease.
+func (m *Machine) Lease() Lease {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return Lease{
+		Holder:   m.holder,
+		Fencing:  m.fencing,
+		Duration: time.Duration(m.leaseMs) * time.Millisecond,
+		Seen:     m.leaseSeen,
+	}
+}
--- a/internal/process/state/state_test.go
+++ b/internal/process/state/state_test.go
@@ -212,22 +212,22 @@
 	return next
 }
 
-// The order lease: a second holder gets it only after it has run out, with a
-// higher number.
+// The order lease: its holder renews it under one number; another VM gets it only
+// by naming that number, which only one can do.
 func TestLeaseNumbersOnlyGrow(t *testing.T) {
 	r := newReplica()
-	lease := func(holder string, ms uint32) Result {
+	lease := func(holder string, expected uint64) Result {
 		return r.do(&chicoryv1.Command{Command: &chicoryv1.Command_Lease{
-			Lease: &chicoryv1.LeaseCommand{Holder: holder, DurationMs: ms},
+			Lease: &chicoryv1.LeaseCommand{Holder: holder, DurationMs: 3000, ExpectedFencing: expected},
 		}})
 	}
-	first := lease("c1", 3000)
-	assert.Assert(t, first.Fencing > 0)
-	assert.Assert(t, lease("c2", 3000).Err != nil)
-	assert.Equal(t, lease("c1", 1000).Fencing, first.Fencing)
-	second := lease("c2", 3000)
-	assert.NilError(t, second.Err)
-	assert.Assert(t, second.Fencing > first.Fencing)
+	first := lease("c1", 0)
+	assert.Equal(t, first.Fencing, uint64(1))
+	assert.Assert(t, fault.Is(lease("c2", 0).Err, fault.FencingRefused))
+	assert.Equal(t, lease("c1", 0).Fencing, uint64(1))
+	assert.Equal(t, lease("c2", 1).Fencing, uint64(2))
+	assert.Assert(t, fault.Is(lease("c3", 1).Err, fault.FencingRefused))
+	assert.Equal(t, restored(t, r).Lease().Fencing, uint64(2))
 }
 
 // Deltas lead to the same configuration as whole ones.
