--- a/internal/version/move/move.go
+++ b/internal/version/move/move.go
@@ -44,13 +44,14 @@
 
 func withDefaults(in *chicoryv1.MoveIntent, route *chicoryv1.Route) *chicoryv1.MoveIntent {
 	out := proto.Clone(in).(*chicoryv1.MoveIntent)
-	largest := uint32(DefaultCapPermille)
+	largest, usual := uint32(MaxCapPermille), uint32(DefaultCapPermille)
 	if route.GetNonIdempotent() {
-		largest = NonIdempotentCapPermille
+		largest, usual = NonIdempotentMaxCapPermille, NonIdempotentDefaultCapPermille
 	}
-	if out.CapPermille == 0 || out.CapPermille > largest {
-		out.CapPermille = largest
+	if out.CapPermille == 0 {
+		out.CapPermille = usual
 	}
+	out.CapPermille = min(out.CapPermille, largest)
 	if out.BadErrorPermille == 0 {
 		out.BadErrorPermille = defaultErrorPermille
 	}
--- a/internal/version/move/plan.go
+++ b/internal/version/move/plan.go
@@ -20,7 +20,7 @@
 	startGrace = time.Hour
 	// proofMargin is the planned number of requests for a proof, as a multiple of
 	// the average; most proofs need fewer.
-	proofMargin = 1.5
+	proofMargin = 3.5
 )
 
 // Plan computes what the intent would do and changes nothing. observedRate is the
--- a/internal/version/move/policy/policy.go
+++ b/internal/version/move/policy/policy.go
@@ -27,7 +27,9 @@
 	MoveAge time.Duration
 	// ProvingTime is the time that the schedule keeps for proving.
 	ProvingTime time.Duration
-	Limits      Limits
+	// ShareChanged: this is the first evidence since the share changed.
+	ShareChanged bool
+	Limits       Limits
 	// Strata is the evidence since the update before.
 	Strata []evidence.Stratum
 	// OldTotal is the old version's evidence over the life of the move.
--- a/internal/version/move/policy/reference.go
+++ b/internal/version/move/policy/reference.go
@@ -8,24 +8,36 @@
 )
 
 const (
-	// shortHalfLife is the memory of the reference for trouble that is going on.
-	shortHalfLife = 10 * time.Second
-	// longHalfLife is the memory of the reference for the ordinary share.
-	longHalfLife = time.Hour
-	// zoneWeight is how many requests the route's share counts against the zone's.
-	zoneWeight = 20
-	// shortWeight is how many requests the ordinary share counts against the present one.
-	shortWeight = 10
-	// longWeight is how many requests the prior counts against the ordinary share.
-	longWeight = 200
+	// ordinaryHalfLife is the memory of the reference for the ordinary share.
+	ordinaryHalfLife = time.Hour
+	// ordinaryWeight is how many requests the prior counts against the ordinary share.
+	ordinaryWeight = 200
 	// minLoadSamples of the old version at a load level allow latencies to be compared there.
 	minLoadSamples = 30
+	// jumpDeviations above the ordinary count mark trouble that is going on.
+	jumpDeviations = 3
+	// maxReferenceShare leaves room for a worse version.
+	maxReferenceShare = 0.98
 )
 
-// reference is the old version's behaviour over the same time, by signal and load.
+// recentHalfLives are the memories of the reference for trouble that is going
+// on: a short one that follows its onset, and a longer one for low traffic.
+var recentHalfLives = [recentCount]time.Duration{2 * time.Second, 15 * time.Second}
+
+const recentCount = 2
+
+// levelReference is the old version's behaviour in one signal at one load level.
+type levelReference struct {
+	ordinary ratio
+	recent   [recentCount]ratio
+}
+
+// reference is the old version's behaviour over the same time.
 type reference struct {
-	thresholds  [signalCount]int
-	short, long [signalCount][loadLevels]ratio
+	thresholds [signalCount]int
+	levels     [signalCount][loadLevels]levelReference
+	// groups has the ordinary shares of groups of teams.
+	groups [signalCount][groupCount]ratio
 }
 
 func newReference() reference {
@@ -36,24 +48,26 @@
 	return r
 }
 
-// update adds the strata's old evidence.
-func (r *reference) update(in Input) {
-	decayShort := decay(in.Elapsed, shortHalfLife)
-	decayLong := decay(in.Elapsed, longHalfLife)
-	for s := signal(0); s < signalCount; s++ {
-		if s.isLatency() && r.thresholds[s] == noThreshold {
-			r.thresholds[s] = fixThreshold(s, in.OldTotal)
-		}
-		for l := range loadLevels {
-			r.short[s][l] = r.short[s][l].times(decayShort)
-			r.long[s][l] = r.long[s][l].times(decayLong)
+// update adds the strata's old evidence of one signal.
+func (r *reference) update(s signal, in Input, groups []int, old []ratio) {
+	ordinary := decay(in.Elapsed, ordinaryHalfLife)
+	for l := range r.levels[s] {
+		lr := &r.levels[s][l]
+		lr.ordinary = lr.ordinary.times(ordinary)
+		for i, h := range recentHalfLives {
+			lr.recent[i] = lr.recent[i].times(decay(in.Elapsed, h))
 		}
-		for _, st := range in.Strata {
-			v := s.sample(st.Old, r.thresholds[s])
-			l := level(st.LoadLevel)
-			r.short[s][l] = r.short[s][l].plus(v)
-			r.long[s][l] = r.long[s][l].plus(v)
+	}
+	for g := range r.groups[s] {
+		r.groups[s][g] = r.groups[s][g].times(ordinary)
+	}
+	for i, x := range in.Strata {
+		lr := &r.levels[s][level(x.LoadLevel)]
+		lr.ordinary = lr.ordinary.plus(old[i])
+		for j := range lr.recent {
+			lr.recent[j] = lr.recent[j].plus(old[i])
 		}
+		r.groups[s][groups[i]] = r.groups[s][groups[i]].plus(old[i])
 	}
 }
 
@@ -65,21 +79,54 @@
 
 // usable reports whether the signal can be judged at the load level.
 func (r *reference) usable(s signal, l int) bool {
-	return !s.isLatency() || r.thresholds[s] != noThreshold && r.long[s][l].all >= minLoadSamples
+	if !s.isLatency() {
+		return true
+	}
+	return r.thresholds[s] != noThreshold && r.levels[s][l].ordinary.all >= minLoadSamples
 }
 
-// share returns the share of bad requests expected now of a version that is as
-// good as the old one. zone is what was seen of the old one in the same zone.
-func (r *reference) share(s signal, l int, zone ratio) float64 {
+// expected is the share of bad requests of a version that is as good as the old
+// one, and the number of requests that it was estimated from.
+type expected struct {
+	share, support float64
+}
+
+// at returns what is expected now at a load level. Trouble that the old version
+// has now, by either recent memory, goes before its ordinary share.
+func (r *reference) at(s signal, l int) expected {
 	prior := priorShares[s]
-	ordinary := r.long[s][0].plus(r.long[s][1]).toward(prior, longWeight)
-	ordinary = r.long[s][l].toward(ordinary, longWeight)
-	now := r.short[s][l].toward(ordinary, shortWeight)
-	return min(max(zone.toward(now, zoneWeight), prior*minShareFactor), maxReferenceShare)
+	other := r.levels[s][1-l].ordinary.toward(prior, ordinaryWeight)
+	lr := &r.levels[s][l]
+	e := expected{share: lr.ordinary.toward(other, ordinaryWeight), support: math.Inf(1)}
+	e.share = max(e.share, prior*minShareFactor)
+	base := e.share
+	for _, recent := range lr.recent {
+		e = e.orJump(recent, base)
+	}
+	return e
 }
 
-// maxReferenceShare leaves room for a worse version.
-const maxReferenceShare = 0.98
+// ordinary is the old version's ordinary behaviour over all load levels.
+func (r *reference) ordinary(s signal) ratio {
+	return r.levels[s][0].ordinary.plus(r.levels[s][1].ordinary)
+}
+
+// orJump returns the sample's share if it is higher than e's and too far above
+// the base share to be chance.
+func (e expected) orJump(sample ratio, base float64) expected {
+	mean := sample.all * base
+	share := sample.bad / max(sample.all, 1)
+	if share <= e.share || sample.bad <= mean+jumpDeviations*math.Sqrt(mean)+1 {
+		return e
+	}
+	return expected{share: min(share, maxReferenceShare), support: sample.all}
+}
+
+// forGroup raises e to the ordinary share of a group of teams.
+func (r *reference) forGroup(s signal, g int, e expected) expected {
+	e.share = max(e.share, r.groups[s][g].toward(e.share, ordinaryWeight))
+	return e
+}
 
 // zoneCell names an availability zone at a load level.
 type zoneCell struct {
@@ -87,24 +134,39 @@
 	load int
 }
 
-// oldByZone sums the old version's samples of one signal.
-func oldByZone(s signal, threshold int, strata []evidence.Stratum) map[zoneCell]ratio {
-	out := make(map[zoneCell]ratio, 2*loadLevels)
-	for _, st := range strata {
-		c := zoneCell{st.AvailabilityZone, level(st.LoadLevel)}
-		out[c] = out[c].plus(s.sample(st.Old, threshold))
+// zoneSample is what one update saw of both versions in a zone.
+type zoneSample struct {
+	old ratio
+	new float64
+}
+
+// byZone sums the samples of one signal.
+func byZone(strata []evidence.Stratum, old, now []ratio) map[zoneCell]zoneSample {
+	out := make(map[zoneCell]zoneSample, 2*loadLevels)
+	for i, x := range strata {
+		c := zoneCell{x.AvailabilityZone, level(x.LoadLevel)}
+		z := out[c]
+		z.old, z.new = z.old.plus(old[i]), z.new+now[i].all
+		out[c] = z
 	}
 	return out
 }
 
 // referenceFloats is the length of an encoded reference.
-const referenceFloats = int(signalCount) * (1 + 4*loadLevels)
+const referenceFloats = int(signalCount) * (1 + 2*loadLevels*(1+recentCount) + 2*groupCount)
 
 func (r *reference) encode(dst []float64) []float64 {
 	for s := range int(signalCount) {
 		dst = append(dst, float64(r.thresholds[s]))
 		for l := range loadLevels {
-			dst = append(dst, r.short[s][l].bad, r.short[s][l].all, r.long[s][l].bad, r.long[s][l].all)
+			lr := &r.levels[s][l]
+			dst = append(dst, lr.ordinary.bad, lr.ordinary.all)
+			for _, x := range lr.recent {
+				dst = append(dst, x.bad, x.all)
+			}
+		}
+		for _, g := range r.groups[s] {
+			dst = append(dst, g.bad, g.all)
 		}
 	}
 	return dst
@@ -113,13 +175,23 @@
 // decodeReference reads what encode wrote; src is long enough.
 func decodeReference(src []float64) reference {
 	var r reference
+	take := func() ratio {
+		x := ratio{src[0], src[1]}
+		src = src[2:]
+		return x
+	}
 	for s := range int(signalCount) {
 		r.thresholds[s] = int(src[0])
 		src = src[1:]
 		for l := range loadLevels {
-			r.short[s][l] = ratio{src[0], src[1]}
-			r.long[s][l] = ratio{src[2], src[3]}
-			src = src[4:]
+			lr := &r.levels[s][l]
+			lr.ordinary = take()
+			for i := range lr.recent {
+				lr.recent[i] = take()
+			}
+		}
+		for g := range r.groups[s] {
+			r.groups[s][g] = take()
 		}
 	}
 	return r
--- a/internal/version/move/policy/signal.go
+++ b/internal/version/move/policy/signal.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"hash/fnv"
 	"math"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -28,9 +27,6 @@
 const (
 	// loadLevels is the number of load levels in evidence.
 	loadLevels = 2
-	// groupCount is the number of groups into which teams are hashed, so that a
-	// version that is bad for a few teams only is seen.
-	groupCount = 8
 	// latencyQuantile of the old version is the threshold for slow requests.
 	latencyQuantile = 0.9
 	// minThresholdSamples of the old version fix the threshold.
@@ -86,11 +82,15 @@
 func (r ratio) times(f float64) ratio       { return ratio{r.bad * f, r.all * f} }
 func (r ratio) toward(p, k float64) float64 { return (r.bad + p*k) / (r.all + k) }
 
-// teamGroup returns the group of a team.
-func teamGroup(team string) int {
-	h := fnv.New32a()
-	h.Write([]byte(team))
-	return int(h.Sum32() % groupCount)
+// scaled returns r with its bad requests multiplied, at most to all.
+func (r ratio) scaled(factor float64) ratio { return ratio{min(r.bad*factor, r.all), r.all} }
+
+// share returns bad divided by all, or 0.
+func (r ratio) share() float64 {
+	if r.all == 0 {
+		return 0
+	}
+	return r.bad / r.all
 }
 
 // fixThreshold returns the threshold bucket of a latency signal once enough is
@@ -105,17 +105,19 @@
 }
 
 // badShare returns the share that the signal would have in a bad version when
-// the reference share is p.
-func badShare(s signal, p float64, lim Limits, old *chicoryv1.VersionEvidence, threshold int) float64 {
+// the reference share is p. oddsRatio is for latency signals.
+func badShare(s signal, p float64, lim Limits, oddsRatio float64) float64 {
 	switch {
 	case s == crossedSignal:
-		return p + crossedIncrease
+		return min(p+crossedIncrease, midway(p))
 	case !s.isLatency():
-		return min(p+lim.ErrorIncrease, 0.5+p/2)
+		return min(p+lim.ErrorIncrease, midway(p))
 	}
-	return scaleOdds(p, slowOddsRatio(s, lim, old, threshold))
+	return scaleOdds(p, oddsRatio)
 }
 
+func midway(p float64) float64 { return (1 + p) / 2 }
+
 // slowOddsRatio is by how much the odds of a slow request rise when the old
 // version's latencies are multiplied by the limit.
 func slowOddsRatio(s signal, lim Limits, old *chicoryv1.VersionEvidence, threshold int) float64 {
--- a/internal/version/move/policy/sprt.go
+++ b/internal/version/move/policy/sprt.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
 )
 
 const (
@@ -10,13 +12,18 @@
 	// restart of its test; the test restarts whenever its sum falls to its floor.
 	Alpha = 6e-6
 	// Beta bounds the share of versions at the limit that a signal calls proved.
-	Beta = 0.002
+	Beta = 0.02
 	// maxStep bounds what one update adds, so that a burst of a few seconds on one
 	// target does not decide.
 	maxStep = 3
 	// minReference is how many requests of the old version must be seen while the
 	// sum is above 0 before the new one may be called bad.
 	minReference = 40
+	// badDeviations is by how many standard deviations the new version's share must
+	// be above the old one's over the same time, and holdDeviations from where the
+	// share stops growing.
+	badDeviations  = 4
+	holdDeviations = 2
 )
 
 var (
@@ -39,16 +46,21 @@
 type accumulator struct {
 	// sum is the log likelihood ratio of bad against good.
 	sum float64
-	// reference counts the old version's requests since the sum rose above 0.
-	reference float64
+	// old and now are the versions' samples since the sum rose above 0.
+	old, now ratio
 }
 
 // sprtState is what the policy keeps.
 type sprtState struct {
-	ref    reference
-	all    [signalCount]accumulator
-	groups [signalCount][groupCount]accumulator
-	proved [signalCount]bool
+	teams teamSlots
+	// current is the group of each stratum of this update; it is not kept.
+	current []int
+	ref     reference
+	all     [signalCount]accumulator
+	groups  [signalCount][groupCount]accumulator
+	proved  [signalCount]bool
+	// oddsRatio is by how much a latency signal's odds rise at the limit.
+	oddsRatio [signalCount]float64
 	// judged counts the new version's requests by signal.
 	judged [signalCount]float64
 }
@@ -56,41 +68,70 @@
 // Update implements Policy.
 func (SPRT) Update(state []float64, in Input) ([]float64, Verdict) {
 	st := decodeSPRT(state)
-	st.ref.update(in)
+	st.current = st.teams.groups(in.Strata)
 	for s := signal(0); s < signalCount; s++ {
+		if in.ShareChanged {
+			st.restartSamples(s)
+		}
 		st.advance(s, in)
 	}
-	return st.encode(), st.verdict()
+	return st.encode(), st.verdict(in)
+}
+
+// restartSamples drops the samples of the direct comparison, because samples
+// from times of different shares weigh a passing fault differently.
+func (st *sprtState) restartSamples(s signal) {
+	st.all[s].restart()
+	for g := range groupCount {
+		st.groups[s][g].restart()
+	}
 }
 
 // increment is the evidence of one update for one signal.
 type increment struct {
 	all    float64
 	groups [groupCount]float64
-	judged float64
-	old    float64
+	// old and now are the versions' samples, nowGroups the new one's by group.
+	old, now  ratio
+	nowGroups [groupCount]ratio
 }
 
-// measure sums the log likelihood ratios of the new version's requests.
-func (st *sprtState) measure(s signal, in Input) increment {
+// measure sums the log likelihood ratios of the new version's requests. When
+// the reference is trouble that is going on, estimated from few requests of the
+// old version, the ratios count less by the information that two samples have.
+func (st *sprtState) measure(s signal, in Input, old, now []ratio) increment {
 	var inc increment
-	threshold := st.ref.thresholds[s]
-	zones := oldByZone(s, threshold, in.Strata)
-	for _, c := range zones {
-		inc.old += c.all
+	if !anySeen(old) && !anySeen(now) {
+		return inc
+	}
+	zones := byZone(in.Strata, old, now)
+	var newAt [loadLevels]float64
+	for c, z := range zones {
+		inc.old = inc.old.plus(z.old)
+		newAt[c.load] += z.new
 	}
-	for _, x := range in.Strata {
+	for i, x := range in.Strata {
 		l := level(x.LoadLevel)
-		v := s.sample(x.New, threshold)
-		if v.all == 0 || !st.ref.usable(s, l) {
+		if now[i].all == 0 || !st.ref.usable(s, l) {
 			continue
 		}
-		p0 := st.ref.share(s, l, zones[zoneCell{x.AvailabilityZone, l}])
-		p1 := badShare(s, p0, in.Limits, in.OldTotal, threshold)
-		llr := logLikelihoodRatio(v, p0, p1)
+		g := st.current[i]
+		z := zones[zoneCell{x.AvailabilityZone, l}]
+		route := st.ref.at(s, l)
+		e, competing := route.orJump(z.old, route.share), newAt[l]
+		if e != route {
+			competing = z.new
+		}
+		e = st.ref.forGroup(s, g, e)
+		p1 := badShare(s, e.share, in.Limits, st.oddsRatio[s])
+		llr := logLikelihoodRatio(now[i], e.share, p1)
+		if !math.IsInf(e.support, 1) {
+			llr *= e.support / (e.support + competing)
+		}
 		inc.all += llr
-		inc.groups[teamGroup(x.Team)] += llr
-		inc.judged += v.all
+		inc.groups[g] += llr
+		inc.now = inc.now.plus(now[i])
+		inc.nowGroups[g] = inc.nowGroups[g].plus(now[i])
 	}
 	return inc
 }
@@ -103,50 +144,128 @@
 
 // advance runs the tests of one signal.
 func (st *sprtState) advance(s signal, in Input) {
-	inc := st.measure(s, in)
-	st.judged[s] += inc.judged
+	st.fixThreshold(s, in)
+	old, now := samples(s, in.Strata, st.ref.thresholds[s])
+	st.ref.update(s, in, st.current, old)
+	inc := st.measure(s, in, old, now)
+	st.judged[s] += inc.now.all
 	floor := provedBound
 	if st.proved[s] {
 		floor = 0
 	}
-	st.all[s].add(inc.all, inc.old, floor)
+	st.all[s].add(inc.all, inc.old, inc.now, floor)
 	if st.all[s].sum <= provedBound {
 		st.proved[s] = true
 		st.all[s].sum = 0
 	}
 	for g := range groupCount {
-		st.groups[s][g].add(inc.groups[g], inc.old, 0)
+		st.groups[s][g].add(inc.groups[g], inc.old, inc.nowGroups[g], 0)
+	}
+}
+
+// fixThreshold fixes the threshold of a latency signal, and by how much its odds
+// rise at the limit, once enough is known of the old version.
+func (st *sprtState) fixThreshold(s signal, in Input) {
+	if !s.isLatency() || st.ref.thresholds[s] != noThreshold {
+		return
+	}
+	if t := fixThreshold(s, in.OldTotal); t != noThreshold {
+		st.ref.thresholds[s] = t
+		st.oddsRatio[s] = slowOddsRatio(s, in.Limits, in.OldTotal, t)
+	}
+}
+
+func anySeen(list []ratio) bool {
+	for _, r := range list {
+		if r.all > 0 {
+			return true
+		}
 	}
+	return false
+}
+
+// samples returns both versions' samples of a signal by stratum.
+func samples(s signal, strata []evidence.Stratum, threshold int) (old, now []ratio) {
+	both := make([]ratio, 2*len(strata))
+	old, now = both[:len(strata)], both[len(strata):]
+	for i, x := range strata {
+		old[i], now[i] = s.sample(x.Old, threshold), s.sample(x.New, threshold)
+	}
+	return old, now
 }
 
 // add adds one update. The sum stays at half the bound while too little was seen
-// of the old version.
-func (a *accumulator) add(llr, old, floor float64) {
+// of the old version, and at the bound while the direct comparison of what both
+// versions showed since the sum rose does not agree.
+func (a *accumulator) add(llr float64, old, now ratio, floor float64) {
 	a.sum = max(floor, a.sum+max(-maxStep, min(maxStep, llr)))
 	if a.sum <= 0 {
-		a.reference = 0
+		a.restart()
 		return
 	}
-	a.reference += old
-	if a.reference < minReference {
+	a.old, a.now = a.old.plus(old), a.now.plus(now)
+	if a.old.all < minReference {
 		a.sum = min(a.sum, badBound/2)
 	}
-	a.sum = min(a.sum, badBound+maxStep)
+	a.sum = min(a.sum, badBound)
 }
 
-func (a *accumulator) isBad() bool  { return a.sum >= badBound }
-func (a *accumulator) isHigh() bool { return a.sum >= badBound/2 }
-func (a *accumulator) lacksReference() bool {
-	return a.isHigh() && a.reference < minReference
+// restart drops the samples; the sum stays.
+func (a *accumulator) restart() { a.old, a.now = ratio{}, ratio{} }
+
+// standing is what a test says now.
+type standing struct {
+	// high: there are signs of badness.
+	high bool
+	// doubt: they may come from a common fault or from too few requests.
+	doubt bool
+	bad   bool
+}
+
+// standing compares the sum with its bound and both versions directly. ordinary
+// is the old version's ordinary behaviour towards those whose requests were
+// tested, and limit the share from which a version counts as worse than one of
+// the share given.
+func (a *accumulator) standing(ordinary ratio, limit func(share float64) float64) standing {
+	if a.sum < badBound/2 {
+		return standing{}
+	}
+	if a.old.all < minReference {
+		return standing{high: true, doubt: true}
+	}
+	z := min(deviations(a.now, a.old), deviations(a.now, ordinary))
+	decided := a.sum >= badBound
+	bad := decided && z >= badDeviations && a.now.share() >= limit(a.old.share())
+	high := z >= holdDeviations
+	return standing{high: high, doubt: decided && !bad && high, bad: bad}
+}
+
+// deviations is by how many standard deviations the share of r is above that of
+// o, taking both as drawn from one share.
+func deviations(r, o ratio) float64 {
+	p := r.plus(o).share()
+	if p == 0 || p == 1 || r.all == 0 || o.all == 0 {
+		return 0
+	}
+	return (r.share() - o.share()) / math.Sqrt(p*(1-p)*(1/r.all+1/o.all))
 }
 
 // verdict reads the tests.
-func (st *sprtState) verdict() Verdict {
+func (st *sprtState) verdict(in Input) Verdict {
 	v := Verdict{Proved: st.allProved()}
+	limits := in.Limits
+	limits.ErrorIncrease /= 2
 	for s := signal(0); s < signalCount; s++ {
-		v.include(&st.all[s], s, "all teams", st.judged[s])
+		limit := func(share float64) float64 {
+			return badShare(s, max(share, priorShares[s]*minShareFactor), limits, math.Sqrt(st.oddsRatio[s]))
+		}
+		ordinary := st.ref.ordinary(s)
+		v.include(&st.all[s], s, "all teams", st.all[s].standing(ordinary, limit))
 		for g := range groupCount {
-			v.include(&st.groups[s][g], s, fmt.Sprintf("team group %d", g), st.judged[s])
+			group := st.ref.groups[s][g]
+			a := st.groups[s][g]
+			a.old = a.old.scaled(max(1, group.share()/max(ordinary.share(), priorShares[s])))
+			v.include(&st.groups[s][g], s, st.teamOf(g, in), a.standing(group, limit))
 		}
 	}
 	if v.Reason == "" && v.Proved {
@@ -169,26 +288,36 @@
 	return true
 }
 
+// teamOf names a group by its team in this update.
+func (st *sprtState) teamOf(g int, in Input) string {
+	for i, x := range in.Strata {
+		if st.current[i] == g {
+			return "team " + x.Team
+		}
+	}
+	return "one team"
+}
+
 // include adds what one test says.
-func (v *Verdict) include(a *accumulator, s signal, scope string, judged float64) {
-	if !a.isHigh() {
+func (v *Verdict) include(a *accumulator, s signal, scope string, now standing) {
+	if !now.high {
 		return
 	}
 	v.Hold = true
-	v.Doubt = v.Doubt || a.lacksReference()
-	if v.Bad || v.Reason != "" && !a.isBad() {
+	v.Doubt = v.Doubt || now.doubt
+	if v.Bad || v.Reason != "" && !now.bad {
 		return
 	}
-	v.Bad = a.isBad()
-	v.Reason = fmt.Sprintf("%s (%s): log likelihood ratio %.1f of %.1f against the old version over the same time, %.0f requests judged",
-		signalNames[s], scope, a.sum, badBound, judged)
+	v.Bad = now.bad
+	v.Reason = fmt.Sprintf("%s (%s): %.0f of %.0f requests, old version %.0f of %.0f over the same time, log likelihood ratio %.1f of %.1f",
+		signalNames[s], scope, a.now.bad, a.now.all, a.old.bad, a.old.all, a.sum, badBound)
 }
 
 // RequestsToProve returns how many requests of a good new version the proof of its
 // error share needs on average.
 func RequestsToProve(lim Limits) float64 {
 	p0 := priorShares[errorSignal]
-	p1 := badShare(errorSignal, p0, lim, nil, noThreshold)
+	p1 := badShare(errorSignal, p0, lim, 1)
 	drift := -logLikelihoodRatio(ratio{p0, 1}, p0, p1)
 	return -provedBound / drift
 }
--- a/internal/version/move/policy/sprt_state.go
+++ b/internal/version/move/policy/sprt_state.go
@@ -1,23 +1,24 @@
 package policy
 
-// accumulatorFloats is the number of encoded accumulators' numbers.
-const accumulatorFloats = 2 * int(signalCount) * (1 + groupCount)
+// accumulatorFloats is the number of numbers in the encoded accumulators.
+const accumulatorFloats = 5 * int(signalCount) * (1 + groupCount)
 
 // sprtMark is the first number of an encoded state, and tells its layout.
 const sprtMark = 101
 
-const sprtFloats = 1 + referenceFloats + accumulatorFloats + 2*int(signalCount)
+const sprtFloats = 1 + groupCount + referenceFloats + accumulatorFloats + 3*int(signalCount)
 
 func (st *sprtState) encode() []float64 {
 	out := make([]float64, 0, sprtFloats)
 	out = append(out, sprtMark)
+	out = append(out, st.teams[:]...)
 	out = st.ref.encode(out)
 	for s := range int(signalCount) {
-		out = append(out, st.all[s].sum, st.all[s].reference)
-		for _, a := range st.groups[s] {
-			out = append(out, a.sum, a.reference)
+		out = st.all[s].encode(out)
+		for g := range groupCount {
+			out = st.groups[s][g].encode(out)
 		}
-		out = append(out, boolFloat(st.proved[s]), st.judged[s])
+		out = append(out, boolFloat(st.proved[s]), st.judged[s], st.oddsRatio[s])
 	}
 	return out
 }
@@ -27,17 +28,18 @@
 	if len(src) != sprtFloats || src[0] != sprtMark {
 		return &sprtState{ref: newReference()}
 	}
-	st := &sprtState{ref: decodeReference(src[1:])}
-	src = src[1+referenceFloats:]
+	st := &sprtState{}
+	copy(st.teams[:], src[1:])
+	src = src[1+groupCount:]
+	st.ref = decodeReference(src)
+	src = src[referenceFloats:]
 	for s := range int(signalCount) {
-		st.all[s] = accumulator{src[0], src[1]}
-		src = src[2:]
+		src = st.all[s].decode(src)
 		for g := range groupCount {
-			st.groups[s][g] = accumulator{src[0], src[1]}
-			src = src[2:]
+			src = st.groups[s][g].decode(src)
 		}
-		st.proved[s], st.judged[s] = src[0] == 1, src[1]
-		src = src[2:]
+		st.proved[s], st.judged[s], st.oddsRatio[s] = src[0] == 1, src[1], src[2]
+		src = src[3:]
 	}
 	return st
 }
@@ -48,3 +50,13 @@
 	}
 	return 0
 }
+
+func (a *accumulator) encode(dst []float64) []float64 {
+	return append(dst, a.sum, a.old.bad, a.old.all, a.now.bad, a.now.all)
+}
+
+// decode reads what encode wrote and returns the rest.
+func (a *accumulator) decode(src []float64) []float64 {
+	a.sum, a.old, a.now = src[0], ratio{src[1], src[2]}, ratio{src[3], src[4]}
+	return src[5:]
+}
--- a/internal/version/move/schedule.go
+++ b/internal/version/move/schedule.go
@@ -7,10 +7,13 @@
 )
 
 const (
-	// DefaultCapPermille is the largest share of a version that is not proved.
-	DefaultCapPermille = 50
-	// NonIdempotentCapPermille is the same for routes of non-idempotent calls.
-	NonIdempotentCapPermille = 10
+	// MaxCapPermille is the largest share of a version that is not proved, and
+	// DefaultCapPermille the share if the operator names none.
+	MaxCapPermille     = 50
+	DefaultCapPermille = 45
+	// The same for routes of non-idempotent calls.
+	NonIdempotentMaxCapPermille     = 10
+	NonIdempotentDefaultCapPermille = 9
 	// FullPermille is the share while watching. The rest goes to the old version,
 	// so that a fault common to both is told from a bad version.
 	FullPermille = 950
--- a/internal/version/move/step.go
+++ b/internal/version/move/step.go
@@ -66,6 +66,7 @@
 	if m.NewEvidence == nil {
 		m.NewEvidence = &chicoryv1.VersionEvidence{}
 	}
+	changed := m.GetStageRequests() == 0
 	for _, st := range ev.Strata {
 		evidence.Merge(m.OldEvidence, st.Old)
 		evidence.Merge(m.NewEvidence, st.New)
@@ -73,8 +74,8 @@
 	}
 	state, v := d.Policy.Update(m.GetPolicyState(), policy.Input{
 		Now: now, Elapsed: ev.Elapsed, MoveAge: now.Sub(s.start),
-		ProvingTime: s.plannedProof().Sub(s.start),
-		Limits:      limitsOf(m.GetIntent()), Strata: ev.Strata, OldTotal: m.GetOldEvidence(),
+		ProvingTime:  s.plannedProof().Sub(s.start),
+		ShareChanged: changed, Limits: limitsOf(m.GetIntent()), Strata: ev.Strata, OldTotal: m.GetOldEvidence(),
 	})
 	m.PolicyState = state
 	return v
