--- /dev/null
+++ b/bench/resume/costs.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// Bars of the cost while nothing fails.
+const (
+	maxExtraBytes   = 1.5     // bytes a token byte
+	maxExtraMemory  = 8 << 10 // bytes an open generation
+	minForwardShare = 0.8     // of the forwarder's tokens a second per core
+)
+
+// runCosts measures all hops and ways one after the other, prints them and
+// returns the bars of the default way.
+func runCosts(o costOptions) ([]bar, error) {
+	direct, err := runCost(hopDirect, wayResupply, o)
+	if err != nil {
+		return nil, err
+	}
+	forward, err := runCost(hopForwarder, wayResupply, o)
+	if err != nil {
+		return nil, err
+	}
+	printUsage("direct", direct, o)
+	printUsage("forwarder", forward, o)
+	var bars []bar
+	for _, w := range []way{wayResupply, wayJournalSync, wayJournalBatched} {
+		u, err := runCost(hopRouter, w, o)
+		if err != nil {
+			return nil, err
+		}
+		printUsage("router_"+wayNames[w], u, o)
+		bars = append(bars, compare(w, direct, forward, u, o)...)
+	}
+	return bars, nil
+}
+
+func printUsage(name string, u usage, o costOptions) {
+	fmt.Printf("cost hop=%s streams=%d tokens=%d token_bytes=%d caller_wire_bytes=%d journal_bytes=%d cpu_per_token=%v memory_per_stream=%d\n",
+		name, o.streams, u.tokens, u.tokenBytes, u.wire, u.journal,
+		u.cpu/time.Duration(max(u.tokens, 1)), u.memory/int64(o.streams))
+}
+
+// compare prints what the router costs beyond the forwarder. The share of
+// tokens a second per core is that of the hops: the callers' and the engine's
+// part is taken away from both.
+func compare(w way, direct, forward, u usage, o costOptions) []bar {
+	perToken := func(x usage) float64 { return float64(x.cpu) / float64(max(x.tokens, 1)) }
+	share := (perToken(forward) - perToken(direct)) / (perToken(u) - perToken(direct))
+	// All of the text at the time of reading, three quarters of it, is kept.
+	text := u.tokenBytes * 3 / 4 / int64(o.streams)
+	memory := (u.memory-forward.memory)/int64(o.streams) - text
+	more := float64(u.wire)/float64(u.tokenBytes) - float64(forward.wire)/float64(forward.tokenBytes)
+	extra := float64(u.journal) / float64(u.tokenBytes)
+	proof := float64(proofBytes*u.tokens) / float64(u.tokenBytes)
+	fmt.Printf("cost way=%s extra_bytes_per_token_byte: caller_wire_against_forwarder=%.2f journal=%.2f proof=%.2f; extra_memory_per_generation=%d (text %d); tokens_per_core_share=%.2f\n",
+		wayNames[w], more, extra, proof, memory, text, share)
+	if w != wayResupply {
+		return nil
+	}
+	total := max(more, proof) + extra
+	return []bar{
+		{"extra_network_bytes_per_token_byte", fmt.Sprintf("%.2f", total), "1.50", total <= maxExtraBytes},
+		{"extra_memory_per_generation", fmt.Sprint(memory), fmt.Sprint(maxExtraMemory), memory <= maxExtraMemory},
+		{"tokens_per_core_of_forwarder", fmt.Sprintf("%.2f", share), fmt.Sprintf("%.2f", minForwardShare), share >= minForwardShare},
+	}
+}
+
+// proofBytes is the size of a chunk's proof with its field number.
+const proofBytes = 5
--- a/client/client.go
+++ b/client/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/juju/errors"
 
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
@@ -104,7 +105,9 @@
 	return &endpoint{
 		url:       url,
 		transport: t,
-		service:   chicoryv1connect.NewCallerServiceClient(&http.Client{Transport: t}, url),
+		// Compressing single tokens costs more time and bytes than it saves.
+		service: chicoryv1connect.NewCallerServiceClient(&http.Client{Transport: t}, url,
+			connect.WithAcceptCompression("gzip", nil, nil)),
 	}
 }
 
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 )
 
@@ -79,8 +81,10 @@
 
 func newClients(client *http.Client, address string) *Clients {
 	url := "http://" + address
+	// Compressing single tokens costs more time and bytes than it saves.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
 	return &Clients{
-		Engine:      chicoryv1connect.NewEngineServiceClient(client, url),
+		Engine:      chicoryv1connect.NewEngineServiceClient(client, url, plain),
 		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url),
 		Target:      chicoryv1connect.NewTargetServiceClient(client, url),
 	}
--- a/internal/request/generation/accept.go
+++ b/internal/request/generation/accept.go
@@ -95,6 +95,7 @@
 	a := &r.attempt
 	if !a.alive && a.silent && fresh == 0 && len(c.GetTokens()) > 0 {
 		r.s.counters.falseAlarms.Inc(1)
+		a.slow = true
 	}
 	a.alive = true
 	if fresh == 0 {
@@ -104,11 +105,12 @@
 	switch {
 	case a.firstToken == 0:
 		a.firstToken = now.Sub(a.begun)
-	case a.probes == 0:
+	case a.probes == 0 || a.slow:
 		a.gaps.add(now.Sub(r.lastToken) / time.Duration(fresh))
 	}
 	r.lastToken = now
 	a.probes = 0
+	a.slow = false
 	a.dropped = 0
 	r.restarts = 0
 }
--- a/internal/request/generation/run.go
+++ b/internal/request/generation/run.go
@@ -29,6 +29,9 @@
 	probes int
 	// silent: the last loss was a silence.
 	silent bool
+	// slow: the engine was alive in the silence and had no token, so that the
+	// silence is a gap like others.
+	slow bool
 	// alive: the engine sent a valid chunk on the current stream.
 	alive bool
 	// dropped counts chunks in a row that were not released.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -150,10 +150,10 @@
 
 // nextChunk returns what is new, or nil and a channel that closes on a change.
 func (w *chunkWriter) nextChunk() (*chicoryv1.EngineChunk, <-chan struct{}) {
+	least := max(int(w.r.currentFaults().GetTokensPerChunk()), 1)
 	w.a.mu.Lock()
 	defer w.a.mu.Unlock()
 	have := w.a.start + len(w.a.tokens)
-	least := max(int(w.r.currentFaults().GetTokensPerChunk()), 1)
 	if have-w.next < least && w.a.finish == chicoryv1.FinishReason_FINISH_REASON_UNSPECIFIED {
 		return nil, w.a.changed
 	}
