--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -1,13 +1,20 @@
 package process_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/ctl"
 )
 
 // shownConfiguration is the part of "chicoryctl config" that the tests read.
