Refuse early, avoid stalled targets, smooth others' load

At twice the capacity refusals came 279 ms (p99) into a deadline of 300 ms: the queue took what it could only just serve. A frozen replica kept getting calls until its polls were missed, because calls that a hedge overtakes are abandoned and said nothing.

Ruled out: less headroom (0.8, 0.9 of the capacity): goodput falls with it and the small team's p99 under a flood does not.

Change: a request is queued only if the expected wait is at most half of what its deadline leaves. Calls avoid a target at which calls wait and none has succeeded for four times the median latency, but for one trial every 200 ms; abandoned late calls count. A preferred target is not taken when the request would wait for a slot there and not elsewhere. The load of other routers is a moving average. A silent poll makes the next request dial anew; silence is known 0.6 s after the start of a poll without an answer. The retry budget saves up to 50.

--- a/internal/connection/observe/observe_test.go
+++ b/internal/connection/observe/observe_test.go
@@ -55,7 +55,7 @@
 	pool := target.NewPool(nil)
 	table := NewTable(Defaults())
 	w := NewWatcher(Options{
-		Holder: h, Table: table, Clients: pool.Clients, Settings: Defaults(),
+		Holder: h, Table: table, Pool: pool, Settings: Defaults(),
 		Platform: chicoryv1connect.NewPlatformServiceClient(list.Client(), list.URL),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -166,10 +166,10 @@
 	}
 	// Taken when one request of this router ran: 10 are of others.
 	s.SetReport(Report{Load: 11, TakenAt: begin.Add(time.Millisecond)})
-	assert.Equal(t, s.Load(begin), int64(15))
+	assert.Equal(t, s.Load(begin), 15.0)
 	for range 5 {
 		s.End()
 	}
-	assert.Equal(t, s.Load(begin), int64(10))
-	assert.Equal(t, s.Load(begin.Add(time.Minute)), int64(0))
+	assert.Equal(t, s.Load(begin), 10.0)
+	assert.Equal(t, s.Load(begin.Add(time.Minute)), 0.0)
 }
--- a/internal/connection/observe/poll.go
+++ b/internal/connection/observe/poll.go
@@ -12,10 +12,11 @@
 // poll asks the target once for its load.
 func (w *Watcher) poll(ctx context.Context, address string) {
 	s := w.opts.Table.State(address)
-	s.Sample(time.Now())
+	begin := time.Now()
+	s.Sample(begin)
 	pollCtx, cancel := context.WithTimeout(ctx, w.opts.Settings.PollTimeout.Std())
 	defer cancel()
-	client := w.opts.Clients(address).Target
+	client := w.opts.Pool.Clients(address).Target
 	resp, err := client.Load(pollCtx, connect.NewRequest(&chicoryv1.LoadRequest{}))
 	switch {
 	case err == nil:
@@ -23,7 +24,8 @@
 	case connect.IsWireError(err):
 		s.PollAnswered()
 	case ctx.Err() == nil:
-		s.PollFailed(time.Now())
+		s.PollFailed(begin)
+		w.opts.Pool.Drop(address)
 	}
 }
 
@@ -53,7 +55,7 @@
 
 // follow reads one stream of cache events to its end.
 func (w *Watcher) follow(ctx context.Context, address string) {
-	client := w.opts.Clients(address).Engine
+	client := w.opts.Pool.Clients(address).Engine
 	stream, err := client.CacheEvents(ctx, connect.NewRequest(&chicoryv1.CacheEventsRequest{Replica: address}))
 	if err != nil {
 		return
--- a/internal/connection/observe/settings.go
+++ b/internal/connection/observe/settings.go
@@ -12,7 +12,8 @@
 	PollInterval settings.Duration `yaml:"poll_interval"`
 	// PollTimeout bounds one poll.
 	PollTimeout settings.Duration `yaml:"poll_timeout"`
-	// SilentAfter is how long polls must fail before a target counts as silent.
+	// SilentAfter is how long after the start of an unanswered poll, with none
+	// answered since, a target counts as silent.
 	SilentAfter settings.Duration `yaml:"silent_after"`
 	// ReportLifetime is the age at which a report's figures are no longer used.
 	ReportLifetime settings.Duration `yaml:"report_lifetime"`
@@ -28,8 +29,8 @@
 func Defaults() Settings {
 	return Settings{
 		PollInterval:     settings.Duration(250 * time.Millisecond),
-		PollTimeout:      settings.Duration(500 * time.Millisecond),
-		SilentAfter:      settings.Duration(time.Second),
+		PollTimeout:      settings.Duration(300 * time.Millisecond),
+		SilentAfter:      settings.Duration(600 * time.Millisecond),
 		ReportLifetime:   settings.Duration(5 * time.Second),
 		HintLifetime:     settings.Duration(2 * time.Minute),
 		GapLifetime:      settings.Duration(10 * time.Second),
--- a/internal/connection/observe/state.go
+++ b/internal/connection/observe/state.go
@@ -20,10 +20,14 @@
 	Leaving  bool
 	// TakenAt is when the target took the figures.
 	TakenAt time.Time
-	// own is this router's in-flight count at that time.
-	own int64
+	// others is a moving average of the requests of other routers.
+	others float64
 }
 
+// othersWeight is the weight of a new report in that average. Calls are shorter
+// than the time between reports, so one report alone says little of the next moment.
+const othersWeight = 0.4
+
 // samplesKept is the number of in-flight counts that a state remembers; at the
 // default poll interval they reach back 4 s.
 const samplesKept = 16
@@ -43,8 +47,8 @@
 	inFlight        atomic.Int64
 	report          atomic.Pointer[Report]
 	platformLeaving atomic.Bool
-	// silentSince is the Unix time in nanoseconds of the first failed poll since
-	// the last answer; 0 while polls are answered.
+	// silentSince is the Unix time in nanoseconds of the start of the first poll
+	// that failed since the last answer; 0 while polls are answered.
 	silentSince atomic.Int64
 
 	mu      sync.Mutex // guards samples
@@ -80,7 +84,10 @@
 
 // SetReport puts r in force and ends a silence.
 func (s *State) SetReport(r Report) {
-	r.own = s.ownAt(r.TakenAt)
+	r.others = float64(max(int64(r.Load)-s.ownAt(r.TakenAt), 0))
+	if last := s.report.Load(); last != nil && r.TakenAt.Sub(last.TakenAt) < s.reportLifetime {
+		r.others = last.others + othersWeight*(r.others-last.others)
+	}
 	s.report.Store(&r)
 	s.silentSince.Store(0)
 }
@@ -103,9 +110,9 @@
 	return own
 }
 
-// PollFailed notes that a poll got no answer.
-func (s *State) PollFailed(now time.Time) {
-	s.silentSince.CompareAndSwap(0, now.UnixNano())
+// PollFailed notes that a poll that began at begin got no answer.
+func (s *State) PollFailed(begin time.Time) {
+	s.silentSince.CompareAndSwap(0, begin.UnixNano())
 }
 
 // PollAnswered notes that the target answered, be it with an error.
@@ -140,13 +147,13 @@
 	return "", false
 }
 
-// Load estimates the requests at the target now: the last report, corrected by
-// what this router has started and ended since, and never below its own count.
-func (s *State) Load(now time.Time) int64 {
-	own := s.inFlight.Load()
+// Load estimates the requests at the target now: this router's own, and those of
+// others as reports show them.
+func (s *State) Load(now time.Time) float64 {
+	own := float64(s.inFlight.Load())
 	r := s.report.Load()
 	if r == nil || now.Sub(r.TakenAt) > s.reportLifetime {
 		return own
 	}
-	return max(int64(r.Load)+own-r.own, own)
+	return own + r.others
 }
--- a/internal/connection/observe/table.go
+++ b/internal/connection/observe/table.go
@@ -18,8 +18,8 @@
 	// forgotten counts the states that were dropped.
 	forgotten atomic.Uint64
 
-	mu       sync.Mutex // guards states and listed
-	states   map[string]*State
+	mu     sync.Mutex // guards states and listed
+	states map[string]*State
 	// listed has the VMs that the platform's list has contained.
 	listed map[string]bool
 }
--- a/internal/connection/observe/watcher.go
+++ b/internal/connection/observe/watcher.go
@@ -18,8 +18,10 @@
 type Options struct {
 	Holder *config.Holder
 	Table  *Table
-	// Clients returns the clients of a target, as target.Pool.Clients does.
-	Clients func(address string) *target.Clients
+	// Pool has the connections that requests use too. A poll without an answer
+	// makes the next request to its target dial anew, so that a connection that went
+	// silent is replaced.
+	Pool *target.Pool
 	// Platform gives the platform's list; nil means there is none.
 	Platform chicoryv1connect.PlatformServiceClient
 	Settings Settings
--- a/internal/request/admission/dispatch.go
+++ b/internal/request/admission/dispatch.go
@@ -38,7 +38,8 @@
 	if !isCall(&x.work) {
 		byTeam = p.waitForTeam(x.team, at, a.limits(x.team))
 	}
-	if !a.isLate(p, x, max(byPool, byTeam), now) {
+	expected := time.Duration(float64(max(byPool, byTeam)) / a.opts.Settings.QueueShare)
+	if !a.isLate(p, x, expected, now) {
 		return nil
 	}
 	if byTeam <= byPool {
--- a/internal/request/admission/settings.go
+++ b/internal/request/admission/settings.go
@@ -26,6 +26,10 @@
 	Headroom float64 `yaml:"headroom"`
 	// MaxQueue is the number of requests that may wait for one service's version.
 	MaxQueue int `yaml:"max_queue"`
+	// QueueShare is the part of the time that a request can wait (up to its deadline
+	// less its expected duration) that the expected wait may take when it is queued.
+	// Below 1, what is queued is hardly ever refused later.
+	QueueShare float64 `yaml:"queue_share"`
 	// BurstTime is the time over which a team may save up its rate limits.
 	BurstTime settings.Duration `yaml:"burst_time"`
 	// MinRetryAfter and MaxRetryAfter bound the advice when to come back.
@@ -41,6 +45,7 @@
 		Limit:         LimitShared,
 		Headroom:      1,
 		MaxQueue:      1000,
+		QueueShare:    0.5,
 		BurstTime:     settings.Duration(2 * time.Second),
 		MinRetryAfter: settings.Duration(200 * time.Millisecond),
 		MaxRetryAfter: settings.Duration(30 * time.Second),
@@ -57,6 +62,8 @@
 		return "headroom", "must be above 0"
 	case s.MaxQueue < 1:
 		return "max_queue", "must be at least 1"
+	case s.QueueShare <= 0 || s.QueueShare > 1:
+		return "queue_share", "must be above 0 and at most 1"
 	case s.BurstTime <= 0:
 		return "burst_time", "must be above 0"
 	case s.MinRetryAfter <= 0:
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -143,8 +143,8 @@
 
 // Bounds of the wait after a refused retry or hedge.
 const (
-	retryMinWait = 100 * time.Millisecond
-	retrySpread  = 400 * time.Millisecond
+	retryMinWait = 30 * time.Millisecond
+	retrySpread  = 70 * time.Millisecond
 )
 
 // waitForRetry spreads those that come back evenly over a while.
--- a/internal/request/retry/settings.go
+++ b/internal/request/retry/settings.go
@@ -16,7 +16,7 @@
 
 // Defaults returns the settings for a deployment in one region.
 func Defaults() Settings {
-	return Settings{Share: 0.1, Burst: 20, HedgeReserve: 0.5, ResumeRate: 20, ResumeBurst: 10}
+	return Settings{Share: 0.1, Burst: 50, HedgeReserve: 0.5, ResumeRate: 20, ResumeBurst: 10}
 }
 
 // Validate implements settings.Validator.
--- a/internal/request/routing/choose.go
+++ b/internal/request/routing/choose.go
@@ -68,21 +68,28 @@
 }
 
 // best returns the drawn item with the lowest score; a coin decides between equals.
-func (s *sample) best(now time.Time, fallback int, random func() uint64) (*endpoint, float64) {
+func (s *sample) best(now time.Time, fallback int, isCall bool, random func() uint64) (*endpoint, float64) {
 	if s.seen == 0 {
 		return nil, 0
 	}
-	first := s.items[0].score(now, fallback)
+	first := s.items[0].score(now, fallback, isCall)
 	if s.seen == 1 {
 		return s.items[0], first
 	}
-	second := s.items[1].score(now, fallback)
+	second := s.items[1].score(now, fallback, isCall)
 	if second < first || second == first && random()%2 == 0 {
 		return s.items[1], second
 	}
 	return s.items[0], first
 }
 
+// withinBound returns up to which score a preferred target is taken instead of
+// one with the given score: the bound above it, but not so that the request would
+// wait for a slot, unless it would wait at the other one as well.
+func withinBound(score, bound float64) float64 {
+	return min(score+bound, max(score, 1))
+}
+
 // chooseAmong compares random endpoints of a status. One of the router's own
 // availability zone is taken unless it is loaded above the other by the bound.
 // Work of high priority goes where the load is lowest.
@@ -98,14 +105,14 @@
 			far.add(e, p.opts.Rand)
 		}
 	}
-	fallback := p.opts.Settings.DefaultCapacity
-	nearBest, nearScore := near.best(now, fallback, p.opts.Rand)
-	farBest, farScore := far.best(now, fallback, p.opts.Rand)
+	fallback, isCall := p.opts.Settings.DefaultCapacity, w.Tokens == 0
+	nearBest, nearScore := near.best(now, fallback, isCall, p.opts.Rand)
+	farBest, farScore := far.best(now, fallback, isCall, p.opts.Rand)
 	bound := p.opts.Settings.ZoneBound
 	if w.Priority == chicoryv1.Priority_PRIORITY_HIGH {
 		bound = 0
 	}
-	if nearBest == nil || farBest != nil && nearScore > farScore+bound {
+	if nearBest == nil || farBest != nil && nearScore > withinBound(farScore, bound) {
 		return farBest
 	}
 	return nearBest
@@ -119,16 +126,16 @@
 	if len(hinted) == 0 {
 		return chosen
 	}
-	fallback := p.opts.Settings.DefaultCapacity
-	score := chosen.score(now, fallback)
+	fallback, isCall := p.opts.Settings.DefaultCapacity, w.Tokens == 0
+	score := chosen.score(now, fallback, isCall)
 	best := chosen
-	lowest := min(score+p.opts.Settings.AffinityBound, max(score, 1))
+	lowest := withinBound(score, p.opts.Settings.AffinityBound)
 	for _, e := range g.members() {
 		address := e.target.GetAddress()
 		if !slices.Contains(hinted, address) || e.status(now) != usable || slices.Contains(exclude, address) {
 			continue
 		}
-		if score := e.score(now, fallback); score <= lowest {
+		if score := e.score(now, fallback, isCall); score <= lowest {
 			best, lowest = e, score
 		}
 	}
--- a/internal/request/routing/endpoint.go
+++ b/internal/request/routing/endpoint.go
@@ -32,12 +32,20 @@
 	ejectedUntil atomic.Int64
 	// nextProbe is the Unix time in nanoseconds before which no probe is sent.
 	nextProbe atomic.Int64
+	// waitingSince is the Unix time in nanoseconds since which requests wait with no
+	// success, 0 when none does.
+	waitingSince atomic.Int64
+	// stallAfter is the time without a success, in nanoseconds, after which calls
+	// avoid the target; 0 means not known yet.
+	stallAfter atomic.Int64
+	// nextTrial is the Unix time in nanoseconds before which a stalled target is avoided.
+	nextTrial atomic.Int64
 	// lastSuccess is the Unix time in nanoseconds of the last success.
 	lastSuccess atomic.Int64
 
 	mu sync.Mutex // guards the fields below
 	// rows count results of one kind without a success between.
-	errorRow, silentRow, resetRow int
+	errorRow, silentRow, resetRow, lateRow int
 	// good and bad count recent results; review lets them fade.
 	good, bad float64
 	// latency is a moving average; 0 means none yet.
@@ -78,11 +86,48 @@
 
 // score is the load that one more request would meet, in shares of capacity,
 // stretched by slowness. The lowest is best.
-func (e *endpoint) score(now time.Time, fallback int) float64 {
-	load := float64(e.state.Load(now)+1) / float64(e.capacity(fallback))
-	return load * math.Float64frombits(e.slowness.Load())
+func (e *endpoint) score(now time.Time, fallback int, isCall bool) float64 {
+	load := (e.state.Load(now) + 1) / float64(e.capacity(fallback))
+	slowness := math.Float64frombits(e.slowness.Load())
+	if isCall && e.isStalled(now) {
+		slowness = slowMax
+	}
+	return load * slowness
+}
+
+// isStalled reports whether calls wait at the target and none has succeeded for
+// much longer than usual. Now and then one call tries the target.
+func (e *endpoint) isStalled(now time.Time) bool {
+	since, after := e.waitingSince.Load(), e.stallAfter.Load()
+	return since != 0 && after != 0 && now.UnixNano()-since > after && now.UnixNano() < e.nextTrial.Load()
 }
 
+// noteBegin notes that a request begins to wait at the target.
+func (e *endpoint) noteBegin(now time.Time) {
+	e.waitingSince.CompareAndSwap(0, now.UnixNano())
+	e.nextTrial.Store(now.Add(trialInterval).UnixNano())
+}
+
+// noteSuccess notes a success; requests still in flight wait from now on.
+func (e *endpoint) noteSuccess(now time.Time) {
+	e.lastSuccess.Store(now.UnixNano())
+	since := int64(0)
+	if e.state.InFlight() > 0 {
+		since = now.UnixNano()
+	}
+	e.waitingSince.Store(since)
+}
+
+// Bounds of stalls.
+const (
+	// stallFactor times the usual latency without a success is a stall.
+	stallFactor = 4
+	minStall    = 20 * time.Millisecond
+	// trialInterval is the time after a request at a stalled target in which it
+	// gets no other.
+	trialInterval = 200 * time.Millisecond
+)
+
 // status says whether a target may get new work.
 type status int
 
@@ -129,17 +174,23 @@
 	return now.UnixNano() >= next && e.nextProbe.CompareAndSwap(next, now.Add(interval).UnixNano())
 }
 
-// count adds one result to the endpoint's counts. It returns why the target
-// should be ejected, or "".
-func (e *endpoint) count(r request.Result, latency time.Duration, s *Settings) (why string) {
+// lateFactor times the average latency without an answer is a sign of silence.
+const lateFactor = 2
+
+// count adds one result to the endpoint's counts. elapsed is how long the attempt
+// took, 0 when that says nothing. It returns why the target should be ejected, or "".
+func (e *endpoint) count(r request.Result, latency, elapsed time.Duration, s *Settings) (why string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r == request.ResultAbandoned {
-		return ""
+		return e.countLate(elapsed, s)
+	}
+	if r == request.ResultSilent {
+		e.addLatency(max(elapsed, e.latency))
 	}
 	if r == request.ResultSuccess {
-		e.lastSuccess.Store(time.Now().UnixNano())
-		e.errorRow, e.silentRow, e.resetRow = 0, 0, 0
+		e.noteSuccess(time.Now())
+		e.clearRows()
 		e.good++
 		e.addLatency(latency)
 		return ""
@@ -164,6 +215,21 @@
 	return ""
 }
 
+// countLate takes in an attempt that was abandoned without an answer, such as one
+// that its hedge overtook: the latency is at least the time that it took. The
+// caller holds mu.
+func (e *endpoint) countLate(elapsed time.Duration, s *Settings) (why string) {
+	if e.latency == 0 || elapsed < lateFactor*e.latency {
+		return ""
+	}
+	e.addLatency(elapsed)
+	e.lateRow++
+	if e.lateRow >= s.EjectLate {
+		return "late answers in a row"
+	}
+	return ""
+}
+
 // addLatency updates the moving average. The caller holds mu.
 func (e *endpoint) addLatency(d time.Duration) {
 	if d <= 0 {
@@ -176,6 +242,11 @@
 	e.latency += time.Duration(latencyWeight * float64(d-e.latency))
 }
 
+// clearRows forgets results in a row. The caller holds mu.
+func (e *endpoint) clearRows() {
+	e.errorRow, e.silentRow, e.resetRow, e.lateRow = 0, 0, 0, 0
+}
+
 // note remembers a reason for Explain. The caller holds mu.
 func (e *endpoint) note(now time.Time, reason string) {
 	if len(e.reasons) == reasonsKept {
--- a/internal/request/routing/group.go
+++ b/internal/request/routing/group.go
@@ -33,9 +33,10 @@
 	return *g.endpoints.Load()
 }
 
-// finish takes in the result of one placement.
-func (g *group) finish(e *endpoint, r request.Result, latency time.Duration) {
-	why := e.count(r, latency, g.settings)
+// finish takes in the result of one placement. elapsed is how long it took
+// without an answer, 0 for generations, which end long after their first token.
+func (g *group) finish(e *endpoint, r request.Result, latency, elapsed time.Duration) {
+	why := e.count(r, latency, elapsed, g.settings)
 	if e.ejectedUntil.Load() != 0 {
 		g.finishProbe(e, r, why)
 		return
@@ -79,7 +80,7 @@
 	d = min(d, g.settings.MaxEjectionTime.Std())
 	e.ejections++
 	e.probesPassed = 0
-	e.errorRow, e.silentRow, e.resetRow = 0, 0, 0
+	e.clearRows()
 	e.good, e.bad = 0, 0
 	e.ejectedUntil.Store(now.Add(d).UnixNano())
 	e.note(now, "ejected: "+why)
--- a/internal/request/routing/picker.go
+++ b/internal/request/routing/picker.go
@@ -124,12 +124,13 @@
 	if w.PrefixHash != 0 {
 		p.opts.Loads.Hints.Add(w.PrefixHash, e.target.GetAddress(), now)
 	}
-	return place(g, e), nil
+	return place(g, e, now, w.Tokens == 0), nil
 }
 
 // place counts the request in and returns its placement. Done counts it out once.
-func place(g *group, e *endpoint) request.Placement {
+func place(g *group, e *endpoint, begin time.Time, isCall bool) request.Placement {
 	e.state.Begin()
+	e.noteBegin(begin)
 	var done atomic.Bool
 	return request.Placement{
 		Target: e.target,
@@ -138,7 +139,11 @@
 				return
 			}
 			e.state.End()
-			g.finish(e, r, latency)
+			elapsed := time.Duration(0)
+			if isCall {
+				elapsed = time.Since(begin)
+			}
+			g.finish(e, r, latency, elapsed)
 		},
 	}
 }
@@ -187,11 +192,12 @@
 
 // sum adds up the capacity and load of the endpoints of a status.
 func (p *Picker) sum(g *group, want status, now time.Time) (slots, load int) {
+	sum := 0.0
 	for _, e := range g.members() {
 		if e.status(now) == want {
 			slots += e.capacity(p.opts.Settings.DefaultCapacity)
-			load += int(e.state.Load(now))
+			sum += e.state.Load(now)
 		}
 	}
-	return slots, load
+	return slots, int(sum)
 }
--- a/internal/request/routing/picker_test.go
+++ b/internal/request/routing/picker_test.go
@@ -100,7 +100,7 @@
 	t := f.picker.current()
 	g := t.groups[groupKey{"s", "v1"}]
 	for range n {
-		g.finish(t.endpoints[address(i)], r, time.Millisecond)
+		g.finish(t.endpoints[address(i)], r, time.Millisecond, 0)
 	}
 }
 
--- a/internal/request/routing/review.go
+++ b/internal/request/routing/review.go
@@ -88,6 +88,7 @@
 			ratio = 1
 		}
 		e.setSlowness(min(ratio, slowMax))
+		e.stallAfter.Store(int64(max(stallFactor*median, minStall)))
 	}
 }
 
--- a/internal/request/routing/settings.go
+++ b/internal/request/routing/settings.go
@@ -19,11 +19,13 @@
 	// MaxEjectedShare is the largest share of a service's version that failures and
 	// errors may eject.
 	MaxEjectedShare float64 `yaml:"max_ejected_share"`
-	// EjectErrors, EjectSilences and EjectResets are the numbers of results of each
-	// kind in a row that eject a target.
+	// EjectErrors, EjectSilences, EjectResets and EjectLate are the numbers of
+	// results of each kind in a row that eject a target. Late are calls that were
+	// given up, by a hedge that overtook them, after a multiple of the usual latency.
 	EjectErrors   int `yaml:"eject_errors"`
 	EjectSilences int `yaml:"eject_silences"`
 	EjectResets   int `yaml:"eject_resets"`
+	EjectLate     int `yaml:"eject_late"`
 	// EjectErrorShare is how far the share of failed requests must be above that of
 	// the peers to eject a target.
 	EjectErrorShare float64 `yaml:"eject_error_share"`
@@ -51,6 +53,7 @@
 		EjectErrors:     5,
 		EjectSilences:   2,
 		EjectResets:     3,
+		EjectLate:       4,
 		EjectErrorShare: 0.3,
 		MinSamples:      20,
 		EjectionTime:    settings.Duration(time.Second),
@@ -74,6 +77,8 @@
 		return "eject_silences", "must be above 0"
 	case s.EjectResets <= 0:
 		return "eject_resets", "must be above 0"
+	case s.EjectLate <= 0:
+		return "eject_late", "must be above 0"
 	case s.EjectionTime <= 0:
 		return "ejection_time", "must be above 0"
 	case s.MaxEjectionTime < s.EjectionTime:
