--- a/internal/process/consensus/message_fuzz_test.go
+++ b/internal/process/consensus/message_fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -44,11 +43,7 @@
 }
 
 func fuzzNode(t *testing.T, d *disktest.Disk) *Node {
-	n, err := Start(Options{
-		ID: "a", Members: []Member{{ID: "a"}, {ID: "b"}}, DataFolder: "data",
-		Transport: link{newNetwork(1), "a"}, StateMachine: &lenient{}, FS: d.Mount(),
-		ElectionTimeout: time.Hour, HeartbeatInterval: time.Hour,
-	})
+	n, err := startQuiet(d)
 	assert.NilError(t, err)
 	return n
 }
--- a/internal/process/consensus/promises_test.go
+++ b/internal/process/consensus/promises_test.go
@@ -397,3 +397,24 @@
 		}
 	})
 }
+
+// TestOneMembershipChangeAtATime lets two unknown replicas ask a leader that
+// can't commit.
+func TestOneMembershipChangeAtATime(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(t)
+		n := c.net.node(leader)
+		c.isolate(leader)
+		for _, id := range c.others(leader) {
+			_, err := n.handleJoin(context.Background(), &chicoryv1.JoinRequest{
+				From: &chicoryv1.Replica{Id: id, Incarnation: "new"},
+			})
+			assert.NilError(t, err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		assert.Equal(t, n.role, Leader)
+		assert.Equal(t, len(n.log.memberships), 2, "the founders and one change")
+	})
+}
--- a/internal/process/disk/disktest/disktest.go
+++ b/internal/process/disk/disktest/disktest.go
@@ -40,8 +40,6 @@
 	FreeBytes  int
 	LimitBytes bool
 	FailSync   bool
-	// ForgetSync makes Sync answer without making anything durable.
-	ForgetSync bool
 	// SyncDelay returns how long a sync takes; nil means no time.
 	SyncDelay func() time.Duration
 }
@@ -304,11 +302,8 @@
 		time.Sleep(delay())
 	}
 	return f.m.use(func() error {
-		switch {
-		case f.m.d.faults.FailSync:
+		if f.m.d.faults.FailSync {
 			return ErrSync
-		case f.m.d.faults.ForgetSync:
-			return nil
 		}
 		f.c.synced = f.c.data
 		return nil
