Process tests: moves, orders, certificates, routers and engines lost together

Found by TestBadVersionIsTakenBackThoughTheLeaderDies: the driver was wired without a policy, so every leader that stepped a move panicked in turn. It now has the measured default.

--- a/cmd/chicory-caller/main.go
+++ b/cmd/chicory-caller/main.go
@@ -7,13 +7,14 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 
-	"connectrpc.com/connect"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/client"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 )
 
@@ -64,7 +65,7 @@
 
 func generateCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("chicory-caller generate", flag.ContinueOnError)
-	address := fs.String("address", "127.0.0.1:8000", "IP:port of the balancer or a router")
+	address := fs.String("address", "127.0.0.1:8000", "IP:port of the balancer, or of routers, separated by commas")
 	teamKey := fs.String("team-key", "", "the team's key")
 	req := &chicoryv1.GenerateRequest{}
 	fs.StringVar(&req.Team, "team", "", "team")
@@ -79,18 +80,30 @@
 		FlagSet:    fs,
 		Exec: func(ctx context.Context, _ []string) error {
 			req.MaxTokens = uint32(*maxTokens)
-			r := connect.NewRequest(req)
-			withKey(r.Header(), *teamKey)
-			stream, err := service(*address).Generate(ctx, r)
-			if err != nil {
-				return err
-			}
-			for stream.Receive() {
-				for _, t := range stream.Msg().GetChunk().GetTokens() {
-					fmt.Print(t)
-				}
-			}
-			return stream.Err()
+			return generate(ctx, strings.Split(*address, ","), *teamKey, req)
 		},
 	}
 }
+
+// generate prints the tokens of one generation as they come. The client goes on
+// over other connections and routers by itself.
+func generate(ctx context.Context, addresses []string, teamKey string, req *chicoryv1.GenerateRequest) error {
+	header := http.Header{}
+	withKey(header, teamKey)
+	c, err := client.New(client.Options{Addresses: addresses, Header: header})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	stream, err := c.Generate(ctx, req)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for stream.Next() {
+		for _, t := range stream.Tokens() {
+			fmt.Print(t)
+		}
+	}
+	return stream.Err()
+}
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -11,6 +11,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/move"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/move/policy"
 )
 
 // Periods of the leader's tasks.
@@ -71,7 +72,7 @@
 		Source:   moveSource{p},
 		Store:    store,
 		Proposer: moveProposer{p},
-		Decider:  move.Decider{},
+		Decider:  move.Decider{Policy: policy.SPRT{}},
 		Log:      p.log,
 	}
 }
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -135,7 +135,7 @@
 		AvailabilityZone: zone, Logger: p.log, Settings: p.settings.Calls.settings(),
 	})
 	p.startTasks(observe.NewWatcher(observe.Options{
-		Holder: p.holder, Table: loads, Clients: p.pool.Clients,
+		Holder: p.holder, Table: loads, Pool: p.pool,
 		Platform: p.platform(), Settings: p.settings.Observe,
 	}))
 	return nil
--- a/test/process/control_test.go
+++ b/test/process/control_test.go
@@ -102,3 +102,34 @@
 		return now != "" && now != before
 	})
 }
+
+// A target that serves another version than the configured one is ordered to load it.
+func TestTargetIsOrderedToItsVersion(t *testing.T) {
+	c := newCluster(t)
+	text := fmt.Sprintf("changes:\n  - put_target: {address: %q, service: dispatch, version: v3, availability_zone: a}\n", c.at(serviceV2))
+	assert.NilError(t, os.WriteFile(filepath.Join(c.folder, "target.yaml"), []byte(text), 0o644))
+	c.confirm("target.yaml")
+	target := chicoryv1connect.NewTargetServiceClient(http.DefaultClient, "http://"+c.at(serviceV2))
+	c.eventually("the target serves v3", func() bool {
+		resp, err := target.Load(context.Background(), connect.NewRequest(&chicoryv1.LoadRequest{}))
+		return err == nil && resp.Msg.GetVersion() == "v3"
+	})
+}
+
+// A peer without a certificate of the system's authority gets nothing, and one in
+// another role gets only what is for its role.
+func TestPeersWithoutTheirCertificateGetNothing(t *testing.T) {
+	c := newCluster(t)
+	stranger := filepath.Join(t.TempDir(), "keys")
+	c.ctl("certs", "-folder", stranger, "-role", "operator", "mallory")
+	control := c.at(10) + "," + c.at(11) + "," + c.at(12)
+	asks := func(folder, id string) int {
+		_, _, status := c.tryCtl("config", "-control", control, "-certificate", filepath.Join(folder, id+".pem"),
+			"-key", filepath.Join(folder, id+"-key.pem"), "-authority", filepath.Join(folder, "ca.pem"))
+		return status
+	}
+	keys := filepath.Join(c.folder, "keys")
+	assert.Equal(t, asks(keys, "operator"), ctl.ExitOK)
+	assert.Assert(t, asks(stranger, "mallory") != ctl.ExitOK)
+	assert.Assert(t, asks(keys, "r1") != ctl.ExitOK)
+}
--- a/test/process/generations_test.go
+++ b/test/process/generations_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/client"
 	"github.com/chicoryswitch/chicoryswitch/internal/standin"
 )
 
@@ -79,3 +81,50 @@
 	checkAnswer(t, tokens, err)
 	assert.NilError(t, c.wait("r1"))
 }
+
+// generateByClient streams one generation with the client package, which comes
+// back to the routers in turn.
+func (c *cluster) generateByClient(onTokens func(n int)) ([]string, error) {
+	cl, err := client.New(client.Options{
+		Addresses: []string{c.at(routerCaller), c.at(routerCaller + 1), c.at(routerCaller + 2)},
+		Header:    http.Header{},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer cl.Close()
+	stream, err := cl.Generate(context.Background(), summary())
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	for stream.Next() {
+		onTokens(len(stream.All()))
+	}
+	return stream.All(), stream.Err()
+}
+
+// The router that carries a generation is killed, and later a second one together
+// with the engine: the client's text is whole.
+func TestAnswerIsWholeAfterRouterAndEngineDieTogether(t *testing.T) {
+	c := newCluster(t)
+	first := once(100, func() { c.kill("r1") })
+	second := once(200, func() {
+		engine := c.carrier()
+		c.kill("r2")
+		c.kill(fmt.Sprintf("engine-v1-%d", engine))
+	})
+	tokens, err := c.generateByClient(func(n int) {
+		first(n)
+		second(n)
+	})
+	checkAnswer(t, tokens, err)
+}
+
+// A router that freezes in the middle and thaws late changes nothing.
+func TestAnswerIsWholeAfterRouterFreezes(t *testing.T) {
+	c := newCluster(t)
+	tokens, err := c.generateByClient(once(100, func() { c.signal("r1", syscall.SIGSTOP) }))
+	checkAnswer(t, tokens, err)
+	c.signal("r1", syscall.SIGCONT)
+}
