Replicated log: a replica that was removed without hearing of it joins again

Cause: with disks that are replaced and put back among the drawn faults, the log stayed unrepaired for 30 s: a replica that holds a membership which still names it never asked to be taken in, and a learner beside a voter of the same ID that came back stayed a member for ever. Ruled out: removing a silent learner at once; it may be one that was added a moment ago. Change: a member without a leader for four election timeouts asks to join; a learner that is silent for ten while a voter of its ID answers is removed.

--- a/internal/process/consensus/join.go
+++ b/internal/process/consensus/join.go
@@ -10,11 +10,18 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
+// Multiples of the election timeout.
+const (
+	strayPeriods = 10 // silence of a learner that has a voter beside it
+	lonePeriods  = 4  // silence after which a member asks whether it still is one
+)
+
 // runJoiner asks the other members to be taken in for as long as this replica
-// is not a member.
+// is not a member, or hears no leader: it may have been removed without hearing
+// of it.
 func (n *Node) runJoiner() {
 	for {
-		if !n.isMember() {
+		if !n.isServedMember() {
 			n.join()
 		}
 		if !sleep(n.ctx, n.options.ElectionTimeout/2) {
@@ -23,12 +30,13 @@
 	}
 }
 
-func (n *Node) isMember() bool {
+func (n *Node) isServedMember() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	members, _ := n.log.current()
 	_, ok := members.find(n.self)
-	return ok
+	served := n.role == Leader || time.Since(n.leaderContact) < lonePeriods*n.options.ElectionTimeout
+	return ok && served
 }
 
 // join asks every other member. If all are as empty as this replica, the one
@@ -156,6 +164,10 @@
 			return
 		}
 	}
+	if r, ok := n.strayLearner(members, now); ok {
+		n.proposeMembership(members.without(r), "removed", r)
+		return
+	}
 	for _, r := range n.joining {
 		if _, known := members.find(r); !known {
 			n.proposeMembership(members.withLearner(r), "learner", r)
@@ -172,8 +184,28 @@
 // caughtUp reports whether a learner has synced all that is committed and
 // answers now.
 func (n *Node) caughtUp(r replica, now time.Time) bool {
+	return n.answers(r, now) && n.progress[r].match >= n.commit
+}
+
+func (n *Node) answers(r replica, now time.Time) bool {
 	p := n.progress[r]
-	return p != nil && p.match >= n.commit && now.Sub(p.contact) < n.options.ElectionTimeout
+	return p != nil && now.Sub(p.contact) < n.options.ElectionTimeout
+}
+
+// strayLearner returns a learner that has long been silent while a voter of its
+// ID answers, as when a disk that was replaced is put back.
+func (n *Node) strayLearner(members membership, now time.Time) (replica, bool) {
+	for _, learner := range members {
+		if learner.voter || now.Sub(n.progressOf(learner.replica, now).contact) < strayPeriods*n.options.ElectionTimeout {
+			continue
+		}
+		for _, m := range members {
+			if m.voter && m.replica.id == learner.replica.id && n.answers(m.replica, now) {
+				return learner.replica, true
+			}
+		}
+	}
+	return replica{}, false
 }
 
 func (n *Node) proposeMembership(m membership, change string, r replica) {
--- a/internal/process/consensus/replicate.go
+++ b/internal/process/consensus/replicate.go
@@ -30,6 +30,17 @@
 	return &progress{next: n.log.last() + 1, contact: now}
 }
 
+// progressOf returns the progress of a member, which begins when it is first
+// asked for. Node.mu is held.
+func (n *Node) progressOf(r replica, now time.Time) *progress {
+	pr := n.progress[r]
+	if pr == nil {
+		pr = n.newProgress(now)
+		n.progress[r] = pr
+	}
+	return pr
+}
+
 // replicate sends the next message of a leader. It returns false when none is
 // due.
 func (p *peerTask) replicate(epoch context.Context) (bool, error) {
@@ -58,11 +69,7 @@
 	if n.role != Leader || !ok {
 		return nil
 	}
-	pr := n.progress[to]
-	if pr == nil {
-		pr = n.newProgress(now)
-		n.progress[to] = pr
-	}
+	pr := n.progressOf(to, now)
 	due := now.Sub(pr.sent) >= n.options.HeartbeatInterval
 	behind := pr.next <= n.log.last() || pr.told < n.commit || pr.round < n.round
 	if !due && !behind {
--- a/internal/process/wal/wal_test.go
+++ b/internal/process/wal/wal_test.go
@@ -18,7 +18,6 @@
 
 // TestMain sets the seed of the drawn tests; SEED replays another one.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	seed := os.Getenv("SEED")
 	if seed == "" {
 		seed = "1"
@@ -28,6 +27,7 @@
 			panic(err)
 		}
 	}
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
