--- /dev/null
+++ b/internal/process/burn/text.go
@@ -0,0 +1,75 @@
+package burn
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+// Text returns the rows as a table, one line for each objective with the windows
+// side by side. Rows must be in the order of Tracker.Rows.
+func Text(rows []*chicoryv1.BurnRow) string {
+	if len(rows) == 0 {
+		return "no requests on routes with objectives\n"
+	}
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+	fmt.Fprint(w, "ROUTE\tVERSION\tTEAM\tOBJECTIVE\tREQUESTS\tMISSED\tBUDGET LEFT")
+	for _, spec := range windows {
+		fmt.Fprintf(w, "\tBURN %s", windowName(uint32(spec.length.Seconds())))
+	}
+	fmt.Fprintln(w)
+	for _, line := range linesOf(rows) {
+		last := line[len(line)-1]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f%%", last.GetRoute(), orAll(last.GetVersion()), orAll(last.GetTeam()),
+			last.GetObjective(), last.GetRequests(), last.GetBad(), 100*last.GetBudgetLeft())
+		for _, r := range line {
+			fmt.Fprintf(w, "\t%.2f", r.GetBurnRate())
+		}
+		fmt.Fprintln(w)
+	}
+	w.Flush()
+	return b.String()
+}
+
+// linesOf groups rows that differ by their window only.
+func linesOf(rows []*chicoryv1.BurnRow) [][]*chicoryv1.BurnRow {
+	var lines [][]*chicoryv1.BurnRow
+	for i, r := range rows {
+		if i > 0 && sameSubject(rows[i-1], r) {
+			lines[len(lines)-1] = append(lines[len(lines)-1], r)
+			continue
+		}
+		lines = append(lines, []*chicoryv1.BurnRow{r})
+	}
+	return lines
+}
+
+func sameSubject(a, b *chicoryv1.BurnRow) bool {
+	return a.GetRoute() == b.GetRoute() && a.GetVersion() == b.GetVersion() &&
+		a.GetTeam() == b.GetTeam() && a.GetObjective() == b.GetObjective()
+}
+
+func orAll(name string) string {
+	if name == "" {
+		return "(all)"
+	}
+	return name
+}
+
+// windowName writes a window's length in its largest unit.
+func windowName(seconds uint32) string {
+	d := time.Duration(seconds) * time.Second
+	const day = 24 * time.Hour
+	switch {
+	case d >= day && d%day == 0:
+		return fmt.Sprintf("%dd", d/day)
+	case d >= time.Hour && d%time.Hour == 0:
+		return fmt.Sprintf("%dh", d/time.Hour)
+	default:
+		return fmt.Sprintf("%dm", d/time.Minute)
+	}
+}
--- a/internal/version/move/policy/reference.go
+++ b/internal/version/move/policy/reference.go
@@ -128,26 +128,37 @@
 	return e
 }
 
-// zoneCell names an availability zone at a load level.
-type zoneCell struct {
-	zone string
-	load int
-}
-
-// zoneSample is what one update saw of both versions in a zone.
+// zoneSample is what one update saw of both versions in a zone at a load level.
 type zoneSample struct {
 	old ratio
 	new float64
 }
 
-// byZone sums the samples of one signal.
-func byZone(strata []evidence.Stratum, old, now []ratio) map[zoneCell]zoneSample {
-	out := make(map[zoneCell]zoneSample, 2*loadLevels)
+// zoneCells numbers the zones and load levels of the strata, and returns the
+// number of each stratum.
+func zoneCells(strata []evidence.Stratum) []int {
+	out := make([]int, len(strata))
+	cells := 0
 	for i, x := range strata {
-		c := zoneCell{x.AvailabilityZone, level(x.LoadLevel)}
-		z := out[c]
-		z.old, z.new = z.old.plus(old[i]), z.new+now[i].all
-		out[c] = z
+		out[i] = cells
+		for j := range i {
+			if strata[j].AvailabilityZone == x.AvailabilityZone && level(strata[j].LoadLevel) == level(x.LoadLevel) {
+				out[i] = out[j]
+				break
+			}
+		}
+		if out[i] == cells {
+			cells++
+		}
+	}
+	return out
+}
+
+// byZone sums the samples of one signal by cell; there are no more cells than strata.
+func byZone(cells []int, old, now []ratio) []zoneSample {
+	out := make([]zoneSample, len(cells))
+	for i, c := range cells {
+		out[c].old, out[c].new = out[c].old.plus(old[i]), out[c].new+now[i].all
 	}
 	return out
 }
--- a/internal/version/move/policy/sprt.go
+++ b/internal/version/move/policy/sprt.go
@@ -53,12 +53,13 @@
 // sprtState is what the policy keeps.
 type sprtState struct {
 	teams teamSlots
-	// current is the group of each stratum of this update; it is not kept.
-	current []int
-	ref     reference
-	all     [signalCount]accumulator
-	groups  [signalCount][groupCount]accumulator
-	proved  [signalCount]bool
+	// current and zones are the group and the zone cell of each stratum of this
+	// update; they are not kept.
+	current, zones []int
+	ref            reference
+	all            [signalCount]accumulator
+	groups         [signalCount][groupCount]accumulator
+	proved         [signalCount]bool
 	// oddsRatio is by how much a latency signal's odds rise at the limit.
 	oddsRatio [signalCount]float64
 	// judged counts the new version's requests by signal.
@@ -68,7 +69,7 @@
 // Update implements Policy.
 func (SPRT) Update(state []float64, in Input) ([]float64, Verdict) {
 	st := decodeSPRT(state)
-	st.current = st.teams.groups(in.Strata)
+	st.current, st.zones = st.teams.groups(in.Strata), zoneCells(in.Strata)
 	for s := signal(0); s < signalCount; s++ {
 		if in.ShareChanged {
 			st.restartSamples(s)
@@ -104,11 +105,11 @@
 	if !anySeen(old) && !anySeen(now) {
 		return inc
 	}
-	zones := byZone(in.Strata, old, now)
+	zones := byZone(st.zones, old, now)
 	var newAt [loadLevels]float64
-	for c, z := range zones {
-		inc.old = inc.old.plus(z.old)
-		newAt[c.load] += z.new
+	for i, x := range in.Strata {
+		inc.old = inc.old.plus(old[i])
+		newAt[level(x.LoadLevel)] += now[i].all
 	}
 	for i, x := range in.Strata {
 		l := level(x.LoadLevel)
@@ -116,7 +117,7 @@
 			continue
 		}
 		g := st.current[i]
-		z := zones[zoneCell{x.AvailabilityZone, l}]
+		z := zones[st.zones[i]]
 		route := st.ref.at(s, l)
 		e, competing := route.orJump(z.old, route.share), newAt[l]
 		if e != route {
