Keep silent lookups running; bound claims and outcomes

Cause: an attempt of a lookup was cancelled after ten hedge delays, so that a method slower than that could never be answered; a claim waited for the ledger until the deadline although nothing more could be done; outcomes that wait for a dead ledger had no bound; and each refusal's statement about having run was not tested. Ruled out: a fixed silence bound in settings, which no method would fit.

--- a/internal/request/call/attempt.go
+++ b/internal/request/call/attempt.go
@@ -50,9 +50,9 @@
 
 // dispatch sends the call to a target once, waits for its answer at most until
 // ctx ends, and tells the picker and the recorder. number tells the attempts of
-// one call apart.
-func (s *Service) dispatch(ctx context.Context, c *call, p request.Placement, number int) *attempt {
-	d := &target.Dispatch{}
+// one call apart. An attempt that is cancelled after the time silence counts as
+// silent.
+func (s *Service) dispatch(ctx context.Context, c *call, p request.Placement, d *target.Dispatch, number int, silence time.Duration) *attempt {
 	id := c.id + "-" + strconv.Itoa(number)
 	start := time.Now()
 	resp, err := s.invoke(target.WithDispatch(ctx, d), c, p.Target, id)
@@ -61,7 +61,7 @@
 	if a.ending == lost && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		d.DropConnection()
 	}
-	s.report(ctx, c, p, a)
+	s.report(c, p, a, a.result(ctx, silence))
 	return a
 }
 
@@ -138,8 +138,7 @@
 }
 
 // report tells the picker and the recorder how an attempt ended.
-func (s *Service) report(ctx context.Context, c *call, p request.Placement, a *attempt) {
-	result := a.result(ctx)
+func (s *Service) report(c *call, p request.Placement, a *attempt, result request.Result) {
 	latency := time.Duration(0)
 	if result == request.ResultSuccess {
 		latency = a.latency
@@ -166,13 +165,13 @@
 }
 
 // result returns how the attempt ended for the picker.
-func (a *attempt) result(ctx context.Context) request.Result {
+func (a *attempt) result(ctx context.Context, silence time.Duration) request.Result {
 	switch {
 	case a.ending == answered:
 		return request.ResultSuccess
 	case a.ending == refused || a.ending == crossed:
 		return request.ResultError
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && a.latency < silence:
 		return request.ResultAbandoned
 	case ctx.Err() != nil:
 		return request.ResultSilent
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -39,6 +40,11 @@
 	MaxPayloadBytes int
 	// MaxAttempts bounds the attempts of an idempotent call, hedges included.
 	MaxAttempts int
+	// ClaimTimeout bounds the wait for the ledger before a dispatch.
+	ClaimTimeout time.Duration
+	// MaxUncommitted bounds the outcomes that wait for the ledger. Beyond it calls
+	// with a key are refused.
+	MaxUncommitted int
 }
 
 // Defaults of Settings.
@@ -47,6 +53,8 @@
 	defaultMaxTimeout      = 2 * time.Minute
 	defaultMaxPayloadBytes = 1 << 20
 	defaultMaxAttempts     = 6
+	defaultClaimTimeout    = 3 * time.Second
+	defaultMaxUncommitted  = 10_000
 )
 
 func (s Settings) withDefaults() Settings {
@@ -62,6 +70,12 @@
 	if s.MaxAttempts == 0 {
 		s.MaxAttempts = defaultMaxAttempts
 	}
+	if s.ClaimTimeout == 0 {
+		s.ClaimTimeout = defaultClaimTimeout
+	}
+	if s.MaxUncommitted == 0 {
+		s.MaxUncommitted = defaultMaxUncommitted
+	}
 	return s
 }
 
@@ -87,6 +101,8 @@
 	opts      Options
 	latencies *latencies
 	flights   flights
+	// uncommitted counts outcomes that wait for the ledger.
+	uncommitted atomic.Int64
 
 	// ctx ends with the process: outcomes are committed under it.
 	ctx  context.Context
--- a/internal/request/call/desk_test.go
+++ b/internal/request/call/desk_test.go
@@ -54,6 +54,7 @@
 	changed  chan struct{}
 	arrivals map[string]int
 	answers  map[string]string // by key
+	last     *chicoryv1.InvokeRequest
 }
 
 func newDesk(n *network, address string) *desk {
@@ -158,6 +159,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.arrivals[string(m.GetPayload())]++
+	d.last = m
 	answer := fmt.Sprintf("%s %s %s run %d", d.address, m.GetMethod(), m.GetPayload(), d.arrivals[string(m.GetPayload())])
 	if m.GetKey() != "" {
 		d.answers[m.GetKey()] = answer
@@ -179,3 +181,10 @@
 	defer d.mu.Unlock()
 	return d.arrivals[payload]
 }
+
+// lastRequest returns the latest call that arrived.
+func (d *desk) lastRequest() *chicoryv1.InvokeRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.last
+}
--- a/internal/request/call/fakes_test.go
+++ b/internal/request/call/fakes_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -46,6 +47,14 @@
 	r.results = append(r.results, result)
 }
 
+// endings returns the results in their order, after the attempts have ended.
+func (r *roundRobin) endings() []request.Result {
+	synctest.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results
+}
+
 // admitter admits all, or refuses with the kind TeamLimit.
 type admitter struct {
 	closed atomic.Bool
@@ -215,3 +224,9 @@
 func note(payload string) *chicoryv1.CallRequest {
 	return &chicoryv1.CallRequest{Team: "colonia", Route: "fare", Method: "note", Payload: []byte(payload)}
 }
+
+// assertKind fails the test unless err is of the kind.
+func assertKind(t *testing.T, err error, kind fault.Kind) {
+	t.Helper()
+	assert.Assert(t, fault.Is(err, kind), "%v is not %s", err, kind)
+}
--- a/internal/request/call/idempotent.go
+++ b/internal/request/call/idempotent.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
@@ -15,7 +16,8 @@
 
 // Bounds of the attempts of an idempotent call.
 const (
-	// silenceFactor times the hedge delay without an answer counts as silence.
+	// silenceFactor times the hedge delay without an answer counts as silence: the
+	// connections in use are replaced and another attempt is started beside them.
 	silenceFactor = 10
 	minSilence    = 100 * time.Millisecond
 	// maxBudgetWait bounds how long a retry waits for the budget.
@@ -57,6 +59,8 @@
 	launched int
 	running  int
 	tried    []string
+	// dispatches are the attempts so far.
+	dispatches []*target.Dispatch
 	// last is the latest attempt that may have run, nil before one.
 	last *attempt
 }
@@ -74,19 +78,26 @@
 	r.launched++
 	r.running++
 	r.tried = append(r.tried, p.Target.GetAddress())
-	number := r.launched
+	d := &target.Dispatch{}
+	r.dispatches = append(r.dispatches, d)
+	number, silence := r.launched, r.silence()
 	r.s.tasks.Go(func() {
-		attemptCtx, cancel := context.WithTimeout(ctx, max(silenceFactor*r.hedge, minSilence))
-		defer cancel()
-		r.results <- r.s.dispatch(attemptCtx, r.c, p, number)
+		r.results <- r.s.dispatch(ctx, r.c, p, d, number, silence)
 	})
 	return nil
 }
 
+// silence is the time without an answer after which an attempt counts as silent.
+func (r *race) silence() time.Duration {
+	return max(silenceFactor*r.hedge, minSilence)
+}
+
 // run waits for the first answer.
 func (r *race) run(ctx context.Context) (*chicoryv1.CallResponse, error) {
 	hedge := time.NewTimer(r.hedge)
 	defer hedge.Stop()
+	silence := time.NewTimer(r.silence())
+	defer silence.Stop()
 	for {
 		select {
 		case a := <-r.results:
@@ -107,6 +118,9 @@
 		case <-hedge.C:
 			r.launchHedge(ctx)
 			hedge.Reset(r.hedge)
+		case <-silence.C:
+			r.replaceSilent(ctx)
+			silence.Reset(r.silence())
 		case <-ctx.Done():
 			return nil, r.refusal(ctx)
 		}
@@ -132,10 +146,7 @@
 	if r.running > 0 {
 		return nil
 	}
-	if ctx.Err() != nil || r.last == nil && !fault.Is(err, fault.Overloaded) {
-		return r.refusalOr(ctx, fault.Of(err))
-	}
-	return r.refusal(ctx).WithRetryAfter(atLeast(wait))
+	return withWait(r.refusal(ctx), wait)
 }
 
 // tryRetry takes an attempt from the budget and starts it. It waits for the
@@ -169,12 +180,19 @@
 	}
 }
 
-// refusalOr returns e, or what the deadline says when it has passed.
-func (r *race) refusalOr(ctx context.Context, e *fault.Error) *fault.Error {
-	if ctx.Err() != nil || e.Kind == fault.Internal {
-		return r.refusal(ctx)
+// replaceSilent makes further requests to the targets tried so far dial anew and
+// starts an attempt beside those that are silent, if the budget allows.
+func (r *race) replaceSilent(ctx context.Context) {
+	for _, d := range r.dispatches {
+		d.DropConnection()
+	}
+	r.dispatches = nil
+	if r.launched >= r.s.opts.Settings.MaxAttempts {
+		return
+	}
+	if ok, _ := r.s.opts.Budget.Allow(request.RetryCall); ok {
+		_ = r.launch(ctx)
 	}
-	return e
 }
 
 // refusal returns the refusal of a call whose attempts all failed.
--- a/internal/request/call/once.go
+++ b/internal/request/call/once.go
@@ -5,6 +5,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
@@ -41,7 +42,7 @@
 func (s *Service) dispatchOnce(ctx context.Context, c *call, p request.Placement) (*attempt, *fault.Error) {
 	var tried []string
 	for number := 1; ; number++ {
-		a := s.dispatch(ctx, c, p, number)
+		a := s.dispatch(ctx, c, p, &target.Dispatch{}, number, time.Until(c.work.Deadline))
 		if a.mayHaveRun() {
 			return a, nil
 		}
@@ -50,7 +51,7 @@
 			return nil, notSentInTime(ctx)
 		}
 		if ok, wait := s.opts.Budget.Allow(request.RetryCall); !ok {
-			return nil, fault.New(fault.NoTarget, "target %s can't be reached", a.target).WithRetryAfter(atLeast(wait))
+			return nil, withWait(fault.New(fault.NoTarget, "target %s can't be reached", a.target), wait)
 		}
 		next, err := s.pick(c, tried)
 		if err != nil {
@@ -91,9 +92,11 @@
 	}
 }
 
-// minRetryAfter is the least time that a refusal asks to wait.
-const minRetryAfter = 50 * time.Millisecond
-
-func atLeast(wait time.Duration) time.Duration {
-	return max(wait, minRetryAfter)
+// withWait returns e with a time for coming back of at least wait. A refusal that
+// says "never" stays so.
+func withWait(e *fault.Error, wait time.Duration) *fault.Error {
+	if e.RetryAfter == 0 || e.RetryAfter >= wait {
+		return e
+	}
+	return e.WithRetryAfter(wait)
 }
--- a/internal/request/call/outcome.go
+++ b/internal/request/call/outcome.go
@@ -10,10 +10,12 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
-const (
-	keyConflictMessage     = "the key was used with another route, method or payload"
-	neverDispatchedMessage = "the call ledger did not answer in time; the call was not dispatched"
-)
+const keyConflictMessage = "the key was used with another route, method or payload"
+
+// neverDispatched is recorded for a claim that was given up before its dispatch.
+func neverDispatched() *fault.Error {
+	return fault.New(fault.DeadlineNotRun, "the call ledger did not answer in time; the call was not dispatched")
+}
 
 // closedClaim returns the claim as the attempt closes it.
 func closedClaim(claim *chicoryv1.Claim, a *attempt) *chicoryv1.Claim {
@@ -75,10 +77,10 @@
 	})
 }
 
-func (s *Service) logDoubt(c *call, a *attempt) {
+func (s *Service) logDoubt(c *call, target, reason string) {
 	s.opts.Logger.Warn(logging.ClaimInDoubt, logging.Fields{
 		"request_id": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
-		"route": c.req.GetRoute(), "target": a.target, "reason": "no answer of the target",
+		"route": c.req.GetRoute(), "target": target, "reason": reason,
 	})
 }
 
