--- a/internal/connection/target/dispatch.go
+++ b/internal/connection/target/dispatch.go
@@ -70,7 +70,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { d.connected.Store(true) },
 	}
-	once := req.Clone(httptrace.WithClientTrace(req.Context(), trace))
+	once := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	once.GetBody = nil
 	once.Body = newOnceBody(req.Body)
 	return once, nil
