Record late answers of calls with a key

Cause: a payout that a slow target answers after the deadline stayed in doubt until an operator settled it, although the answer came a moment later. Ruled out: a longer deadline at the target, which would run calls late: the target is told the caller's deadline in its message and in Connect-Timeout-Ms. Change: the router waits for the answer up to 5 s beyond the deadline and records it; the caller is told "unknown" at its deadline and a resend gets the answer. The picker learns at the deadline that the target is silent, and the connection is replaced then. A call that was not written by its deadline is given up.

--- a/internal/request/call/attempt.go
+++ b/internal/request/call/attempt.go
@@ -53,11 +53,7 @@
 // one call apart. An attempt that is cancelled after the time silence counts as
 // silent.
 func (s *Service) dispatch(ctx context.Context, c *call, p request.Placement, d *target.Dispatch, number int, silence time.Duration) *attempt {
-	id := c.id + "-" + strconv.Itoa(number)
-	start := time.Now()
-	resp, err := s.invoke(target.WithDispatch(ctx, d), c, p.Target, id)
-	a := &attempt{target: p.Target.GetAddress(), latency: time.Since(start)}
-	a.classify(resp, err, id, d)
+	a := s.attempt(ctx, c, p.Target, d, number)
 	if a.ending == lost && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		d.DropConnection()
 	}
@@ -65,19 +61,34 @@
 	return a
 }
 
+// attempt sends the call to a target once and waits for its answer.
+func (s *Service) attempt(ctx context.Context, c *call, t *chicoryv1.Target, d *target.Dispatch, number int) *attempt {
+	id := c.id + "-" + strconv.Itoa(number)
+	start := time.Now()
+	resp, err := s.invoke(target.WithDispatch(ctx, d), c, t, id)
+	a := &attempt{target: t.GetAddress(), latency: time.Since(start)}
+	a.classify(resp, err, id, d)
+	return a
+}
+
+// timeoutHeader carries the deadline to the target where the context has none.
+const timeoutHeader = "Connect-Timeout-Ms"
+
 func (s *Service) invoke(ctx context.Context, c *call, t *chicoryv1.Target, id string) (*chicoryv1.InvokeResponse, error) {
-	req := &chicoryv1.InvokeRequest{
+	timeoutMs := max(time.Until(c.work.Deadline).Milliseconds(), 1)
+	req := connect.NewRequest(&chicoryv1.InvokeRequest{
 		CallId:     id,
 		Key:        c.req.GetKey(),
 		Team:       c.req.GetTeam(),
 		Method:     c.req.GetMethod(),
 		Payload:    c.req.GetPayload(),
 		Idempotent: c.isIdempotent(),
-		TimeoutMs:  uint32(max(time.Until(c.work.Deadline).Milliseconds(), 1)),
+		TimeoutMs:  uint32(timeoutMs),
 		Route:      c.req.GetRoute(),
 		Version:    t.GetVersion(),
-	}
-	resp, err := s.opts.Pool.Clients(t.GetAddress()).Transaction.Invoke(ctx, connect.NewRequest(req))
+	})
+	req.Header().Set(timeoutHeader, strconv.FormatInt(timeoutMs, 10))
+	resp, err := s.opts.Pool.Clients(t.GetAddress()).Transaction.Invoke(ctx, req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -42,6 +42,9 @@
 	MaxAttempts int
 	// ClaimTimeout bounds the wait for the ledger before a dispatch.
 	ClaimTimeout time.Duration
+	// AnswerGrace is how long a late answer of a call with a key is waited for
+	// beyond the deadline, to record it.
+	AnswerGrace time.Duration
 	// MaxUncommitted bounds the outcomes that wait for the ledger. Beyond it calls
 	// with a key are refused.
 	MaxUncommitted int
@@ -54,6 +57,7 @@
 	defaultMaxPayloadBytes = 1 << 20
 	defaultMaxAttempts     = 6
 	defaultClaimTimeout    = 3 * time.Second
+	defaultAnswerGrace     = 5 * time.Second
 	defaultMaxUncommitted  = 10_000
 )
 
@@ -73,6 +77,9 @@
 	if s.ClaimTimeout == 0 {
 		s.ClaimTimeout = defaultClaimTimeout
 	}
+	if s.AnswerGrace == 0 {
+		s.AnswerGrace = defaultAnswerGrace
+	}
 	if s.MaxUncommitted == 0 {
 		s.MaxUncommitted = defaultMaxUncommitted
 	}
--- a/internal/request/call/claimed.go
+++ b/internal/request/call/claimed.go
@@ -56,7 +56,13 @@
 		f.finish(nil, beforeClaim(c.req, fault.Of(err)))
 		return nil
 	}
-	defer release(0)
+	// Admission counts the call until its answer or its deadline.
+	released := context.AfterFunc(ctx, func() { release(0) })
+	defer func() {
+		if released() {
+			release(0)
+		}
+	}()
 	p, err := s.pick(c, nil)
 	if err != nil {
 		f.finish(nil, beforeClaim(c.req, fault.Of(err)))
--- a/internal/request/call/once.go
+++ b/internal/request/call/once.go
@@ -42,7 +42,7 @@
 func (s *Service) dispatchOnce(ctx context.Context, c *call, p request.Placement) (*attempt, *fault.Error) {
 	var tried []string
 	for number := 1; ; number++ {
-		a := s.dispatch(ctx, c, p, &target.Dispatch{}, number, time.Until(c.work.Deadline))
+		a := s.dispatchOne(ctx, c, p, number)
 		if a.mayHaveRun() {
 			return a, nil
 		}
@@ -61,6 +61,15 @@
 	}
 }
 
+// dispatchOne is one dispatch of a call that is not idempotent.
+func (s *Service) dispatchOne(ctx context.Context, c *call, p request.Placement, number int) *attempt {
+	d := &target.Dispatch{}
+	if c.req.GetKey() != "" {
+		return s.dispatchWithGrace(ctx, c, p, d, number)
+	}
+	return s.dispatch(ctx, c, p, d, number, time.Until(c.work.Deadline))
+}
+
 // notSentInTime returns the refusal of a call that ended before it was written.
 func notSentInTime(ctx context.Context) *fault.Error {
 	if ctx.Err() == context.Canceled {
