--- a/internal/request/call/history_test.go
+++ b/internal/request/call/history_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,76 +25,6 @@
 	travelTime = 2 * time.Second
 )
 
-// step is one event of a history.
-type step struct {
-	pause time.Duration
-	kind  stepKind
-	// router, desk and key choose among those of the history.
-	router, desk, key int
-	// body chooses between two bodies of a key.
-	body    int
-	timeout time.Duration
-	fault   deskFault
-	fates   []fate
-	clock   time.Duration
-}
-
-type stepKind int
-
-const (
-	callWithKey stepKind = iota
-	callWithKeyAgain
-	callOnceOnly
-	callLookup
-	changeDesk
-	restartDesk
-	silenceDesk
-	cutDesk
-	loseProposals
-	partitionRouter
-	crashRouter
-	drainRouter
-	closeAdmission
-	declareLost
-	stepClock
-	restoreLedger
-	stepKinds
-)
-
-// history is a drawn run: what callers send and what fails.
-type history struct {
-	routers, desks, keys int
-	lookups              bool
-	steps                []step
-}
-
-func drawStep(t *rapid.T) step {
-	return step{
-		pause:   time.Duration(rapid.SampledFrom([]int{0, 0, 1, 3, 5, 40, 300}).Draw(t, "pause_ms")) * time.Millisecond,
-		kind:    stepKind(rapid.IntRange(0, int(stepKinds)-1).Draw(t, "kind")),
-		router:  rapid.IntRange(0, 2).Draw(t, "router"),
-		desk:    rapid.IntRange(0, 2).Draw(t, "desk"),
-		key:     rapid.IntRange(0, 2).Draw(t, "key"),
-		body:    rapid.SampledFrom([]int{0, 0, 0, 0, 0, 1}).Draw(t, "body"),
-		timeout: time.Duration(rapid.SampledFrom([]int{3, 20, 200, 1000}).Draw(t, "timeout_ms")) * time.Millisecond,
-		fault:   deskFault(rapid.IntRange(0, int(deskFaults)-1).Draw(t, "fault")),
-		fates: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fate {
-			return fate(rapid.IntRange(0, int(fates)-1).Draw(t, "fate"))
-		}), 1, 3).Draw(t, "fates"),
-		clock: time.Duration(rapid.SampledFrom([]int{-20, -1, 1, 20}).Draw(t, "clock_s")) * time.Second,
-	}
-}
-
-func drawHistory(t *rapid.T) history {
-	return history{
-		routers: rapid.IntRange(2, 3).Draw(t, "routers"),
-		desks:   rapid.IntRange(1, 3).Draw(t, "desks"),
-		keys:    rapid.IntRange(1, 2).Draw(t, "keys"),
-		lookups: rapid.Bool().Draw(t, "lookups"),
-		steps:   rapid.SliceOfN(rapid.Custom(drawStep), 3, 9).Draw(t, "steps"),
-	}
-}
-
 // said is what a caller was told about a body.
 type said struct {
 	answer string
@@ -308,49 +237,3 @@
 	time.Sleep(travelTime) // what is still travelling arrives
 	r.cell.close()
 }
-
-// check compares what callers were told with what arrived.
-func (r *historyRun) check() {
-	for payload, told := range r.told {
-		r.checkBody(payload, told)
-	}
-	for key := range r.keys {
-		both := r.cell.arrivals(fmt.Sprintf("key %d body 0", key)) + r.cell.arrivals(fmt.Sprintf("key %d body 1", key))
-		if both > 1 {
-			r.report("key %d arrived %d times", key, both)
-		}
-	}
-}
-
-// checkBody checks what was told about one body, which belongs to one key.
-func (r *historyRun) checkBody(payload string, told []said) {
-	arrived := r.cell.arrivals(payload)
-	if arrived > 1 && payload[0] != 'l' {
-		r.report("%q arrived %d times", payload, arrived)
-	}
-	answer := ""
-	for _, w := range told {
-		if w.kind != "" {
-			if w.ran == chicoryv1.Ran_RAN_NOT_RUN && arrived > 0 {
-				r.report("%q: told not run (%s), arrived %d times", payload, w.kind, arrived)
-			}
-			if w.ran == chicoryv1.Ran_RAN_RAN && arrived == 0 {
-				r.report("%q: told ran (%s), never arrived", payload, w.kind)
-			}
-			continue
-		}
-		if arrived == 0 || !strings.Contains(w.answer, payload+" run") {
-			r.report("%q: answered %q, arrived %d times", payload, w.answer, arrived)
-		}
-		if answer != "" && answer != w.answer {
-			r.report("%q: answered %q and %q", payload, answer, w.answer)
-		}
-		answer = w.answer
-	}
-}
-
-func (r *historyRun) report(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.bad = append(r.bad, fmt.Sprintf(format, args...))
-}
