Bound batches and recorded answers in bytes

Cause: an answer of any size went into the replicated log and was dropped only when it was applied; 256 outcomes of 64 KiB make a batch of 16 MiB. Change: an answer above 64 KiB is not sent to the ledger; a batch ends at 1 MiB of answers.

--- a/internal/process/ledger/entry.go
+++ b/internal/process/ledger/entry.go
@@ -48,13 +48,19 @@
 		claim.Target = c.GetTarget()
 	}
 	if len(claim.GetPayload()) > l.settings.MaxPayloadBytes {
-		claim.Payload = nil
-		claim.FaultKind = string(fault.TargetRefused)
-		claim.FaultMessage = payloadTooLargeMessage
+		DropPayload(claim)
 	}
 	l.replace(e, claim)
 }
 
+// DropPayload changes the closed claim c to one that tells of an answer which is
+// too large to be recorded.
+func DropPayload(c *chicoryv1.Claim) {
+	c.Payload = nil
+	c.FaultKind = string(fault.TargetRefused)
+	c.FaultMessage = payloadTooLargeMessage
+}
+
 // doubt puts an open claim in doubt.
 func (l *Ledger) doubt(e *entry, now time.Time) {
 	claim := proto.CloneOf(e.claim)
--- a/internal/request/call/batch.go
+++ b/internal/request/call/batch.go
@@ -96,10 +96,12 @@
 // collect adds what is queued to the first item.
 func (b *batcher[R]) collect(first *batchItem[R]) []*batchItem[R] {
 	items := []*batchItem[R]{first}
-	for len(items) < b.settings.MaxBatch {
+	size := len(first.claim.GetPayload())
+	for len(items) < b.settings.MaxBatch && size < b.settings.MaxBatchBytes {
 		select {
 		case i := <-b.queue:
 			items = append(items, i)
+			size += len(i.claim.GetPayload())
 		default:
 			return items
 		}
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -38,6 +38,9 @@
 	MaxTimeout time.Duration
 	// MaxPayloadBytes bounds the body of a call.
 	MaxPayloadBytes int
+	// MaxRecordedBytes bounds a recorded answer. It must not be above the ledger's
+	// bound.
+	MaxRecordedBytes int
 	// MaxAttempts bounds the attempts of an idempotent call, hedges included.
 	MaxAttempts int
 	// ClaimTimeout bounds the wait for the ledger before a dispatch.
@@ -52,13 +55,14 @@
 
 // Defaults of Settings.
 const (
-	defaultTimeout         = 5 * time.Second
-	defaultMaxTimeout      = 2 * time.Minute
-	defaultMaxPayloadBytes = 1 << 20
-	defaultMaxAttempts     = 6
-	defaultClaimTimeout    = 3 * time.Second
-	defaultAnswerGrace     = 5 * time.Second
-	defaultMaxUncommitted  = 10_000
+	defaultTimeout          = 5 * time.Second
+	defaultMaxTimeout       = 2 * time.Minute
+	defaultMaxPayloadBytes  = 1 << 20
+	defaultMaxRecordedBytes = 64 << 10
+	defaultMaxAttempts      = 6
+	defaultClaimTimeout     = 3 * time.Second
+	defaultAnswerGrace      = 5 * time.Second
+	defaultMaxUncommitted   = 10_000
 )
 
 func (s Settings) withDefaults() Settings {
@@ -71,6 +75,9 @@
 	if s.MaxPayloadBytes == 0 {
 		s.MaxPayloadBytes = defaultMaxPayloadBytes
 	}
+	if s.MaxRecordedBytes == 0 {
+		s.MaxRecordedBytes = defaultMaxRecordedBytes
+	}
 	if s.MaxAttempts == 0 {
 		s.MaxAttempts = defaultMaxAttempts
 	}
--- a/internal/request/call/claimed.go
+++ b/internal/request/call/claimed.go
@@ -147,7 +147,7 @@
 		f.finish(nil, unknownOutcome(ctx, a))
 		s.logDoubt(c, a.target, "no answer of the target")
 	}
-	return closedClaim(claim, a)
+	return s.closedClaim(claim, a)
 }
 
 // finishUndispatched answers a call that the ledger did not give to this router.
--- a/internal/request/call/claimed_test.go
+++ b/internal/request/call/claimed_test.go
@@ -217,3 +217,17 @@
 		assert.Equal(t, c.arrivals("7"), 0)
 	})
 }
+
+func TestLargeAnswerIsNotRecorded(t *testing.T) {
+	inCell(t, 1, func(t *testing.T, c *cell, one, two *testRouter, key string) {
+		payload := string(make([]byte, defaultMaxRecordedBytes))
+		resp, err := one.Call(context.Background(), payout(key, payload))
+		assert.NilError(t, err)
+		assert.Assert(t, len(resp.GetPayload()) > defaultMaxRecordedBytes)
+		time.Sleep(time.Second)
+		_, err = two.Call(context.Background(), payout(key, payload))
+		assertKind(t, err, fault.TargetRefused)
+		assert.Equal(t, fault.Of(err).Ran, ranYes)
+		assert.Equal(t, c.arrivals(payload), 1)
+	})
+}
--- a/internal/request/call/leader.go
+++ b/internal/request/call/leader.go
@@ -19,6 +19,8 @@
 type BatchSettings struct {
 	// MaxBatch is the number of claims in a batch.
 	MaxBatch int
+	// MaxBatchBytes is the size of the answers in a batch beyond which it is closed.
+	MaxBatchBytes int
 	// InFlight is the number of batches of a kind that wait for the leader at once.
 	InFlight int
 	// BatchTimeout bounds one request to the leader.
@@ -27,15 +29,19 @@
 
 // Defaults of BatchSettings.
 const (
-	defaultMaxBatch     = 256
-	defaultInFlight     = 4
-	defaultBatchTimeout = time.Second
+	defaultMaxBatch      = 256
+	defaultMaxBatchBytes = 1 << 20
+	defaultInFlight      = 4
+	defaultBatchTimeout  = time.Second
 )
 
 func (s BatchSettings) withDefaults() BatchSettings {
 	if s.MaxBatch == 0 {
 		s.MaxBatch = defaultMaxBatch
 	}
+	if s.MaxBatchBytes == 0 {
+		s.MaxBatchBytes = defaultMaxBatchBytes
+	}
 	if s.InFlight == 0 {
 		s.InFlight = defaultInFlight
 	}
--- a/internal/request/call/outcome.go
+++ b/internal/request/call/outcome.go
@@ -7,6 +7,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
@@ -17,8 +18,9 @@
 	return fault.New(fault.DeadlineNotRun, "the call ledger did not answer in time; the call was not dispatched")
 }
 
-// closedClaim returns the claim as the attempt closes it.
-func closedClaim(claim *chicoryv1.Claim, a *attempt) *chicoryv1.Claim {
+// closedClaim returns the claim as the attempt closes it. An answer that is too
+// large for the ledger is not sent there.
+func (s *Service) closedClaim(claim *chicoryv1.Claim, a *attempt) *chicoryv1.Claim {
 	c := proto.CloneOf(claim)
 	c.Target = a.target
 	switch a.ending {
@@ -26,6 +28,9 @@
 		c.State = chicoryv1.ClaimState_CLAIM_STATE_DONE
 		c.Payload = a.resp.GetPayload()
 		c.Version = a.resp.GetVersion()
+		if len(c.GetPayload()) > s.opts.Settings.MaxRecordedBytes {
+			ledger.DropPayload(c)
+		}
 	case refused:
 		c.State = chicoryv1.ClaimState_CLAIM_STATE_DONE
 		c.FaultKind = string(a.refusal.Kind)
