--- a/internal/request/call/attempt.go
+++ b/internal/request/call/attempt.go
@@ -50,34 +50,45 @@
 
 // dispatch sends the call to a target once, waits for its answer at most until
 // ctx ends, and tells the picker and the recorder. number tells the attempts of
-// one call apart.
-func (s *Service) dispatch(ctx context.Context, c *call, p request.Placement, number int) *attempt {
-	d := &target.Dispatch{}
-	id := c.id + "-" + strconv.Itoa(number)
-	start := time.Now()
-	resp, err := s.invoke(target.WithDispatch(ctx, d), c, p.Target, id)
-	a := &attempt{target: p.Target.GetAddress(), latency: time.Since(start)}
-	a.classify(resp, err, id, d)
+// one call apart. An attempt that is cancelled after the time silence counts as
+// silent.
+func (s *Service) dispatch(ctx context.Context, c *call, p request.Placement, d *target.Dispatch, number int, silence time.Duration) *attempt {
+	a := s.attempt(ctx, c, p.Target, d, number)
 	if a.ending == lost && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		d.DropConnection()
 	}
-	s.report(ctx, c, p, a)
+	s.report(c, p, a, a.result(ctx, silence))
+	return a
+}
+
+// attempt sends the call to a target once and waits for its answer.
+func (s *Service) attempt(ctx context.Context, c *call, t *chicoryv1.Target, d *target.Dispatch, number int) *attempt {
+	id := c.id + "-" + strconv.Itoa(number)
+	start := time.Now()
+	resp, err := s.invoke(target.WithDispatch(ctx, d), c, t, id)
+	a := &attempt{target: t.GetAddress(), latency: time.Since(start)}
+	a.classify(resp, err, id, d)
 	return a
 }
 
+// timeoutHeader carries the deadline to the target where the context has none.
+const timeoutHeader = "Connect-Timeout-Ms"
+
 func (s *Service) invoke(ctx context.Context, c *call, t *chicoryv1.Target, id string) (*chicoryv1.InvokeResponse, error) {
-	req := &chicoryv1.InvokeRequest{
+	timeoutMs := max(time.Until(c.work.Deadline).Milliseconds(), 1)
+	req := connect.NewRequest(&chicoryv1.InvokeRequest{
 		CallId:     id,
 		Key:        c.req.GetKey(),
 		Team:       c.req.GetTeam(),
 		Method:     c.req.GetMethod(),
 		Payload:    c.req.GetPayload(),
 		Idempotent: c.isIdempotent(),
-		TimeoutMs:  uint32(max(time.Until(c.work.Deadline).Milliseconds(), 1)),
+		TimeoutMs:  uint32(timeoutMs),
 		Route:      c.req.GetRoute(),
 		Version:    t.GetVersion(),
-	}
-	resp, err := s.opts.Pool.Clients(t.GetAddress()).Transaction.Invoke(ctx, connect.NewRequest(req))
+	})
+	req.Header().Set(timeoutHeader, strconv.FormatInt(timeoutMs, 10))
+	resp, err := s.opts.Pool.Clients(t.GetAddress()).Transaction.Invoke(ctx, req)
 	if err != nil {
 		return nil, err
 	}
@@ -138,8 +149,7 @@
 }
 
 // report tells the picker and the recorder how an attempt ended.
-func (s *Service) report(ctx context.Context, c *call, p request.Placement, a *attempt) {
-	result := a.result(ctx)
+func (s *Service) report(c *call, p request.Placement, a *attempt, result request.Result) {
 	latency := time.Duration(0)
 	if result == request.ResultSuccess {
 		latency = a.latency
@@ -166,13 +176,13 @@
 }
 
 // result returns how the attempt ended for the picker.
-func (a *attempt) result(ctx context.Context) request.Result {
+func (a *attempt) result(ctx context.Context, silence time.Duration) request.Result {
 	switch {
 	case a.ending == answered:
 		return request.ResultSuccess
 	case a.ending == refused || a.ending == crossed:
 		return request.ResultError
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && a.latency < silence:
 		return request.ResultAbandoned
 	case ctx.Err() != nil:
 		return request.ResultSilent
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -37,16 +38,31 @@
 	MaxTimeout time.Duration
 	// MaxPayloadBytes bounds the body of a call.
 	MaxPayloadBytes int
+	// MaxRecordedBytes bounds a recorded answer. It must not be above the ledger's
+	// bound.
+	MaxRecordedBytes int
 	// MaxAttempts bounds the attempts of an idempotent call, hedges included.
 	MaxAttempts int
+	// ClaimTimeout bounds the wait for the ledger before a dispatch.
+	ClaimTimeout time.Duration
+	// AnswerGrace is how long a late answer of a call with a key is waited for
+	// beyond the deadline, to record it.
+	AnswerGrace time.Duration
+	// MaxUncommitted bounds the outcomes that wait for the ledger. Beyond it calls
+	// with a key are refused.
+	MaxUncommitted int
 }
 
 // Defaults of Settings.
 const (
-	defaultTimeout         = 5 * time.Second
-	defaultMaxTimeout      = 2 * time.Minute
-	defaultMaxPayloadBytes = 1 << 20
-	defaultMaxAttempts     = 6
+	defaultTimeout          = 5 * time.Second
+	defaultMaxTimeout       = 2 * time.Minute
+	defaultMaxPayloadBytes  = 1 << 20
+	defaultMaxRecordedBytes = 64 << 10
+	defaultMaxAttempts      = 6
+	defaultClaimTimeout     = 3 * time.Second
+	defaultAnswerGrace      = 5 * time.Second
+	defaultMaxUncommitted   = 10_000
 )
 
 func (s Settings) withDefaults() Settings {
@@ -59,9 +75,21 @@
 	if s.MaxPayloadBytes == 0 {
 		s.MaxPayloadBytes = defaultMaxPayloadBytes
 	}
+	if s.MaxRecordedBytes == 0 {
+		s.MaxRecordedBytes = defaultMaxRecordedBytes
+	}
 	if s.MaxAttempts == 0 {
 		s.MaxAttempts = defaultMaxAttempts
 	}
+	if s.ClaimTimeout == 0 {
+		s.ClaimTimeout = defaultClaimTimeout
+	}
+	if s.AnswerGrace == 0 {
+		s.AnswerGrace = defaultAnswerGrace
+	}
+	if s.MaxUncommitted == 0 {
+		s.MaxUncommitted = defaultMaxUncommitted
+	}
 	return s
 }
 
@@ -87,6 +115,8 @@
 	opts      Options
 	latencies *latencies
 	flights   flights
+	// uncommitted counts outcomes that wait for the ledger.
+	uncommitted atomic.Int64
 
 	// ctx ends with the process: outcomes are committed under it.
 	ctx  context.Context
--- a/internal/request/call/outcome.go
+++ b/internal/request/call/outcome.go
@@ -7,16 +7,20 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
-const (
-	keyConflictMessage     = "the key was used with another route, method or payload"
-	neverDispatchedMessage = "the call ledger did not answer in time; the call was not dispatched"
-)
+const keyConflictMessage = "the key was used with another route, method or payload"
+
+// neverDispatched is recorded for a claim that was given up before its dispatch.
+func neverDispatched() *fault.Error {
+	return fault.New(fault.DeadlineNotRun, "the call ledger did not answer in time; the call was not dispatched")
+}
 
-// closedClaim returns the claim as the attempt closes it.
-func closedClaim(claim *chicoryv1.Claim, a *attempt) *chicoryv1.Claim {
+// closedClaim returns the claim as the attempt closes it. An answer that is too
+// large for the ledger is not sent there.
+func (s *Service) closedClaim(claim *chicoryv1.Claim, a *attempt) *chicoryv1.Claim {
 	c := proto.CloneOf(claim)
 	c.Target = a.target
 	switch a.ending {
@@ -24,6 +28,9 @@
 		c.State = chicoryv1.ClaimState_CLAIM_STATE_DONE
 		c.Payload = a.resp.GetPayload()
 		c.Version = a.resp.GetVersion()
+		if len(c.GetPayload()) > s.opts.Settings.MaxRecordedBytes {
+			ledger.DropPayload(c)
+		}
 	case refused:
 		c.State = chicoryv1.ClaimState_CLAIM_STATE_DONE
 		c.FaultKind = string(a.refusal.Kind)
@@ -75,10 +82,10 @@
 	})
 }
 
-func (s *Service) logDoubt(c *call, a *attempt) {
+func (s *Service) logDoubt(c *call, target, reason string) {
 	s.opts.Logger.Warn(logging.ClaimInDoubt, logging.Fields{
 		"request_id": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
-		"route": c.req.GetRoute(), "target": a.target, "reason": "no answer of the target",
+		"route": c.req.GetRoute(), "target": target, "reason": reason,
 	})
 }
 
