Leave free slots for teams below their share; wait estimate by team

Change: while an active team is below its fair share and has nothing waiting, others leave 15 % of the limit free. The expected wait counts the slots that the team can have then; with the whole limit it was half of the real wait, and requests were refused late.

--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -111,7 +111,9 @@
 	}
 	p = a.pool(&x.work)
 	a.refreshLimit(p, now)
-	if p.running < p.limit && !isBlocked(x.team, &x.work, l) && a.nextQueue(p) == nil {
+	q := p.queue(x.team)
+	q.seen = now
+	if a.mayStart(p, q, &x.work, a.reserveOf(p, now)) && a.nextQueue(p, now) == nil {
 		p.start(x, l.weight, now)
 		return p, false, nil
 	}
@@ -123,11 +125,6 @@
 	return p, true, nil
 }
 
-// isBlocked reports whether the team's concurrent generations are used up.
-func isBlocked(t *team, w *request.Work, l limits) bool {
-	return !isCall(w) && l.generations > 0 && t.generations >= l.generations
-}
-
 // team returns the team's state, a new one at first. The caller holds mu.
 func (a *Admitter) team(name string) *team {
 	t := a.teams[name]
--- a/internal/request/admission/dispatch.go
+++ b/internal/request/admission/dispatch.go
@@ -33,7 +33,7 @@
 // checkWait refuses x, at a place of its team's queue, when it would be late. It
 // is the team's limit when that holds x back longer than the pool does.
 func (a *Admitter) checkWait(p *pool, x *waiter, at int, now time.Time) error {
-	byPool := p.wait(at, a.share(p, x.team))
+	byPool := p.wait(at, a.slotsOf(p, p.queue(x.team), now))
 	byTeam := time.Duration(0)
 	if !isCall(&x.work) {
 		byTeam = p.waitForTeam(x.team, at, a.limits(x.team))
@@ -55,19 +55,6 @@
 	return !d.IsZero() && now.Add(wait+p.expected(x)).After(d)
 }
 
-// share returns the team's part of the pool's rate among the teams that wait.
-// The caller holds mu.
-func (a *Admitter) share(p *pool, t *team) float64 {
-	own := a.limits(t).weight
-	sum := own
-	for _, q := range p.queues {
-		if q.team != t && len(q.waiting) > 0 {
-			sum += a.limits(q.team).weight
-		}
-	}
-	return own / sum
-}
-
 // makeRoom refuses the last request of the longest queue, and reports false when
 // that would be the new request itself, at place at of q. The caller holds mu.
 func (a *Admitter) makeRoom(p *pool, q *teamQueue, at int, now time.Time) bool {
@@ -108,13 +95,15 @@
 }
 
 // nextQueue returns the queue whose first request is admitted next, or nil when
-// none waits but for its own team's limit. The caller holds mu.
-func (a *Admitter) nextQueue(p *pool) *teamQueue {
+// none waits but for its own team's limit or for a reserved slot. The caller
+// holds mu.
+func (a *Admitter) nextQueue(p *pool, now time.Time) *teamQueue {
 	if p.waiting == 0 {
 		return nil
 	}
+	r := a.reserveOf(p, now)
 	return p.next(func(q *teamQueue) bool {
-		return isBlocked(q.team, &q.waiting[0].work, a.limits(q.team))
+		return a.mayStart(p, q, &q.waiting[0].work, r)
 	})
 }
 
@@ -122,7 +111,7 @@
 func (a *Admitter) dispatch(p *pool, now time.Time) {
 	a.refreshLimit(p, now)
 	for p.waiting > 0 && p.running < p.limit {
-		q := a.nextQueue(p)
+		q := a.nextQueue(p, now)
 		if q == nil {
 			return
 		}
--- a/internal/request/admission/pool.go
+++ b/internal/request/admission/pool.go
@@ -64,6 +64,7 @@
 	p.virtual = begin
 	q.finish = begin + w.cost/(weight*priorityWeight(w.work.Priority))
 	p.running++
+	q.running++
 	w.started = now
 	if !isCall(&w.work) {
 		w.team.generations++
@@ -73,6 +74,7 @@
 // end counts the end of an admitted request.
 func (p *pool) end(w *waiter, now time.Time) {
 	p.running--
+	p.queue(w.team).running--
 	if !isCall(&w.work) {
 		w.team.generations--
 	}
@@ -104,16 +106,12 @@
 }
 
 // wait estimates how long a request with ahead others of its team before it
-// waits for the pool: no longer than its team's fair share of the rate needs for
-// these, and no longer than the whole queue needs.
-func (p *pool) wait(ahead int, share float64) time.Duration {
-	rate := p.rate()
-	if rate == 0 || p.running < p.limit {
+// waits, when the team has this many slots of the pool.
+func (p *pool) wait(ahead int, slots float64) time.Duration {
+	if p.running < p.limit && p.waiting == 0 {
 		return 0
 	}
-	own := float64(ahead+1) / (rate * share)
-	all := float64(p.waiting+1) / rate
-	return seconds(min(own, all))
+	return seconds(float64(ahead+1) * p.hold / slots)
 }
 
 // waitForTeam estimates how long a generation with ahead others of its team
@@ -127,12 +125,12 @@
 }
 
 // next returns the queue whose first request starts earliest in virtual time
-// among those that blocked does not hold back, or nil.
-func (p *pool) next(blocked func(*teamQueue) bool) *teamQueue {
+// among those that may start, or nil.
+func (p *pool) next(mayStart func(*teamQueue) bool) *teamQueue {
 	var best *teamQueue
 	lowest := math.Inf(1)
 	for _, q := range p.queues {
-		if len(q.waiting) == 0 || blocked(q) {
+		if len(q.waiting) == 0 || !mayStart(q) {
 			continue
 		}
 		begin := max(p.virtual, q.finish)
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -31,11 +31,23 @@
 type teamQueue struct {
 	team    *team
 	waiting []*waiter
+	// running is the number of the team's admitted requests in the pool.
+	running int
+	// seen is when the team's last request came.
+	seen time.Time
 	// finish is the virtual time at which the team's last admitted request ends in
 	// its fair share.
 	finish float64
 }
 
+// activeTime is how long a team without requests still counts as active.
+const activeTime = 10 * time.Second
+
+// isActive reports whether the team uses the pool.
+func (q *teamQueue) isActive(now time.Time) bool {
+	return q.running > 0 || len(q.waiting) > 0 || now.Sub(q.seen) < activeTime
+}
+
 // compareWaiters orders by priority, then by deadline.
 func compareWaiters(a, b *waiter) int {
 	if a.work.Priority != b.work.Priority {
--- a/internal/request/admission/settings.go
+++ b/internal/request/admission/settings.go
@@ -30,6 +30,10 @@
 	// less its expected duration) that the expected wait may take when it is queued.
 	// Below 1, what is queued is hardly ever refused later.
 	QueueShare float64 `yaml:"queue_share"`
+	// ReserveShare is the part of a pool's limit that teams above their fair share
+	// leave free, so that the others need not wait for a request to end. It is in
+	// force while more than one team is active.
+	ReserveShare float64 `yaml:"reserve_share"`
 	// BurstTime is the time over which a team may save up its rate limits.
 	BurstTime settings.Duration `yaml:"burst_time"`
 	// MinRetryAfter and MaxRetryAfter bound the advice when to come back.
@@ -46,6 +50,7 @@
 		Headroom:      1,
 		MaxQueue:      1000,
 		QueueShare:    0.5,
+		ReserveShare:  0.15,
 		BurstTime:     settings.Duration(2 * time.Second),
 		MinRetryAfter: settings.Duration(200 * time.Millisecond),
 		MaxRetryAfter: settings.Duration(30 * time.Second),
@@ -64,6 +69,8 @@
 		return "max_queue", "must be at least 1"
 	case s.QueueShare <= 0 || s.QueueShare > 1:
 		return "queue_share", "must be above 0 and at most 1"
+	case s.ReserveShare < 0 || s.ReserveShare >= 1:
+		return "reserve_share", "must be at least 0 and below 1"
 	case s.BurstTime <= 0:
 		return "burst_time", "must be above 0"
 	case s.MinRetryAfter <= 0:
