Keep to the router's part of each target

Cause: reports lag by up to 250 ms, so two routers that fill the same target see it too late, and a call that lands there waits behind a full target.

Change: a target of which this router uses its part (capacity by live routers) gets a penalty in the comparison.

--- a/internal/request/routing/choose.go
+++ b/internal/request/routing/choose.go
@@ -68,21 +68,30 @@
 }
 
 // best returns the drawn item with the lowest score; a coin decides between equals.
-func (s *sample) best(now time.Time, fallback int, isCall bool, random func() uint64) (*endpoint, float64) {
+func (s *sample) best(now time.Time, m measure, random func() uint64) (*endpoint, float64) {
 	if s.seen == 0 {
 		return nil, 0
 	}
-	first := s.items[0].score(now, fallback, isCall)
+	first := s.items[0].score(now, m)
 	if s.seen == 1 {
 		return s.items[0], first
 	}
-	second := s.items[1].score(now, fallback, isCall)
+	second := s.items[1].score(now, m)
 	if second < first || second == first && random()%2 == 0 {
 		return s.items[1], second
 	}
 	return s.items[0], first
 }
 
+// measure returns what the scores for the work depend on.
+func (p *Picker) measure(w *request.Work) measure {
+	return measure{
+		fallback: p.opts.Settings.DefaultCapacity,
+		routers:  float64(max(p.opts.Routers(), 1)),
+		isCall:   w.Tokens == 0,
+	}
+}
+
 // withinBound returns up to which score a preferred target is taken instead of
 // one with the given score: the bound above it, but not so that the request would
 // wait for a slot, unless it would wait at the other one as well.
@@ -105,9 +114,9 @@
 			far.add(e, p.opts.Rand)
 		}
 	}
-	fallback, isCall := p.opts.Settings.DefaultCapacity, w.Tokens == 0
-	nearBest, nearScore := near.best(now, fallback, isCall, p.opts.Rand)
-	farBest, farScore := far.best(now, fallback, isCall, p.opts.Rand)
+	m := p.measure(w)
+	nearBest, nearScore := near.best(now, m, p.opts.Rand)
+	farBest, farScore := far.best(now, m, p.opts.Rand)
 	bound := p.opts.Settings.ZoneBound
 	if w.Priority == chicoryv1.Priority_PRIORITY_HIGH {
 		bound = 0
@@ -126,8 +135,8 @@
 	if len(hinted) == 0 {
 		return chosen
 	}
-	fallback, isCall := p.opts.Settings.DefaultCapacity, w.Tokens == 0
-	score := chosen.score(now, fallback, isCall)
+	m := p.measure(w)
+	score := chosen.score(now, m)
 	best := chosen
 	lowest := withinBound(score, p.opts.Settings.AffinityBound)
 	for _, e := range g.members() {
@@ -135,7 +144,7 @@
 		if !slices.Contains(hinted, address) || e.status(now) != usable || slices.Contains(exclude, address) {
 			continue
 		}
-		if score := e.score(now, fallback, isCall); score <= lowest {
+		if score := e.score(now, m); score <= lowest {
 			best, lowest = e, score
 		}
 	}
--- a/internal/request/routing/endpoint.go
+++ b/internal/request/routing/endpoint.go
@@ -86,15 +86,33 @@
 
 // score is the load that one more request would meet, in shares of capacity,
 // stretched by slowness. The lowest is best.
-func (e *endpoint) score(now time.Time, fallback int, isCall bool) float64 {
-	load := (e.state.Load(now) + 1) / float64(e.capacity(fallback))
+func (e *endpoint) score(now time.Time, m measure) float64 {
+	capacity := float64(e.capacity(m.fallback))
+	load := (e.state.Load(now) + 1) / capacity
+	if float64(e.state.InFlight()+1) > capacity/m.routers {
+		load += partPenalty
+	}
 	slowness := math.Float64frombits(e.slowness.Load())
-	if isCall && e.isStalled(now) {
+	if m.isCall && e.isStalled(now) {
 		slowness = slowMax
 	}
 	return load * slowness
 }
 
+// measure is what a score depends on beside the endpoint.
+type measure struct {
+	// fallback is the capacity of targets that tell none.
+	fallback int
+	// routers is the number of live routers.
+	routers float64
+	isCall  bool
+}
+
+// partPenalty is added to the load, in shares of capacity, of a target of which
+// this router already uses its part. Reports lag, so that only keeping to one's
+// part keeps routers from filling the same target at the same time.
+const partPenalty = 0.5
+
 // isStalled reports whether calls wait at the target and none has succeeded for
 // much longer than usual. Now and then one call tries the target.
 func (e *endpoint) isStalled(now time.Time) bool {
--- a/internal/request/routing/picker.go
+++ b/internal/request/routing/picker.go
@@ -24,6 +24,8 @@
 	Holder *config.Holder
 	// Zone is the router's own availability zone.
 	Zone string
+	// Routers returns the number of live routers, this one included; nil means one.
+	Routers func() int
 	// Loads is what was observed of the targets.
 	Loads  *observe.Table
 	Logger *logging.Logger
@@ -53,6 +55,9 @@
 	if opts.Rand == nil {
 		opts.Rand = rand.Uint64
 	}
+	if opts.Routers == nil {
+		opts.Routers = func() int { return 1 }
+	}
 	return &Picker{opts: opts}
 }
 
