--- a/internal/connection/target/endpoint.go
+++ b/internal/connection/target/endpoint.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 
+	"connectrpc.com/connect"
+
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 )
 
@@ -26,14 +28,23 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	url := "http://" + address
+	// Messages of a few hundred bytes cost more to compress than to send.
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
 	e.clients = &Clients{
-		Engine:      chicoryv1connect.NewEngineServiceClient(client, url),
-		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url),
-		Target:      chicoryv1connect.NewTargetServiceClient(client, url),
+		Engine:      chicoryv1connect.NewEngineServiceClient(client, url, plain),
+		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url, plain),
+		Target:      chicoryv1connect.NewTargetServiceClient(client, url, plain),
 	}
 	return e
 }
 
+// clientsNow returns the clients with the current generation.
+func (e *endpoint) clientsNow() *Clients {
+	c := *e.clients
+	c.since = e.current.Load()
+	return &c
+}
+
 // RoundTrip implements http.RoundTripper over the current generation.
 func (e *endpoint) RoundTrip(req *http.Request) (*http.Response, error) {
 	g := e.acquire()
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -39,6 +39,9 @@
 	Engine      chicoryv1connect.EngineServiceClient
 	Transaction chicoryv1connect.TransactionServiceClient
 	Target      chicoryv1connect.TargetServiceClient
+
+	// since is the generation of connections when the clients were asked for.
+	since *generation
 }
 
 // Pool keeps clients by target address. It is safe for concurrent use.
@@ -65,7 +68,16 @@
 // Clients returns the clients of the target at address (IP:port). They stay
 // valid after Drop and then use a new connection.
 func (p *Pool) Clients(address string) *Clients {
-	return p.endpoint(address).clients
+	return p.endpoint(address).clientsNow()
+}
+
+// Fresh returns clients of the target at address after the connection that stale
+// used went silent or was cut: the next request dials anew, unless another caller
+// has replaced that connection already. Requests in flight on it go on.
+func (p *Pool) Fresh(address string, stale *Clients) *Clients {
+	e := p.endpoint(address)
+	e.replace(stale.since)
+	return e.clientsNow()
 }
 
 // Drop makes the next request to address dial anew. Requests and streams in
