bench-route: calls under load and faults, generations, the router's own cost

Change: bench/route drives the call and generation paths with the picker, admission, retry budget and watchers over loopback; the router process gives the pool to the watcher and the number of live routers to the picker.

--- /dev/null
+++ b/bench/route/forwarder.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"io"
+	"net/http"
+)
+
+// forwarder is the bare hop: net/http on both sides and bytes copied as they come.
+type forwarder struct {
+	target string
+	client *http.Client
+}
+
+// ServeHTTP implements http.Handler.
+func (f *forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+f.target+r.URL.Path, r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	out.Header = r.Header
+	out.ContentLength = r.ContentLength
+	resp, err := f.client.Do(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for name, values := range resp.Header {
+		w.Header()[name] = values
+	}
+	if resp.ContentLength >= 0 {
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	} else {
+		f.stream(w, resp)
+	}
+	for name, values := range resp.Trailer {
+		w.Header()[http.TrailerPrefix+name] = values
+	}
+}
+
+// copyBuffer is the size of a forwarding buffer, in bytes.
+const copyBuffer = 4 << 10
+
+// stream sends each piece on as it comes.
+func (f *forwarder) stream(w http.ResponseWriter, resp *http.Response) {
+	w.WriteHeader(resp.StatusCode)
+	c := http.NewResponseController(w)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if _, writeErr := w.Write(buf[:n]); writeErr != nil || c.Flush() != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -107,6 +107,7 @@
 	loads := observe.NewTable(p.settings.Observe)
 	picker := routing.NewPicker(routing.Options{
 		Holder: p.holder, Zone: zone, Loads: loads, Logger: p.log, Settings: p.settings.Routing,
+		Routers: func() int { return p.reports.liveRouters() },
 	})
 	collector := evidence.NewCollector()
 	guard := share.NewGuard(p.holder, collector, time.Now, p.log)
@@ -135,7 +136,7 @@
 		AvailabilityZone: zone, Logger: p.log, Settings: p.settings.Calls.settings(),
 	})
 	p.startTasks(observe.NewWatcher(observe.Options{
-		Holder: p.holder, Table: loads, Clients: p.pool.Clients,
+		Holder: p.holder, Table: loads, Pool: p.pool,
 		Platform: p.platform(), Settings: p.settings.Observe,
 	}))
 	return nil
