--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 TOOL = go tool -modfile=tools/go.mod
 
-.PHONY: build test lint generate check-generated bench demo ci clean
+.PHONY: build test lint generate check-generated bench bench-resume bench-route bench-control bench-moves capacity demo ci clean check-examples
 
 build:
 	go build -o bin/ ./cmd/...
@@ -25,6 +25,25 @@
 	git diff --exit-code -- api/gen
 	test -z "$$(git status --porcelain -- api/gen)"
 
+# Each benchmark runs within a minute unless BENCH_SECONDS says otherwise.
+bench: bench-resume bench-route bench-control bench-moves
+
+bench-resume:
+	go run ./bench/resume
+
+bench-route:
+	go run ./bench/route
+
+bench-control:
+	go run ./bench/control
+
+bench-moves:
+	go run ./bench/moves
+
+# Measures every slope that docs/CAPACITY.md is worked out from.
+capacity:
+	go run ./bench/capacity -out capacity-out
+
 demo: build
 	./scripts/demo.sh
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,7 +77,7 @@
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
 			a.planCommand(), a.confirmCommand(), a.moveCommand(), a.movesCommand(),
-			a.statusCommand(), a.historyCommand(), a.explainCommand(),
+			a.statusCommand(), a.historyCommand(), a.explainCommand(), a.reportCommand(),
 			a.claimsCommand(), a.configCommand(), a.certsCommand(), a.exampleCommand(), a.readyCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/burn"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/consensus"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
@@ -18,6 +19,7 @@
 const (
 	lostRouterPeriod = time.Second
 	expirePeriod     = time.Minute
+	gaugePeriod      = 10 * time.Second
 	commandTimeout   = 5 * time.Second
 )
 
@@ -46,7 +48,7 @@
 	p.beginTerm(store)
 	var tasks sync.WaitGroup
 	for _, task := range []func(context.Context){
-		p.runFounding, p.runLostRouters, p.runExpiry, p.moveDriver(store).Run, p.orderDispatcher().Run,
+		p.runFounding, p.runLostRouters, p.runExpiry, p.runBurnGauges, p.moveDriver(store).Run, p.orderDispatcher().Run,
 	} {
 		tasks.Add(1)
 		go func() {
@@ -120,6 +122,14 @@
 	}
 }
 
+// runBurnGauges shows the service-level burn among the metrics.
+func (p *Process) runBurnGauges(ctx context.Context) {
+	for ctx.Err() == nil {
+		burn.SetGauges(p.registry, p.burn.Rows(time.Now(), ""))
+		pause(ctx, gaugePeriod)
+	}
+}
+
 // commit proposes a command whose loss does no harm: the task proposes it again.
 func (p *Process) commit(ctx context.Context, cmd *chicoryv1.Command) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
@@ -144,7 +154,7 @@
 		return
 	}
 	if p.evidence.Load().Add(now, r.GetRouterId(), r.GetReportId(), r.GetEvidence()) {
-		p.burn.Add(now, r.GetEvidence())
+		p.burn.Add(now, r.GetEvidence(), p.machine.View().Route)
 	}
 }
 
--- a/internal/process/control/operator_service.go
+++ b/internal/process/control/operator_service.go
@@ -136,7 +136,6 @@
 	if err := s.p.readBarrier(ctx); err != nil {
 		return nil, fault.Answer(err, "")
 	}
-	c, _ := s.p.machine.Configuration()
-	rows := s.p.burn.Rows(c, req.Msg.GetRoute(), time.Now())
+	rows := s.p.burn.Rows(time.Now(), req.Msg.GetRoute())
 	return connect.NewResponse(&chicoryv1.ReportBurnResponse{Rows: rows}), nil
 }
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -15,6 +15,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/watch"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/burn"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/consensus"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
@@ -36,7 +37,7 @@
 	node     *consensus.Node
 	routers  *routerTable
 	evidence atomic.Pointer[evidence.Store]
-	burn     burnStore
+	burn     *burn.Tracker
 	watches  *watch.Server
 	registry metrics.Registry
 
@@ -62,7 +63,7 @@
 		log:      log,
 		machine:  state.New(ledgerSettings(s)),
 		routers:  newRouterTable(),
-		burn:     noBurn{},
+		burn:     burn.NewTracker(),
 		registry: metrics.NewRegistry(),
 		targets:  target.NewPool(nil),
 		peers:    peer.NewClient(keys),
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -88,8 +88,7 @@
 		return nil, fault.Answer(err, "")
 	}
 	subject := req.Msg.GetSubject()
-	c, _ := s.p.machine.Configuration()
-	lines := explainConfiguration(config.NewView(c), subject)
+	lines := explainConfiguration(s.p.machine.View(), subject)
 	for _, m := range s.p.machine.Moves() {
 		if m.GetId() == subject || m.GetIntent().GetRoute() == subject {
 			lines = append(lines, explainMove(m)...)
--- a/internal/process/state/moves.go
+++ b/internal/process/state/moves.go
@@ -36,7 +36,7 @@
 	}
 	name := next.GetIntent().GetRoute()
 	touched := []plan.Item{plan.MoveItem(name)}
-	route := config.NewView(m.config).Route(name)
+	route := m.view.Route(name)
 	if after := move.RouteAfter(route, next); after != route {
 		d.Changed.Routes = []*chicoryv1.Route{after}
 		touched = append(touched, plan.RouteItem(name))
--- a/internal/process/state/read.go
+++ b/internal/process/state/read.go
@@ -6,6 +6,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
 )
 
@@ -17,6 +18,13 @@
 	return m.config, m.changed
 }
 
+// View returns the configuration in force, indexed.
+func (m *Machine) View() *config.View {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.view
+}
+
 // Plan computes the plan for changes against the present state.
 func (m *Machine) Plan(operator string, changes []*chicoryv1.Change, now time.Time) (*chicoryv1.Plan, error) {
 	m.mu.RLock()
--- a/internal/process/state/snapshot.go
+++ b/internal/process/state/snapshot.go
@@ -9,6 +9,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
 )
 
@@ -62,6 +63,7 @@
 	if m.config == nil {
 		m.config = &chicoryv1.Configuration{}
 	}
+	m.view = config.NewView(m.config)
 	m.ended = s.GetEndedMoves()
 	m.history = s.GetHistory()
 	m.calls = ledger.New(m.settings)
--- a/internal/process/state/state.go
+++ b/internal/process/state/state.go
@@ -13,6 +13,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
 )
 
@@ -44,6 +45,7 @@
 
 	mu      sync.RWMutex // guards the fields below
 	config  *chicoryv1.Configuration
+	view    *config.View         // config, indexed
 	items   map[plan.Item]uint64 // revision that last changed the item
 	ended   []*chicoryv1.Move    // the oldest first
 	results map[string]*chicoryv1.ResultRecord
@@ -64,6 +66,7 @@
 	return &Machine{
 		settings: s,
 		config:   &chicoryv1.Configuration{},
+		view:     config.NewView(&chicoryv1.Configuration{}),
 		items:    map[plan.Item]uint64{},
 		results:  map[string]*chicoryv1.ResultRecord{},
 		calls:    ledger.New(s),
@@ -136,6 +139,7 @@
 		m.items[item] = next.Revision
 	}
 	m.config = next
+	m.view = config.NewView(next)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
