--- a/bench/control/cluster.go
+++ b/bench/control/cluster.go
@@ -52,7 +52,8 @@
 	server *peer.Server
 }
 
-// stop ends a replica; its peers are not told.
+// stop ends a replica without a word to the others; they see only connections
+// that close, which the log makes no use of.
 func (r *replica) stop() {
 	_ = r.server.Close()
 	r.node.Stop()
