--- a/internal/process/consensus/status.go
+++ b/internal/process/consensus/status.go
@@ -81,8 +81,9 @@
 	return Member{}, false
 }
 
-// LeadershipChanged returns a channel that is closed when the role, the term or
-// the known leader changes next.
+// LeadershipChanged returns a channel that is closed when the role or
+// the known leader changes next. A new leader may not have applied all that is
+// committed; ReadBarrier waits for that.
 func (n *Node) LeadershipChanged() <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
