Moves: proof from related routes, and a passing fault no longer hides a bad version

Non-idempotent routes have too little traffic to prove a version. Change: a sample in trouble counts for at most 1.2 times the ordinary share; idempotent routes of the same service may give half of a proof.

--- a/bench/moves/run.go
+++ b/bench/moves/run.go
@@ -27,6 +27,9 @@
 	onset bool
 }
 
+// relatedSteps sets the draws of the related route apart from the route's own.
+const relatedSteps = 1 << 20
+
 var epoch = time.Unix(1_700_000_000, 0)
 
 // simulate runs the production decisions on a drawn version in virtual time.
@@ -37,7 +40,7 @@
 	var watchSince, onsetAt time.Duration = -1, -1
 	var sharedBefore, allBefore float64
 	shown := d.sufficient()
-	rs := newReports()
+	rs, related := newReports(), newReports()
 	for step := 0; ; step++ {
 		at := time.Duration(step) * d.traffic.step
 		if m.GetState() == chicoryv1.MoveState_MOVE_STATE_WATCHING && watchSince < 0 {
@@ -48,6 +51,10 @@
 		}
 		d.stepEvidence(rs, step, at, m.GetSharePermille(), onsetAt >= 0)
 		ev := move.Evidence{Elapsed: d.traffic.step, Routers: 9, Strata: rs}
+		if d.kind.related() {
+			d.stepEvidence(related, step+relatedSteps, at, move.DefaultCapPermille, false)
+			ev.Related = related
+		}
 		if onsetAt >= 0 {
 			moved, all := totals(ev)
 			if out.badRequests < shown {
--- a/internal/version/evidence/store.go
+++ b/internal/version/evidence/store.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -99,12 +100,17 @@
 // Since compares two versions of a route over the reports after the cursor. It
 // returns the cursor to continue from.
 func (s *Store) Since(after Cursor, route, from, to string) ([]Stratum, Cursor) {
+	return s.Between(after, math.MaxUint64, route, from, to)
+}
+
+// Between is Since for the reports up to the cursor until only.
+func (s *Store) Between(after, until Cursor, route, from, to string) ([]Stratum, Cursor) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := after
 	b := strataBuilder{index: make(map[key]int)}
 	for _, r := range s.reports {
-		if r.cursor <= after {
+		if r.cursor <= after || r.cursor > until {
 			continue
 		}
 		last = r.cursor
--- a/internal/version/move/driver.go
+++ b/internal/version/move/driver.go
@@ -36,6 +36,9 @@
 	// Routers returns the number of live routers, and how many of them report that
 	// they stopped the version on the route.
 	Routers(route, version string) (live, stopped int)
+	// RelatedRoutes returns the idempotent routes of the same service when the route
+	// is of non-idempotent calls, else none.
+	RelatedRoutes(route string) []string
 }
 
 // Driver steps all open moves while this VM is leader. It belongs to one term of
@@ -124,7 +127,12 @@
 func (d *Driver) evidenceFor(m *chicoryv1.Move, w *working, now time.Time) Evidence {
 	in := m.GetIntent()
 	ev := Evidence{Elapsed: now.Sub(w.stepped), Unsettled: now.Sub(d.started) < warmUp+settleTime}
-	ev.Strata, w.cursor = d.Store.Since(w.cursor, in.GetRoute(), in.GetFrom(), in.GetTo())
+	before := w.cursor
+	ev.Strata, w.cursor = d.Store.Since(before, in.GetRoute(), in.GetFrom(), in.GetTo())
+	for _, route := range d.Source.RelatedRoutes(in.GetRoute()) {
+		strata, _ := d.Store.Between(before, w.cursor, route, in.GetFrom(), in.GetTo())
+		ev.Related = append(ev.Related, strata...)
+	}
 	ev.Routers, ev.StoppedBy = d.Source.Routers(in.GetRoute(), in.GetTo())
 	return ev
 }
--- a/internal/version/move/driver_test.go
+++ b/internal/version/move/driver_test.go
@@ -36,6 +36,13 @@
 
 func (r *replicated) Routers(string, string) (int, int) { return 9, 0 }
 
+func (r *replicated) RelatedRoutes(route string) []string {
+	if route == "payouts" {
+		return []string{"fares"}
+	}
+	return nil
+}
+
 func (r *replicated) Propose(_ context.Context, step *chicoryv1.MoveStep) error {
 	if !r.quorum {
 		return errors.New("no quorum")
--- /dev/null
+++ b/internal/version/move/policy/accumulator.go
@@ -0,0 +1,67 @@
+package policy
+
+import "math"
+
+// accumulator is one running test.
+type accumulator struct {
+	// sum is the log likelihood ratio of bad against good.
+	sum float64
+	// old and now are the versions' samples since the sum rose above 0.
+	old, now ratio
+}
+
+// add adds one update. The sum stays at half the bound while too little was seen
+// of the old version, and at the bound while the direct comparison of what both
+// versions showed since the sum rose does not agree.
+func (a *accumulator) add(llr float64, old, now ratio, floor float64) {
+	a.sum = max(floor, a.sum+max(-maxStep, min(maxStep, llr)))
+	if a.sum <= 0 {
+		a.restart()
+		return
+	}
+	a.old, a.now = a.old.plus(old), a.now.plus(now)
+	if a.old.all < minReference {
+		a.sum = min(a.sum, badBound/2)
+	}
+	a.sum = min(a.sum, badBound)
+}
+
+// restart drops the samples; the sum stays.
+func (a *accumulator) restart() { a.old, a.now = ratio{}, ratio{} }
+
+// standing is what a test says now.
+type standing struct {
+	// high: there are signs of badness.
+	high bool
+	// doubt: they may come from a common fault or from too few requests.
+	doubt bool
+	bad   bool
+}
+
+// standing compares the sum with its bound and both versions directly. ordinary
+// is the old version's ordinary behaviour towards those whose requests were
+// tested, and limit the share from which a version counts as worse than one of
+// the share given.
+func (a *accumulator) standing(ordinary ratio, limit func(share float64) float64) standing {
+	if a.sum < badBound/2 {
+		return standing{}
+	}
+	if a.old.all < minReference {
+		return standing{high: true, doubt: true}
+	}
+	z := min(deviations(a.now, a.old), deviations(a.now, ordinary))
+	decided := a.sum >= badBound
+	bad := decided && z >= badDeviations && a.now.share() >= limit(a.old.share())
+	high := z >= holdDeviations
+	return standing{high: high, doubt: decided && !bad && high, bad: bad}
+}
+
+// deviations is by how many standard deviations the share of r is above that of
+// o, taking both as drawn from one share.
+func deviations(r, o ratio) float64 {
+	p := r.plus(o).share()
+	if p == 0 || p == 1 || r.all == 0 || o.all == 0 {
+		return 0
+	}
+	return (r.share() - o.share()) / math.Sqrt(p*(1-p)*(1/r.all+1/o.all))
+}
--- a/internal/version/move/policy/policy.go
+++ b/internal/version/move/policy/policy.go
@@ -32,6 +32,10 @@
 	Limits       Limits
 	// Strata is the evidence since the update before.
 	Strata []evidence.Stratum
+	// Related is the evidence of idempotent routes of the same service that split
+	// their requests between the same versions; for moves of routes of
+	// non-idempotent calls, whose share is small.
+	Related []evidence.Stratum
 	// OldTotal is the old version's evidence over the life of the move.
 	OldTotal *chicoryv1.VersionEvidence
 }
--- a/internal/version/move/policy/reference.go
+++ b/internal/version/move/policy/reference.go
@@ -16,6 +16,8 @@
 	minLoadSamples = 30
 	// jumpDeviations above the ordinary count mark trouble that is going on.
 	jumpDeviations = 3
+	// maxLearning is how many times the ordinary share a share counts at most.
+	maxLearning = 1.2
 	// maxReferenceShare leaves room for a worse version.
 	maxReferenceShare = 0.98
 )
@@ -50,25 +52,45 @@
 
 // update adds the strata's old evidence of one signal.
 func (r *reference) update(s signal, in Input, groups []int, old []ratio) {
-	ordinary := decay(in.Elapsed, ordinaryHalfLife)
+	var sums [loadLevels]ratio
+	for i, x := range in.Strata {
+		sums[level(x.LoadLevel)] = sums[level(x.LoadLevel)].plus(old[i])
+	}
+	memory := decay(in.Elapsed, ordinaryHalfLife)
+	var kept [loadLevels]float64
 	for l := range r.levels[s] {
 		lr := &r.levels[s][l]
-		lr.ordinary = lr.ordinary.times(ordinary)
+		lr.ordinary = lr.ordinary.times(memory)
 		for i, h := range recentHalfLives {
-			lr.recent[i] = lr.recent[i].times(decay(in.Elapsed, h))
+			lr.recent[i] = lr.recent[i].times(decay(in.Elapsed, h)).plus(sums[l])
 		}
+		kept[l] = r.keptPart(s, l, sums[l])
+		lr.ordinary = lr.ordinary.plus(ratio{sums[l].bad * kept[l], sums[l].all})
 	}
 	for g := range r.groups[s] {
-		r.groups[s][g] = r.groups[s][g].times(ordinary)
+		r.groups[s][g] = r.groups[s][g].times(memory)
 	}
 	for i, x := range in.Strata {
-		lr := &r.levels[s][level(x.LoadLevel)]
-		lr.ordinary = lr.ordinary.plus(old[i])
-		for j := range lr.recent {
-			lr.recent[j] = lr.recent[j].plus(old[i])
+		o := ratio{old[i].bad * kept[level(x.LoadLevel)], old[i].all}
+		r.groups[s][groups[i]] = r.groups[s][groups[i]].plus(o)
+	}
+}
+
+// keptPart is the part of a sample's bad requests that counts as ordinary. During
+// trouble it is what keeps the sample's share at maxLearning times the ordinary
+// one, so that a passing fault does not hide a bad version afterwards.
+func (r *reference) keptPart(s signal, l int, sample ratio) float64 {
+	base := r.base(s, l)
+	most := maxLearning * base * sample.all
+	if sample.bad <= most {
+		return 1
+	}
+	for _, recent := range r.levels[s][l].recent {
+		if recent.isJump(base) {
+			return most / sample.bad
 		}
-		r.groups[s][groups[i]] = r.groups[s][groups[i]].plus(old[i])
 	}
+	return 1
 }
 
 func decay(elapsed, halfLife time.Duration) float64 {
@@ -91,16 +113,19 @@
 	share, support float64
 }
 
+// base is the ordinary share at a load level.
+func (r *reference) base(s signal, l int) float64 {
+	prior := priorShares[s]
+	other := r.levels[s][1-l].ordinary.toward(prior, ordinaryWeight)
+	return max(r.levels[s][l].ordinary.toward(other, ordinaryWeight), prior*minShareFactor)
+}
+
 // at returns what is expected now at a load level. Trouble that the old version
 // has now, by either recent memory, goes before its ordinary share.
 func (r *reference) at(s signal, l int) expected {
-	prior := priorShares[s]
-	other := r.levels[s][1-l].ordinary.toward(prior, ordinaryWeight)
-	lr := &r.levels[s][l]
-	e := expected{share: lr.ordinary.toward(other, ordinaryWeight), support: math.Inf(1)}
-	e.share = max(e.share, prior*minShareFactor)
-	base := e.share
-	for _, recent := range lr.recent {
+	base := r.base(s, l)
+	e := expected{share: base, support: math.Inf(1)}
+	for _, recent := range r.levels[s][l].recent {
 		e = e.orJump(recent, base)
 	}
 	return e
@@ -114,12 +139,16 @@
 // orJump returns the sample's share if it is higher than e's and too far above
 // the base share to be chance.
 func (e expected) orJump(sample ratio, base float64) expected {
-	mean := sample.all * base
-	share := sample.bad / max(sample.all, 1)
-	if share <= e.share || sample.bad <= mean+jumpDeviations*math.Sqrt(mean)+1 {
+	if sample.share() <= e.share || !sample.isJump(base) {
 		return e
 	}
-	return expected{share: min(share, maxReferenceShare), support: sample.all}
+	return expected{share: min(sample.share(), maxReferenceShare), support: sample.all}
+}
+
+// isJump reports whether the sample is too far above the base share to be chance.
+func (r ratio) isJump(base float64) bool {
+	mean := r.all * base
+	return r.bad > mean+jumpDeviations*math.Sqrt(mean)+1
 }
 
 // forGroup raises e to the ordinary share of a group of teams.
--- a/internal/version/move/policy/sprt.go
+++ b/internal/version/move/policy/sprt.go
@@ -42,14 +42,6 @@
 // Name returns the policy's name.
 func (SPRT) Name() string { return "sprt" }
 
-// accumulator is one running test.
-type accumulator struct {
-	// sum is the log likelihood ratio of bad against good.
-	sum float64
-	// old and now are the versions' samples since the sum rose above 0.
-	old, now ratio
-}
-
 // sprtState is what the policy keeps.
 type sprtState struct {
 	teams teamSlots
@@ -60,6 +52,8 @@
 	all            [signalCount]accumulator
 	groups         [signalCount][groupCount]accumulator
 	proved         [signalCount]bool
+	// related are the tests on related routes; latencies have none.
+	related [signalCount]relatedTest
 	// oddsRatio is by how much a latency signal's odds rise at the limit.
 	oddsRatio [signalCount]float64
 	// judged counts the new version's requests by signal.
@@ -150,12 +144,16 @@
 	st.ref.update(s, in, st.current, old)
 	inc := st.measure(s, in, old, now)
 	st.judged[s] += inc.now.all
-	floor := provedBound
+	if !s.isLatency() {
+		st.related[s].advance(s, in)
+	}
+	bound := st.related[s].bound()
+	floor := bound
 	if st.proved[s] {
 		floor = 0
 	}
 	st.all[s].add(inc.all, inc.old, inc.now, floor)
-	if st.all[s].sum <= provedBound {
+	if st.all[s].sum <= bound {
 		st.proved[s] = true
 		st.all[s].sum = 0
 	}
@@ -195,62 +193,6 @@
 	return old, now
 }
 
-// add adds one update. The sum stays at half the bound while too little was seen
-// of the old version, and at the bound while the direct comparison of what both
-// versions showed since the sum rose does not agree.
-func (a *accumulator) add(llr float64, old, now ratio, floor float64) {
-	a.sum = max(floor, a.sum+max(-maxStep, min(maxStep, llr)))
-	if a.sum <= 0 {
-		a.restart()
-		return
-	}
-	a.old, a.now = a.old.plus(old), a.now.plus(now)
-	if a.old.all < minReference {
-		a.sum = min(a.sum, badBound/2)
-	}
-	a.sum = min(a.sum, badBound)
-}
-
-// restart drops the samples; the sum stays.
-func (a *accumulator) restart() { a.old, a.now = ratio{}, ratio{} }
-
-// standing is what a test says now.
-type standing struct {
-	// high: there are signs of badness.
-	high bool
-	// doubt: they may come from a common fault or from too few requests.
-	doubt bool
-	bad   bool
-}
-
-// standing compares the sum with its bound and both versions directly. ordinary
-// is the old version's ordinary behaviour towards those whose requests were
-// tested, and limit the share from which a version counts as worse than one of
-// the share given.
-func (a *accumulator) standing(ordinary ratio, limit func(share float64) float64) standing {
-	if a.sum < badBound/2 {
-		return standing{}
-	}
-	if a.old.all < minReference {
-		return standing{high: true, doubt: true}
-	}
-	z := min(deviations(a.now, a.old), deviations(a.now, ordinary))
-	decided := a.sum >= badBound
-	bad := decided && z >= badDeviations && a.now.share() >= limit(a.old.share())
-	high := z >= holdDeviations
-	return standing{high: high, doubt: decided && !bad && high, bad: bad}
-}
-
-// deviations is by how many standard deviations the share of r is above that of
-// o, taking both as drawn from one share.
-func deviations(r, o ratio) float64 {
-	p := r.plus(o).share()
-	if p == 0 || p == 1 || r.all == 0 || o.all == 0 {
-		return 0
-	}
-	return (r.share() - o.share()) / math.Sqrt(p*(1-p)*(1/r.all+1/o.all))
-}
-
 // verdict reads the tests.
 func (st *sprtState) verdict(in Input) Verdict {
 	v := Verdict{Proved: st.allProved()}
--- a/internal/version/move/policy/sprt_state.go
+++ b/internal/version/move/policy/sprt_state.go
@@ -6,7 +6,7 @@
 // sprtMark is the first number of an encoded state, and tells its layout.
 const sprtMark = 101
 
-const sprtFloats = 1 + groupCount + referenceFloats + accumulatorFloats + 3*int(signalCount)
+const sprtFloats = 1 + groupCount + referenceFloats + accumulatorFloats + 6*int(signalCount)
 
 func (st *sprtState) encode() []float64 {
 	out := make([]float64, 0, sprtFloats)
@@ -19,6 +19,7 @@
 			out = st.groups[s][g].encode(out)
 		}
 		out = append(out, boolFloat(st.proved[s]), st.judged[s], st.oddsRatio[s])
+		out = append(out, st.related[s].sum, st.related[s].ordinary.bad, st.related[s].ordinary.all)
 	}
 	return out
 }
@@ -39,7 +40,8 @@
 			src = st.groups[s][g].decode(src)
 		}
 		st.proved[s], st.judged[s], st.oddsRatio[s] = src[0] == 1, src[1], src[2]
-		src = src[3:]
+		st.related[s] = relatedTest{src[3], ratio{src[4], src[5]}}
+		src = src[6:]
 	}
 	return st
 }
--- a/internal/version/move/step.go
+++ b/internal/version/move/step.go
@@ -16,6 +16,10 @@
 	// Elapsed is the time that the strata cover.
 	Elapsed time.Duration
 	Strata  []evidence.Stratum
+	// Related is the evidence of idempotent routes of the same service that split
+	// their requests between the same versions. It may give half of a proof on a
+	// route of non-idempotent calls.
+	Related []evidence.Stratum
 	// Routers is the number of live routers, and StoppedBy how many of them stopped
 	// the new version by themselves.
 	Routers, StoppedBy int
@@ -75,7 +79,7 @@
 	state, v := d.Policy.Update(m.GetPolicyState(), policy.Input{
 		Now: now, Elapsed: ev.Elapsed, MoveAge: now.Sub(s.start),
 		ProvingTime:  s.plannedProof().Sub(s.start),
-		ShareChanged: changed, Limits: limitsOf(m.GetIntent()), Strata: ev.Strata, OldTotal: m.GetOldEvidence(),
+		ShareChanged: changed, Limits: limitsOf(m.GetIntent()), Strata: ev.Strata, Related: ev.Related, OldTotal: m.GetOldEvidence(),
 	})
 	m.PolicyState = state
 	return v
