Moves: a burst on one target and the team's own old requests

Ruled out: a plain clip per update, which depends on the step's length. Change: what is added to a test's sum is bounded at once and per second; a team's badness is also compared with the same team on the old version. Policy tests and the differential test against the naive policy.

--- a/internal/version/move/policy/accumulator.go
+++ b/internal/version/move/policy/accumulator.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // accumulator is one running test.
 type accumulator struct {
@@ -8,13 +11,16 @@
 	sum float64
 	// old and now are the versions' samples since the sum rose above 0.
 	old, now ratio
+	// own is the old version's sample of the same team, for the test of a team.
+	own ratio
+	// spent is how much was added lately; it falls by riseRate.
+	spent float64
 }
 
 // add adds one update. The sum stays at half the bound while too little was seen
-// of the old version, and at the bound while the direct comparison of what both
-// versions showed since the sum rose does not agree.
-func (a *accumulator) add(llr float64, old, now ratio, floor float64) {
-	a.sum = max(floor, a.sum+max(-maxStep, min(maxStep, llr)))
+// of the old version.
+func (a *accumulator) add(llr float64, elapsed time.Duration, old, now ratio, floor float64) {
+	a.sum = max(floor, a.sum+a.limited(llr, elapsed))
 	if a.sum <= 0 {
 		a.restart()
 		return
@@ -26,8 +32,21 @@
 	a.sum = min(a.sum, badBound)
 }
 
+// limited bounds what is added: at most maxRise at once and riseRate in the long
+// run, so that a burst of a few seconds on one target does not decide.
+func (a *accumulator) limited(llr float64, elapsed time.Duration) float64 {
+	refill := riseRate * elapsed.Seconds()
+	a.spent = max(0, a.spent-refill)
+	if llr <= 0 {
+		return max(-maxFall, llr)
+	}
+	rise := min(llr, max(0, max(maxRise, refill)-a.spent))
+	a.spent += rise
+	return rise
+}
+
 // restart drops the samples; the sum stays.
-func (a *accumulator) restart() { a.old, a.now = ratio{}, ratio{} }
+func (a *accumulator) restart() { a.old, a.now, a.own = ratio{}, ratio{}, ratio{} }
 
 // standing is what a test says now.
 type standing struct {
@@ -50,6 +69,9 @@
 		return standing{high: true, doubt: true}
 	}
 	z := min(deviations(a.now, a.old), deviations(a.now, ordinary))
+	if a.own.all >= minOwnReference && deviations(a.now, a.own) < holdDeviations {
+		z = 0
+	}
 	decided := a.sum >= badBound
 	bad := decided && z >= badDeviations && a.now.share() >= limit(a.old.share())
 	high := z >= holdDeviations
--- a/internal/version/move/policy/reference.go
+++ b/internal/version/move/policy/reference.go
@@ -17,7 +17,7 @@
 	// jumpDeviations above the ordinary count mark trouble that is going on.
 	jumpDeviations = 3
 	// maxLearning is how many times the ordinary share a share counts at most.
-	maxLearning = 1.2
+	maxLearning = 1.3
 	// maxReferenceShare leaves room for a worse version.
 	maxReferenceShare = 0.98
 )
--- a/internal/version/move/policy/related.go
+++ b/internal/version/move/policy/related.go
@@ -31,7 +31,7 @@
 	if !math.IsInf(e.support, 1) {
 		llr *= e.support / (e.support + now.all)
 	}
-	t.sum = max(provedBound, min(badBound, t.sum+max(-maxStep, min(maxStep, llr))))
+	t.sum = max(provedBound, min(badBound, t.sum+max(-maxFall, min(maxFall, llr))))
 }
 
 // bound is the sum at which the route's own requests prove the signal.
--- a/internal/version/move/policy/sprt.go
+++ b/internal/version/move/policy/sprt.go
@@ -13,12 +13,17 @@
 	Alpha = 6e-6
 	// Beta bounds the share of versions at the limit that a signal calls proved.
 	Beta = 0.02
-	// maxStep bounds what one update adds, so that a burst of a few seconds on one
-	// target does not decide.
-	maxStep = 3
+	// maxRise and riseRate bound what is added to a sum at once and per second.
+	maxRise  = 4
+	riseRate = 2
+	// maxFall bounds what one update takes away.
+	maxFall = 3
 	// minReference is how many requests of the old version must be seen while the
 	// sum is above 0 before the new one may be called bad.
 	minReference = 40
+	// minOwnReference is how many requests of the same team on the old version allow
+	// a comparison with them.
+	minOwnReference = 10
 	// badDeviations is by how many standard deviations the new version's share must
 	// be above the old one's over the same time, and holdDeviations from where the
 	// share stops growing.
@@ -86,9 +91,9 @@
 type increment struct {
 	all    float64
 	groups [groupCount]float64
-	// old and now are the versions' samples, nowGroups the new one's by group.
-	old, now  ratio
-	nowGroups [groupCount]ratio
+	// old and now are the versions' samples, in all and by group.
+	old, now             ratio
+	oldGroups, nowGroups [groupCount]ratio
 }
 
 // measure sums the log likelihood ratios of the new version's requests. When
@@ -103,6 +108,8 @@
 	var newAt [loadLevels]float64
 	for i, x := range in.Strata {
 		inc.old = inc.old.plus(old[i])
+		g := st.current[i]
+		inc.oldGroups[g] = inc.oldGroups[g].plus(old[i])
 		newAt[level(x.LoadLevel)] += now[i].all
 	}
 	for i, x := range in.Strata {
@@ -152,13 +159,16 @@
 	if st.proved[s] {
 		floor = 0
 	}
-	st.all[s].add(inc.all, inc.old, inc.now, floor)
+	st.all[s].add(inc.all, in.Elapsed, inc.old, inc.now, floor)
 	if st.all[s].sum <= bound {
 		st.proved[s] = true
 		st.all[s].sum = 0
 	}
 	for g := range groupCount {
-		st.groups[s][g].add(inc.groups[g], inc.old, inc.nowGroups[g], 0)
+		if st.groups[s][g].sum > 0 {
+			st.groups[s][g].own = st.groups[s][g].own.plus(inc.oldGroups[g])
+		}
+		st.groups[s][g].add(inc.groups[g], in.Elapsed, inc.old, inc.nowGroups[g], 0)
 	}
 }
 
--- a/internal/version/move/policy/sprt_state.go
+++ b/internal/version/move/policy/sprt_state.go
@@ -1,7 +1,7 @@
 package policy
 
 // accumulatorFloats is the number of numbers in the encoded accumulators.
-const accumulatorFloats = 5 * int(signalCount) * (1 + groupCount)
+const accumulatorFloats = 8 * int(signalCount) * (1 + groupCount)
 
 // sprtMark is the first number of an encoded state, and tells its layout.
 const sprtMark = 101
@@ -54,11 +54,12 @@
 }
 
 func (a *accumulator) encode(dst []float64) []float64 {
-	return append(dst, a.sum, a.old.bad, a.old.all, a.now.bad, a.now.all)
+	return append(dst, a.sum, a.old.bad, a.old.all, a.now.bad, a.now.all, a.own.bad, a.own.all, a.spent)
 }
 
 // decode reads what encode wrote and returns the rest.
 func (a *accumulator) decode(src []float64) []float64 {
 	a.sum, a.old, a.now = src[0], ratio{src[1], src[2]}, ratio{src[3], src[4]}
-	return src[5:]
+	a.own, a.spent = ratio{src[5], src[6]}, src[7]
+	return src[8:]
 }
