bench-route: ask for answers without compression on all paths

The stand-in and the router compressed a payload of zeros; a path paid for it twice or once, as its client asked.

--- a/bench/route/hop.go
+++ b/bench/route/hop.go
@@ -175,10 +175,13 @@
 	return mux
 }
 
+// plain asks for answers without compression, so that no path pays for it.
+var plain = connect.WithAcceptCompression("gzip", nil, nil)
+
 // targetPath speaks the target's protocol, directly or through the bare hop.
 func targetPath(name, address string) *path {
-	transactions := chicoryv1connect.NewTransactionServiceClient(h2cClient(), "http://"+address)
-	engine := chicoryv1connect.NewEngineServiceClient(h2cClient(), "http://"+address)
+	transactions := chicoryv1connect.NewTransactionServiceClient(h2cClient(), "http://"+address, plain)
+	engine := chicoryv1connect.NewEngineServiceClient(h2cClient(), "http://"+address, plain)
 	payload := make([]byte, hopPayload)
 	return &path{
 		name: name,
@@ -208,7 +211,7 @@
 
 // callerPath speaks the callers' protocol to the router.
 func callerPath(name, address string) *path {
-	client := chicoryv1connect.NewCallerServiceClient(h2cClient(), "http://"+address)
+	client := chicoryv1connect.NewCallerServiceClient(h2cClient(), "http://"+address, plain)
 	payload := make([]byte, hopPayload)
 	return &path{
 		name: name,
