--- /dev/null
+++ b/bench/capacity/routing.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/admission"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+)
+
+// newHolder returns a holder of one configuration.
+func newHolder(c *chicoryv1.Configuration) (*config.Holder, error) {
+	h := &config.Holder{}
+	_, err := h.ApplyFull(c)
+	return h, errors.Trace(err)
+}
+
+// measureRouting measures what one more target costs in memory and in the time of
+// one choice.
+func measureRouting(r *report) error {
+	memory := r.slope("picker memory", "target", "bytes")
+	pick := r.slope("choice of a target", "target", "µs")
+	for _, targets := range []int{20, 200, 2_000, 5_700} {
+		h, err := newHolder(sampleConfiguration(10, targets))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		before := heapBytes()
+		p := routing.NewPicker(routing.Options{
+			Holder: h, Zone: "zone-1", Loads: observe.NewTable(observe.Defaults()), Logger: logging.Discard(), Settings: routing.Defaults(),
+		})
+		w := request.Work{ID: "r", Team: "team-00001", Route: h.Current().Route("route-1"), Version: "v1"}
+		var failed error
+		d := perCall(func() {
+			placement, err := p.Pick(w, nil)
+			if err != nil {
+				failed = err
+				return
+			}
+			placement.Done(request.ResultSuccess, time.Millisecond)
+		})
+		if failed != nil {
+			return errors.Trace(failed)
+		}
+		pick.add(float64(targets), microseconds(d))
+		memory.add(float64(targets), heapBytes()-before)
+	}
+	return nil
+}
+
+// measureTeamLimits measures by how much a team's limit is missed when it is split
+// evenly over routers and the team's requests fall on them at random.
+func measureTeamLimits(r *report) error {
+	const callsPerSecond, seconds = 100, 4
+	got := r.slope("team limit of 100 calls/s used up at 200/s offered", "router", "share of the limit")
+	for _, routers := range []int{3, 9, 30, 100} {
+		c := sampleConfiguration(1, 1)
+		c.Teams[0].CallsPerSecond = callsPerSecond
+		h, err := newHolder(c)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		admitted := offerCalls(h, routers, 2*callsPerSecond, seconds*time.Second)
+		got.add(float64(routers), float64(admitted)/(callsPerSecond*seconds))
+	}
+	return nil
+}
+
+// offerCalls sends calls of one team to routers in a fixed pseudo-random order and
+// returns how many were admitted after the first second, in which the routers'
+// savings are used up.
+func offerCalls(h *config.Holder, routers, perSecond int, length time.Duration) int {
+	const warmUp = time.Second
+	var admitters []*admission.Admitter
+	for range routers {
+		admitters = append(admitters, admission.New(admission.Options{
+			Holder: h, Routers: func() int { return routers },
+			Capacity: func(string, string) (int, int) { return 1_000, 0 },
+			Settings: admission.Defaults(),
+		}))
+	}
+	route := h.Current().Route("route-1")
+	start := time.Now()
+	admitted := 0
+	for i := 0; ; i++ {
+		at := start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+		time.Sleep(time.Until(at))
+		if time.Since(start) > warmUp+length {
+			return admitted
+		}
+		a := admitters[i*7919%routers]
+		release, err := a.Admit(nowContext(), request.Work{Team: "team-00000", Route: route, Version: "v1", Deadline: time.Now()})
+		if err != nil {
+			continue
+		}
+		release(0)
+		if time.Since(start) > warmUp {
+			admitted++
+		}
+	}
+}
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -91,6 +91,11 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "peer address %s", address)
 	}
+	return ListenOn(conn, keys, h), nil
+}
+
+// ListenOn serves h on a bound connection until Close.
+func ListenOn(conn net.PacketConn, keys *Keys, h http.Handler) *Server {
 	s := &Server{
 		h3: &http3.Server{
 			TLSConfig:  http3.ConfigureTLSConfig(keys.ServerConfig()),
@@ -101,7 +106,7 @@
 		done: make(chan error, 1),
 	}
 	go func() { s.done <- s.h3.Serve(conn) }()
-	return s, nil
+	return s
 }
 
 // Addr returns the bound address.
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -168,6 +168,23 @@
 	return c.GetMoves()
 }
 
+// RelatedRoutes returns the idempotent routes of the same service when the route
+// is of non-idempotent calls, else none.
+func (s moveSource) RelatedRoutes(route string) []string {
+	v := s.p.machine.View()
+	own := v.Route(route)
+	if !own.GetNonIdempotent() {
+		return nil
+	}
+	var out []string
+	for _, r := range v.Raw().GetRoutes() {
+		if r.GetService() == own.GetService() && !r.GetNonIdempotent() {
+			out = append(out, r.GetName())
+		}
+	}
+	return out
+}
+
 func (s moveSource) Routers(route, version string) (live, stopped int) {
 	name := route + "/" + version
 	for _, l := range s.p.routers.list() {
--- a/internal/process/state/confirm.go
+++ b/internal/process/state/confirm.go
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	out, err := plan.Apply(plan.Context{
-		Base:     m.config,
+		Base:     m.view,
 		Now:      now,
 		MoveID:   fmt.Sprintf("move-%d", index),
 		Operator: req.GetOperator(),
@@ -93,7 +93,7 @@
 	m.swap(out.Next, out.Touched)
 	m.keepEnded(out.Ended)
 	m.remember(req, out.Effects, now)
-	return &chicoryv1.ConfirmResponse{Revision: m.config.GetRevision(), MoveIds: out.MoveIDs}, nil
+	return &chicoryv1.ConfirmResponse{Revision: m.view.Revision(), MoveIds: out.MoveIDs}, nil
 }
 
 // settle closes claims in doubt, all or none.
@@ -149,7 +149,7 @@
 
 func (m *Machine) remember(req *chicoryv1.ConfirmRequest, effects []string, now time.Time) {
 	m.history = append(m.history, &chicoryv1.HistoryEntry{
-		Revision:  m.config.GetRevision(),
+		Revision:  m.view.Revision(),
 		UnixMs:    now.UnixMilli(),
 		Operator:  req.GetOperator(),
 		Why:       req.GetWhy(),
--- a/internal/process/state/moves.go
+++ b/internal/process/state/moves.go
@@ -45,12 +45,12 @@
 	m.keepEnded([]*chicoryv1.Move{next})
 }
 
-func (m *Machine) patched(d *chicoryv1.ConfigurationDelta) *chicoryv1.Configuration {
-	return config.Patch(m.config, d)
+func (m *Machine) patched(d *chicoryv1.ConfigurationDelta) *config.View {
+	return config.NewView(config.Patch(m.view.Raw(), d))
 }
 
 func (m *Machine) openMove(id string) *chicoryv1.Move {
-	for _, o := range m.config.GetMoves() {
+	for _, o := range m.view.Raw().GetMoves() {
 		if o.GetId() == id {
 			return o
 		}
--- a/internal/process/state/read.go
+++ b/internal/process/state/read.go
@@ -15,7 +15,7 @@
 func (m *Machine) Configuration() (*chicoryv1.Configuration, <-chan struct{}) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.config, m.changed
+	return m.view.Raw(), m.changed
 }
 
 // View returns the configuration in force, indexed.
@@ -29,12 +29,12 @@
 func (m *Machine) Plan(operator string, changes []*chicoryv1.Change, now time.Time) (*chicoryv1.Plan, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	out, err := plan.Apply(plan.Context{Base: m.config, Now: now, MoveID: "planned", Operator: operator}, changes)
+	out, err := plan.Apply(plan.Context{Base: m.view, Now: now, MoveID: "planned", Operator: operator}, changes)
 	if err != nil {
 		return nil, err
 	}
 	p := &chicoryv1.Plan{
-		BaseRevision: m.config.GetRevision(),
+		BaseRevision: m.view.Revision(),
 		Changes:      changes,
 		Effects:      out.Effects,
 		Warnings:     out.Warnings,
@@ -55,7 +55,7 @@
 	defer m.mu.RUnlock()
 	all := slices.Clone(m.ended)
 	slices.Reverse(all)
-	return append(slices.Clone(m.config.GetMoves()), all...)
+	return append(slices.Clone(m.view.Raw().GetMoves()), all...)
 }
 
 // History returns up to limit entries, the newest first.
--- a/internal/process/state/snapshot.go
+++ b/internal/process/state/snapshot.go
@@ -20,7 +20,7 @@
 	defer m.mu.RUnlock()
 	claims, floor := m.calls.Export()
 	s := &chicoryv1.StateSnapshot{
-		Configuration:     m.config,
+		Configuration:     m.view.Raw(),
 		EndedMoves:        m.ended,
 		History:           m.history,
 		Claims:            claims,
@@ -59,11 +59,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.config = s.GetConfiguration()
-	if m.config == nil {
-		m.config = &chicoryv1.Configuration{}
+	c := s.GetConfiguration()
+	if c == nil {
+		c = &chicoryv1.Configuration{}
 	}
-	m.view = config.NewView(m.config)
+	m.view = config.NewView(c)
 	m.ended = s.GetEndedMoves()
 	m.history = s.GetHistory()
 	m.calls = ledger.New(m.settings)
--- a/internal/process/state/state.go
+++ b/internal/process/state/state.go
@@ -43,9 +43,8 @@
 type Machine struct {
 	settings ledger.Settings
 
-	mu      sync.RWMutex // guards the fields below
-	config  *chicoryv1.Configuration
-	view    *config.View         // config, indexed
+	mu      sync.RWMutex         // guards the fields below
+	view    *config.View         // the configuration in force
 	items   map[plan.Item]uint64 // revision that last changed the item
 	ended   []*chicoryv1.Move    // the oldest first
 	results map[string]*chicoryv1.ResultRecord
@@ -65,7 +64,6 @@
 func New(s ledger.Settings) *Machine {
 	return &Machine{
 		settings: s,
-		config:   &chicoryv1.Configuration{},
 		view:     config.NewView(&chicoryv1.Configuration{}),
 		items:    map[plan.Item]uint64{},
 		results:  map[string]*chicoryv1.ResultRecord{},
@@ -123,23 +121,22 @@
 
 // applyFound names the cluster once, with its first revision.
 func (m *Machine) applyFound(f *chicoryv1.FoundCommand) {
-	if m.config.GetClusterId() != "" {
+	if m.view.Raw().GetClusterId() != "" {
 		return
 	}
-	m.swap(&chicoryv1.Configuration{ClusterId: f.GetClusterId()}, nil)
+	m.swap(m.view.WithRevision(0, f.GetClusterId()), nil)
 }
 
 // swap puts next in force under a new revision. The caller holds mu.
-func (m *Machine) swap(next *chicoryv1.Configuration, touched []plan.Item) {
-	if next.ClusterId == "" {
-		next.ClusterId = m.config.GetClusterId()
+func (m *Machine) swap(next *config.View, touched []plan.Item) {
+	cluster := next.Raw().GetClusterId()
+	if cluster == "" {
+		cluster = m.view.Raw().GetClusterId()
 	}
-	next.Revision = m.config.GetRevision() + 1
+	m.view = next.WithRevision(m.view.Revision()+1, cluster)
 	for _, item := range touched {
-		m.items[item] = next.Revision
+		m.items[item] = m.view.Revision()
 	}
-	m.config = next
-	m.view = config.NewView(next)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/internal/version/config/validate.go
+++ b/internal/version/config/validate.go
@@ -10,10 +10,10 @@
 // wholeMillipercent is 100 % in thousandths of a percent.
 const wholeMillipercent = 100_000
 
-// Validate checks that the parts of c fit together. Errors are of the kind
-// PlanRejected and name the item.
-func Validate(c *chicoryv1.Configuration) error {
-	v := NewView(c)
+// Validate checks that the parts of a configuration fit together. Errors are of
+// the kind PlanRejected and name the item.
+func Validate(v *View) error {
+	c := v.Raw()
 	for _, s := range c.GetServices() {
 		if err := validateService(s); err != nil {
 			return err
--- a/internal/version/config/view.go
+++ b/internal/version/config/view.go
@@ -51,6 +51,22 @@
 	return v
 }
 
+// WithRevision returns the same configuration under another revision's number and
+// cluster identity. It shares everything else with v.
+func (v *View) WithRevision(revision uint64, clusterID string) *View {
+	next := *v
+	next.raw = &chicoryv1.Configuration{
+		Revision:  revision,
+		ClusterId: clusterID,
+		Services:  v.raw.GetServices(),
+		Routes:    v.raw.GetRoutes(),
+		Targets:   v.raw.GetTargets(),
+		Teams:     v.raw.GetTeams(),
+		Moves:     v.raw.GetMoves(),
+	}
+	return &next
+}
+
 // Raw returns the configuration that the view was made from.
 func (v *View) Raw() *chicoryv1.Configuration { return v.raw }
 
--- a/internal/version/plan/change.go
+++ b/internal/version/plan/change.go
@@ -36,7 +36,7 @@
 // Context is what changes are applied in. Everything in it comes from the
 // configuration and the log entry, so that each replica computes the same.
 type Context struct {
-	Base *chicoryv1.Configuration
+	Base *config.View
 	Now  time.Time
 	// MoveID names moves that the changes open; the change's position is appended.
 	MoveID   string
@@ -46,8 +46,8 @@
 
 // Outcome is the result of a list of changes.
 type Outcome struct {
-	// Next has no revision yet.
-	Next    *chicoryv1.Configuration
+	// Next has the revision of the base.
+	Next    *config.View
 	Reads   []Item
 	Touched []Item
 	Effects []string
@@ -74,14 +74,14 @@
 	if len(changes) == 0 {
 		return nil, fault.New(fault.InvalidArgument, "the plan has no changes")
 	}
-	b := &builder{ctx: ctx, view: config.NewView(ctx.Base)}
+	b := &builder{ctx: ctx, view: ctx.Base}
 	for i, c := range changes {
 		if err := b.apply(i, c); err != nil {
 			return nil, err
 		}
 	}
 	b.warnOfEmptyRoutes()
-	b.out.Next = b.view.Raw()
+	b.out.Next = b.view
 	if err := config.Validate(b.out.Next); err != nil {
 		return nil, err
 	}
@@ -121,7 +121,7 @@
 	if d.Changed == nil {
 		d.Changed = &chicoryv1.Configuration{}
 	}
-	d.Changed.Revision = b.ctx.Base.GetRevision()
+	d.Changed.Revision = b.ctx.Base.Revision()
 	b.view = config.NewView(config.Patch(b.view.Raw(), d))
 }
 
