--- a/internal/process/consensus/incarnation_test.go
+++ b/internal/process/consensus/incarnation_test.go
@@ -154,3 +154,36 @@
 		assert.Equal(t, len(n.log.memberships), 2, "the founders and one change")
 	})
 }
+
+// TestDiskPutBackAfterRepair puts a disk back whose incarnation was replaced:
+// it holds a membership that still names it, and has to ask to join, although
+// it gets the messages for the other disk and its first question is lost.
+func TestDiskPutBackAfterRepair(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		replaced := c.others(c.leader(t))[0]
+		c.replaceDisk(replaced, disktest.New())
+		assert.NilError(t, c.awaitRepaired())
+		for _, other := range c.others(replaced) {
+			c.net.set(func() { c.net.blocked[[2]string{replaced, other}] = true })
+		}
+		c.replaceDisk(replaced, c.spare[replaced])
+		time.Sleep(5 * time.Second)
+		c.run(step{fault: "heal"})
+		assert.NilError(t, c.awaitRepaired())
+	})
+}
+
+// TestDiskPutBackBeforeRepair puts a disk back while the one in its place is
+// still a learner.
+func TestDiskPutBackBeforeRepair(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		leader := c.leader(t)
+		replaced := c.others(leader)[0]
+		c.net.set(func() { c.net.blocked[[2]string{leader, replaced}] = true })
+		c.replaceDisk(replaced, disktest.New())
+		time.Sleep(5 * time.Second)
+		c.replaceDisk(replaced, c.spare[replaced])
+		c.run(step{fault: "heal"})
+		assert.NilError(t, c.awaitRepaired())
+	})
+}
