Moves: tests that the first injected faults did not turn red

Cause: of 25 faults put in on a scratch copy, 5 stayed green: expected_events not checked, the driver stepping its own copy, teams not judged on their own, foreign policy state read, a budget for objectives not stated. Change: one assertion or test for each.

--- a/internal/process/burn/burn_test.go
+++ b/internal/process/burn/burn_test.go
@@ -78,6 +78,7 @@
 		"//availability": 1, "1//availability": 0, "2//availability": 2, "2/a/availability": 2,
 		"//call_latency": 5, "1//call_latency": 0, "2//call_latency": 10,
 	}
+	assert.Equal(t, len(rows), 2*5*len(windows), "rows for objectives that the route does not state")
 	for _, r := range rows {
 		if v, ok := want[r.GetVersion()+"/"+r.GetTeam()+"/"+r.GetObjective()]; ok {
 			assert.Assert(t, r.GetBurnRate() > v-1e-6 && r.GetBurnRate() < v+1e-6, "%v", r)
--- a/internal/version/move/driver_test.go
+++ b/internal/version/move/driver_test.go
@@ -166,8 +166,41 @@
 	}
 	got, ok := ApplyStep(before, step)
 	assert.Assert(t, ok && got == next)
+	got, ok = ApplyStep(before, &chicoryv1.MoveStep{Move: next, ExpectedEvents: 2})
+	assert.Assert(t, !ok && got == before, "a step decided on another number of events was applied")
 	rewritten := testMove(false)
 	rewritten.Events[0].Reason = "another"
 	_, ok = ApplyStep(before, &chicoryv1.MoveStep{Move: rewritten, ExpectedEvents: 1})
 	assert.Assert(t, !ok, "past events were rewritten")
 }
+
+// TestOperatorsActionsBindTheDriver pauses and takes back in the replicated state
+// while the driver holds a copy of its own.
+func TestOperatorsActionsBindTheDriver(t *testing.T) {
+	r := newReplicated()
+	delete(r.moves, "n")
+	d := r.newLeader()
+	drive := func(from, seconds int) {
+		for i := from; i < from+seconds; i++ {
+			now := epoch.Add(time.Duration(i) * time.Second)
+			r.report(d, now, 0)
+			d.Tick(context.Background(), now)
+		}
+	}
+	act := func(kind chicoryv1.MoveActionKind, at int) {
+		next, err := Act(r.moves["m"], kind, "op", epoch.Add(time.Duration(at)*time.Second))
+		assert.NilError(t, err)
+		r.moves["m"] = next
+	}
+	drive(0, 10)
+	act(chicoryv1.MoveActionKind_MOVE_ACTION_KIND_PAUSE, 10)
+	share := r.moves["m"].GetSharePermille()
+	drive(10, 300)
+	assert.Assert(t, r.moves["m"].GetPaused())
+	assert.Equal(t, r.moves["m"].GetSharePermille(), share, "a paused move grew")
+	assert.Assert(t, r.moves["m"].GetNewEvidence().GetRequests() > 0, "checkpoints are missing")
+	act(chicoryv1.MoveActionKind_MOVE_ACTION_KIND_TAKE_BACK, 310)
+	drive(310, 60)
+	assert.Equal(t, r.moves["m"].GetState(), takenBack)
+	checkEndToldOnce(t, r.moves["m"])
+}
--- a/internal/version/move/naive_test.go
+++ b/internal/version/move/naive_test.go
@@ -12,18 +12,18 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/move/policy"
 )
 
-// runWith steps a move by a policy every second until it ends. oldBad and newBad
+// runWith steps a move by a policy every two seconds until it ends. oldBad and newBad
 // are the versions' errors in permille; both rise by common from its start on.
 func runWith(p policy.Policy, oldBad, newBad, common uint64, commonFrom time.Duration) *chicoryv1.Move {
 	d := Decider{Policy: p}
 	m := testMove(false)
-	for now := epoch; ; now = now.Add(time.Second) {
+	for now := epoch; ; now = now.Add(2 * time.Second) {
 		ob, nb := oldBad, newBad
 		if at := now.Sub(epoch); at >= commonFrom && at < commonFrom+time.Minute {
 			ob, nb = ob+common, nb+common
 		}
 		n := uint64(m.GetSharePermille())
-		ev := Evidence{Elapsed: time.Second, Routers: 9, Strata: []evidence.Stratum{{
+		ev := Evidence{Elapsed: 2 * time.Second, Routers: 9, Strata: []evidence.Stratum{{
 			AvailabilityZone: "z", Team: "t",
 			Old: counted(1000-n, (1000-n)*ob/1000, 20*time.Millisecond),
 			New: counted(n, (n*nb+500)/1000, 20*time.Millisecond),
--- a/internal/version/move/policy/policy_test.go
+++ b/internal/version/move/policy/policy_test.go
@@ -49,8 +49,12 @@
 		Strata: []evidence.Stratum{stratum("a", 100, 1, 5, 1)}}
 	for _, p := range []Policy{SPRT{}, Bayes{}, Naive{}} {
 		want, _ := p.Update(nil, in)
-		for _, state := range [][]float64{{1}, {sprtMark, 2, 3}, make([]float64, sprtFloats), make([]float64, naiveFloats)} {
-			got, _ := p.Update(state, in)
+		for _, n := range []int{1, naiveFloats, bayesFloats, sprtFloats} {
+			foreign := make([]float64, n)
+			for i := range foreign {
+				foreign[i] = 9
+			}
+			got, _ := p.Update(foreign, in)
 			assert.DeepEqual(t, got, want)
 		}
 	}
@@ -72,7 +76,7 @@
 // less than the limit over all teams.
 func TestOneBadTeamIsFound(t *testing.T) {
 	v, at := feed(SPRT{}, 300, func(int) []evidence.Stratum {
-		return []evidence.Stratum{stratum("large", 450, 1, 450, 1), stratum("small", 25, 0, 25, 5)}
+		return []evidence.Stratum{stratum("large", 450, 1, 450, 1), stratum("small", 25, 0, 25, 2)}
 	})
 	assert.Assert(t, at < 60, "took %d s: %s", at, v.Reason)
 	assert.Assert(t, v.Bad)
