Moves: fewer false doubts at one request a second

Ruled out: a larger share for the old version in the watch. Change: doubt starts at three quarters of the bound, and the shortest watch is a 24th of the time between start and deadline.

--- a/internal/version/move/policy/accumulator.go
+++ b/internal/version/move/policy/accumulator.go
@@ -17,8 +17,8 @@
 	spent float64
 }
 
-// add adds one update. The sum stays at half the bound while too little was seen
-// of the old version.
+// add adds one update. The sum stays at doubtBound while too little was seen of
+// the old version.
 func (a *accumulator) add(llr float64, elapsed time.Duration, old, now ratio, floor float64) {
 	a.sum = max(floor, a.sum+a.limited(llr, elapsed))
 	if a.sum <= 0 {
@@ -27,7 +27,7 @@
 	}
 	a.old, a.now = a.old.plus(old), a.now.plus(now)
 	if a.old.all < minReference {
-		a.sum = min(a.sum, badBound/2)
+		a.sum = min(a.sum, doubtBound)
 	}
 	a.sum = min(a.sum, badBound)
 }
@@ -62,11 +62,11 @@
 // tested, and limit the share from which a version counts as worse than one of
 // the share given.
 func (a *accumulator) standing(ordinary ratio, limit func(share float64) float64) standing {
-	if a.sum < badBound/2 {
+	if a.sum < holdBound {
 		return standing{}
 	}
 	if a.old.all < minReference {
-		return standing{high: true, doubt: true}
+		return standing{high: true, doubt: a.sum >= doubtBound}
 	}
 	z := min(deviations(a.now, a.old), deviations(a.now, ordinary))
 	if a.own.all >= minOwnReference && deviations(a.now, a.own) < holdDeviations {
--- a/internal/version/move/policy/sprt.go
+++ b/internal/version/move/policy/sprt.go
@@ -34,6 +34,10 @@
 var (
 	badBound    = -math.Log(Alpha)
 	provedBound = math.Log(Beta)
+	// holdBound is the sum from which the share stops growing, and doubtBound that
+	// from which more must be seen of the old version.
+	holdBound  = badBound / 2
+	doubtBound = badBound * 3 / 4
 )
 
 // SPRT is a sequential likelihood ratio test for each signal, of a share as good
--- a/internal/version/move/schedule.go
+++ b/internal/version/move/schedule.go
@@ -43,7 +43,7 @@
 	maxGrowPart  = 12
 	minGrowPart  = 96
 	watchPart    = 6
-	minWatchPart = 12
+	minWatchPart = 24
 )
 
 func scheduleOf(in *chicoryv1.MoveIntent) schedule {
