Moves: a decided end is proposed until it is known to be committed

Cause: when the quorum was lost just as a bad version was found, the proposal of the take-back was lost, and the driver took the policy's state of the last checkpoint: the move stayed open (TestDecidedEndIsProposedAgain, seen failing: PROVING instead of TAKEN_BACK). Ruled out: keeping the policy's state in ended moves, about 10 KB each for good. Change: the driver keeps the proposed end while the replicated move has no newer event.

--- a/internal/version/evidence/evidence_test.go
+++ b/internal/version/evidence/evidence_test.go
@@ -112,3 +112,17 @@
 	}
 	assert.Equal(t, c.Dropped(), uint64(maxCells))
 }
+
+func TestRateIsToldOnceEnoughIsKept(t *testing.T) {
+	s := NewStore()
+	for i := range 21 {
+		s.Add(time.Unix(int64(i), 0), "r", "", []*chicoryv1.VersionEvidence{
+			{Route: "a", Version: "1", Requests: 20}, {Route: "b", Version: "1", Requests: 1},
+		})
+		if i < 10 {
+			assert.Equal(t, s.Rate(time.Unix(int64(i), 0), "a"), 0.0)
+		}
+	}
+	assert.Equal(t, s.Rate(time.Unix(20, 0), "a"), 21.0)
+	assert.Equal(t, s.Rate(time.Unix(20, 0), "c"), 0.0)
+}
--- a/internal/version/evidence/store.go
+++ b/internal/version/evidence/store.go
@@ -11,6 +11,8 @@
 const (
 	// retention is how long the store keeps a report; the driver reads far more often.
 	retention = 2 * time.Minute
+	// minRateSpan is the least time from which a rate is told.
+	minRateSpan = 10 * time.Second
 	// maxStoredCells bounds the store's memory; the oldest reports go first.
 	maxStoredCells = 100_000
 	// duplicateWindow is how many report identities are remembered for each router.
@@ -123,6 +125,30 @@
 	return b.strata, last
 }
 
+// Rate returns the requests per second of a route over the reports that are kept,
+// or 0 when they cover less than minRateSpan.
+func (s *Store) Rate(now time.Time, route string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(now)
+	if len(s.reports) == 0 {
+		return 0
+	}
+	span := now.Sub(s.reports[0].at)
+	if span < minRateSpan {
+		return 0
+	}
+	var n uint64
+	for _, r := range s.reports {
+		for _, e := range r.evidence {
+			if e.GetRoute() == route {
+				n += e.GetRequests()
+			}
+		}
+	}
+	return float64(n) / span.Seconds()
+}
+
 // strataBuilder merges evidence of both versions into strata in order of arrival.
 type strataBuilder struct {
 	index  map[key]int
--- a/internal/version/move/driver.go
+++ b/internal/version/move/driver.go
@@ -61,6 +61,8 @@
 	cursor    evidence.Cursor
 	stepped   time.Time
 	committed time.Time
+	// ending is the proposed end while it is not known to be committed.
+	ending *chicoryv1.MoveStep
 }
 
 // Run steps the moves until ctx ends.
@@ -114,6 +116,11 @@
 		w = &working{stepped: now, committed: now}
 		d.work[replicated.GetId()] = w
 	}
+	if w.ending != nil && int(w.ending.GetExpectedEvents()) == len(replicated.GetEvents()) {
+		d.propose(ctx, w, w.ending, now)
+		return
+	}
+	w.ending = nil
 	base := reconcile(replicated, w.move)
 	ev := d.evidenceFor(base, w, now)
 	next, changed := d.Decider.Step(base, ev, now)
@@ -121,7 +128,11 @@
 	if !changed && now.Sub(w.committed) < checkpointPeriod {
 		return
 	}
-	d.propose(ctx, replicated, w, now)
+	step := &chicoryv1.MoveStep{Move: next, ExpectedEvents: uint32(len(replicated.GetEvents()))}
+	if Ended(next) {
+		w.ending = step
+	}
+	d.propose(ctx, w, step, now)
 }
 
 func (d *Driver) evidenceFor(m *chicoryv1.Move, w *working, now time.Time) Evidence {
@@ -137,16 +148,15 @@
 	return ev
 }
 
-func (d *Driver) propose(ctx context.Context, replicated *chicoryv1.Move, w *working, now time.Time) {
+func (d *Driver) propose(ctx context.Context, w *working, step *chicoryv1.MoveStep, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	step := &chicoryv1.MoveStep{Move: w.move, ExpectedEvents: uint32(len(replicated.GetEvents()))}
 	if err := d.Proposer.Propose(ctx, step); err != nil {
 		d.Log.Warn(logging.MoveChanged, logging.Fields{"move": w.move.GetId(), "committed": false, "error": err.Error()})
 		return
 	}
 	w.committed = now
-	if len(w.move.GetEvents()) == len(replicated.GetEvents()) {
+	if len(w.move.GetEvents()) == int(step.GetExpectedEvents()) {
 		return
 	}
 	event := logging.MoveChanged
--- a/internal/version/move/driver_test.go
+++ b/internal/version/move/driver_test.go
@@ -204,3 +204,28 @@
 	assert.Equal(t, r.moves["m"].GetState(), takenBack)
 	checkEndToldOnce(t, r.moves["m"])
 }
+
+// TestDecidedEndIsProposedAgain loses the quorum just when a bad version is found;
+// the end is committed once the quorum is back, with no more bad evidence.
+func TestDecidedEndIsProposedAgain(t *testing.T) {
+	r := newReplicated()
+	delete(r.moves, "n")
+	d := r.newLeader()
+	tick := func(i int, errorPercent uint64) {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		r.report(d, now, errorPercent)
+		d.Tick(context.Background(), now)
+	}
+	for i := range 10 {
+		tick(i, 0)
+	}
+	r.quorum = false
+	for i := 10; i < 30; i++ {
+		tick(i, 40)
+	}
+	assert.Assert(t, !Ended(r.moves["m"]))
+	r.quorum = true
+	tick(30, 0)
+	assert.Equal(t, r.moves["m"].GetState(), takenBack, r.moves["m"].GetReason())
+	checkEndToldOnce(t, r.moves["m"])
+}
