--- a/bench/resume/router.go
+++ b/bench/resume/router.go
@@ -80,8 +80,8 @@
 
 // kill ends the router as a crash does: nothing is sent to anyone any more.
 func (r *router) kill() {
-	r.network.cut(true)
 	_ = r.server.Close()
+	r.network.cut(true)
 }
 
 func (r *router) close() {
--- a/client/call.go
+++ b/client/call.go
@@ -13,7 +13,8 @@
 // Call makes one short call and returns the target's answer. A call that is not
 // idempotent and has no key is sent once; its lost answer gives an Error of the
 // kind "outcome_unknown". Other calls are sent again, with the same key, after
-// the time that a refusal names, until ctx or the client's patience ends.
+// the time that a refusal names, until ctx or the client's patience ends. A refusal
+// that says "not run" is final for a key: draw a new key to try again.
 func (c *Client) Call(ctx context.Context, req *chicoryv1.CallRequest) (*chicoryv1.CallResponse, error) {
 	limit := time.Now().Add(c.opts.Patience)
 	for try := 0; ; try++ {
@@ -42,7 +43,10 @@
 func mayResend(req *chicoryv1.CallRequest, e *fault.Error) bool {
 	switch e.Kind.Row().Retry {
 	case fault.RetryLater:
-		return e.Ran == chicoryv1.Ran_RAN_NOT_RUN || req.GetIdempotent() || req.GetKey() != ""
+		if e.Ran == chicoryv1.Ran_RAN_NOT_RUN {
+			return req.GetKey() == "" // the refusal is recorded under the key
+		}
+		return req.GetIdempotent() || req.GetKey() != ""
 	case fault.RetrySameKey:
 		return req.GetIdempotent() || req.GetKey() != ""
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -245,6 +245,7 @@
 		{"lost answer, key", &chicoryv1.CallRequest{Key: "k"}, []step{{0, "cut", 0}, {0, "end", 0}}, 2, ""},
 		{"lost answer, idempotent", &chicoryv1.CallRequest{Idempotent: true}, []step{{0, "cut", 0}, {0, "end", 0}}, 2, ""},
 		{"not run, no key", &chicoryv1.CallRequest{}, []step{{0, "overloaded", time.Second}, {0, "end", 0}}, 2, ""},
+		{"not run, key", &chicoryv1.CallRequest{Key: "k"}, []step{{0, "overloaded", time.Second}}, 1, "overloaded"},
 		{"unknown, no key", &chicoryv1.CallRequest{}, []step{{0, "deadline_unknown", time.Second}}, 1, "deadline_unknown"},
 		{"conflict", &chicoryv1.CallRequest{Key: "k"}, []step{{0, "key_conflict", 0}}, 1, "key_conflict"},
 	}
