--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 TOOL = go tool -modfile=tools/go.mod
 
-.PHONY: build test lint generate check-generated bench bench-resume bench-route bench-control bench-moves capacity demo ci clean check-examples
+.PHONY: build test lint generate check-generated bench bench-resume bench-route bench-control bench-moves capacity demo ci clean check-examples check-docs
 
 build:
 	go build -o bin/ ./cmd/...
@@ -47,6 +47,16 @@
 demo: build
 	./scripts/demo.sh
 
+# Checks the worked examples of examples/ with the code and with the built binaries.
+check-examples: build
+	go test ./test/examples
+	for f in examples/*/c?.yaml; do bin/chicory-control check-settings -settings $$f || exit; done
+	for f in examples/*/r?.yaml; do bin/chicory-router check-settings -settings $$f || exit; done
+
+# Runs the curl examples of docs/callers.md against a small example on this machine.
+check-docs: build
+	./scripts/check-docs.sh
+
 ci:
 	.ci/run
 
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -28,7 +28,7 @@
 			fs.StringVar(&planFile, "plan", "", "file to write the plan to; - for the output")
 		},
 		func(ctx context.Context, _ []string) error {
-			changes, err := readChanges(file)
+			changes, err := ReadChanges(file)
 			if err != nil {
 				return err
 			}
@@ -36,9 +36,9 @@
 		})
 }
 
-// readChanges reads a YAML file of the form "changes: [...]", each a Change
+// ReadChanges reads a YAML file of the form "changes: [...]", each a Change
 // message by its field names. An unknown field is an error.
-func readChanges(path string) ([]*chicoryv1.Change, error) {
+func ReadChanges(path string) ([]*chicoryv1.Change, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Trace(err)
