Ask targets about a key with its team

Two teams may use the same key; a target asked by key alone could settle one team's claim with the other's answer. Found in review of the call path; TestKeysAreOfTheirTeam.

--- a/internal/request/call/doubt.go
+++ b/internal/request/call/doubt.go
@@ -32,7 +32,7 @@
 	if !c.service.GetCanLookupKeys() || address == "" || ctx.Err() != nil {
 		return nil
 	}
-	req := connect.NewRequest(&chicoryv1.LookupKeyRequest{Key: c.req.GetKey()})
+	req := connect.NewRequest(&chicoryv1.LookupKeyRequest{Key: c.req.GetKey(), Team: c.req.GetTeam()})
 	resp, err := s.opts.Pool.Clients(address).Transaction.LookupKey(ctx, req)
 	if err != nil || !resp.Msg.GetRan() || len(resp.Msg.GetPayload()) == 0 {
 		return nil
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -76,7 +76,7 @@
 	attempts  map[attemptKey]*attempt
 	cancelled map[string]uint32 // generation to the highest cancelled attempt
 	counts    counters
-	keys      map[string]*keyRecord
+	keys      map[teamKey]*keyRecord
 	fencing   uint64
 	version   string
 	report    *chicoryv1.LoadResponse
@@ -91,6 +91,11 @@
 	calls, generations, tokens, cancelled, prefilled uint64
 }
 
+// teamKey names a call with a key; two teams may use the same key.
+type teamKey struct {
+	team, key string
+}
+
 // keyRecord is what a replica knows of one key.
 type keyRecord struct {
 	arrivals uint32
@@ -113,7 +118,7 @@
 		thaw:      thaw,
 		attempts:  map[attemptKey]*attempt{},
 		cancelled: map[string]uint32{},
-		keys:      map[string]*keyRecord{},
+		keys:      map[teamKey]*keyRecord{},
 		version:   opts.Version,
 	}
 }
@@ -246,8 +251,10 @@
 		PrefilledTokens: r.counts.prefilled,
 		Running:         map[string]uint32{r.opts.Address: running},
 	}
-	if k := r.keys[key]; k != nil {
-		resp.WithKey = k.arrivals
+	for id, k := range r.keys {
+		if id.key == key {
+			resp.WithKey += k.arrivals
+		}
 	}
 	return resp
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -76,3 +76,16 @@
 	r.SetFaults(&chicoryv1.Faults{IgnoreFencing: true})
 	assert.Assert(t, r.order(&chicoryv1.OrderRequest{Fencing: 4}).GetAccepted())
 }
+
+func TestKeysAreOfTheirTeam(t *testing.T) {
+	_, c := startReplica(t)
+	req := &chicoryv1.InvokeRequest{CallId: "c1", Key: "k", Team: "a", Method: "book"}
+	_, err := c.Transaction.Invoke(context.Background(), connect.NewRequest(req))
+	assert.NilError(t, err)
+	for team, ran := range map[string]bool{"a": true, "b": false} {
+		ask := connect.NewRequest(&chicoryv1.LookupKeyRequest{Team: team, Key: "k"})
+		resp, err := c.Transaction.LookupKey(context.Background(), ask)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Msg.GetRan(), ran, "team %s", team)
+	}
+}
--- a/internal/standin/transaction.go
+++ b/internal/standin/transaction.go
@@ -58,7 +58,7 @@
 	s.r.mu.Lock()
 	defer s.r.mu.Unlock()
 	resp := &chicoryv1.LookupKeyResponse{Version: s.r.version}
-	if k := s.r.keys[req.Msg.GetKey()]; k != nil {
+	if k := s.r.keys[teamKey{req.Msg.GetTeam(), req.Msg.GetKey()}]; k != nil {
 		resp.Ran = k.ran
 		resp.Payload = k.payload
 	}
@@ -73,10 +73,11 @@
 	if m.GetKey() == "" {
 		return
 	}
-	k := r.keys[m.GetKey()]
+	id := teamKey{m.GetTeam(), m.GetKey()}
+	k := r.keys[id]
 	if k == nil {
 		k = &keyRecord{}
-		r.keys[m.GetKey()] = k
+		r.keys[id] = k
 	}
 	k.arrivals++
 }
@@ -86,7 +87,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	payload := fmt.Appendf(nil, "%s:%s", m.GetMethod(), m.GetPayload())
-	if k := r.keys[m.GetKey()]; k != nil {
+	if k := r.keys[teamKey{m.GetTeam(), m.GetKey()}]; k != nil {
 		k.ran = true
 		k.payload = payload
 	}
