Peer connections: a UDP port for each connection

Cause: http3 dials all connections from one UDP port. When something between two processes lost track of that port, every later connection was swallowed too: the log had no leader for more than 20 s, until the test gave up. Change: the peer client dials each connection from a port of its own.

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -132,10 +134,19 @@
 		TLSClientConfig:    keys.ClientConfig(),
 		QUICConfig:         quicConfig(),
 		DisableCompression: true,
+		Dial:               dialOwnSocket,
 	}
 	return &Client{Client: &http.Client{Transport: t}, transport: t}
 }
 
+// dialOwnSocket opens each connection from a UDP port of its own. With one port
+// for all, something between the two ends that lost track of the port would
+// swallow the packets of every later connection too.
+func dialOwnSocket(ctx context.Context, address string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
+	conn, err := quic.DialAddrEarly(ctx, address, tlsConfig, config)
+	return conn, errors.Trace(err)
+}
+
 // Close cuts all connections.
 func (c *Client) Close() error {
 	return errors.Trace(c.transport.Close())
