Replace connections between own processes that went silent

The replicated log, the questions to the leader and the watch have connections of their own, so that closing idle ones after a silence cuts nothing else.

--- a/internal/connection/control/client.go
+++ b/internal/connection/control/client.go
@@ -30,6 +30,7 @@
 
 // Client talks to the control VMs. It is safe for concurrent use.
 type Client struct {
+	peers    *peer.Client
 	vms      []VM
 	services map[string]chicoryv1connect.ControlServiceClient // by identity
 
@@ -37,9 +38,11 @@
 	leader int        // index of the presumed leader
 }
 
-// NewClient returns a client that asks the VMs in turn until one leads.
+// NewClient returns a client that asks the VMs in turn until one leads. p is for
+// this client alone: after a question without an answer its connections are
+// replaced, because they may have gone silent for good.
 func NewClient(vms []VM, p *peer.Client) *Client {
-	c := &Client{vms: vms, services: map[string]chicoryv1connect.ControlServiceClient{}}
+	c := &Client{peers: p, vms: vms, services: map[string]chicoryv1connect.ControlServiceClient{}}
 	for _, vm := range vms {
 		c.services[vm.ID] = chicoryv1connect.NewControlServiceClient(p.Client, peer.BaseURL(vm.Address))
 	}
@@ -72,7 +75,7 @@
 	for {
 		for range c.vms {
 			vm := c.presumedLeader()
-			resp, err := callOne(ctx, c.services[vm.ID], req, call)
+			resp, err := callOne(ctx, c, vm, req, call)
 			if err == nil {
 				return resp, nil
 			}
@@ -90,16 +93,17 @@
 	}
 }
 
-func callOne[Q, A any](ctx context.Context, s chicoryv1connect.ControlServiceClient, req *Q, call method[Q, A]) (*A, error) {
+func callOne[Q, A any](ctx context.Context, c *Client, vm VM, req *Q, call method[Q, A]) (*A, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	resp, err := call(s, ctx, connect.NewRequest(req))
+	resp, err := call(c.services[vm.ID], ctx, connect.NewRequest(req))
 	if err == nil {
 		return resp.Msg, nil
 	}
 	if f := fault.FromAnswer(err); f != nil {
 		return nil, f
 	}
+	c.peers.CloseIdleConnections()
 	return nil, fault.New(fault.NoQuorum, "no answer from a control VM: %v", err)
 }
 
--- a/internal/connection/control/watch.go
+++ b/internal/connection/control/watch.go
@@ -24,6 +24,7 @@
 
 // Watcher keeps a holder at the newest revision that its servers know.
 type Watcher struct {
+	peers    *peer.Client
 	holder   *config.Holder
 	routerID string
 	servers  []chicoryv1connect.ControlServiceClient
@@ -33,9 +34,10 @@
 }
 
 // NewWatcher returns a watcher of the servers at the addresses, which are relays
-// or control VMs, asked in this order.
+// or control VMs, asked in this order. p is for this watcher alone: its connection
+// is replaced after a watch that went silent.
 func NewWatcher(h *config.Holder, routerID string, addresses []string, p *peer.Client, log *logging.Logger, onApplied func(uint64)) *Watcher {
-	w := &Watcher{holder: h, routerID: routerID, log: log, onApplied: onApplied}
+	w := &Watcher{peers: p, holder: h, routerID: routerID, log: log, onApplied: onApplied}
 	for _, a := range addresses {
 		w.servers = append(w.servers, chicoryv1connect.NewControlServiceClient(p.Client, peer.BaseURL(a)))
 	}
@@ -51,6 +53,7 @@
 			return
 		}
 		w.log.Warn(logging.WatchLost, logging.Fields{"revision": w.revision(), "reason": err})
+		w.peers.CloseIdleConnections()
 		select {
 		case <-time.After(watchPause):
 		case <-ctx.Done():
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -42,7 +42,7 @@
 	registry metrics.Registry
 
 	targets   *target.Pool
-	peers     *peer.Client
+	peers     *peer.Client // of the replicated log alone
 	peerHTTP  *peer.Server
 	operators *http.Server
 	monitor   *monitor.Server
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -42,7 +42,8 @@
 	registry    metrics.Registry
 	holder      *config.Holder
 	pool        *target.Pool
-	peers       *peer.Client
+	leaders     *peer.Client // for questions to the leader
+	watched     *peer.Client // for the watch
 	control     *control.Client
 	reports     *reporter
 	admitter    *admission.Admitter
@@ -76,10 +77,11 @@
 		registry:    metrics.NewRegistry(),
 		holder:      &config.Holder{},
 		pool:        target.NewPool(nil),
-		peers:       peer.NewClient(keys),
+		leaders:     peer.NewClient(keys),
+		watched:     peer.NewClient(keys),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
-	p.control = control.NewClient(controlVMs(s), p.peers)
+	p.control = control.NewClient(controlVMs(s), p.leaders)
 	if err := p.assemble(resumeKey); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -182,7 +184,7 @@
 const platformTimeout = 2 * time.Second
 
 func (p *Process) startTasks(targets *observe.Watcher) {
-	configurations := control.NewWatcher(p.holder, p.settings.ID, p.watchAddresses(), p.peers, p.log,
+	configurations := control.NewWatcher(p.holder, p.settings.ID, p.watchAddresses(), p.watched, p.log,
 		func(uint64) { p.reports.poke() })
 	for _, task := range []func(context.Context){targets.Run, configurations.Run, p.reports.run} {
 		p.tasks.Add(1)
