No hedges while calls wait and all targets are well

Ruled out: refusing hedges whenever calls wait.

Change: the budget refuses hedges while calls wait for a slot and no target is ejected, dead or stalled.

--- a/bench/route/router.go
+++ b/bench/route/router.go
@@ -53,7 +53,10 @@
 	f.admitter = admission.New(admission.Options{
 		Holder: c.holder, Routers: func() int { return n }, Capacity: f.picker.Capacity, Settings: s,
 	})
-	f.budget = retry.NewBudget(retry.Options{Settings: retry.Defaults()})
+	f.budget = retry.NewBudget(retry.Options{
+		Settings:  retry.Defaults(),
+		Saturated: func() bool { return f.admitter.CallsWait() && !f.picker.Impaired() },
+	})
 	f.calls = call.New(call.Options{
 		Holder: c.holder, Pool: f.pool, Picker: f.picker, Admitter: f.admitter, Budget: f.budget,
 		Chooser: routeVersion{}, Recorder: noRecorder{}, RouterID: zone, Incarnation: "1",
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -112,7 +112,10 @@
 	collector := evidence.NewCollector()
 	guard := share.NewGuard(p.holder, collector, time.Now, p.log)
 	chooser := share.NewChooser(p.holder, guard)
-	budget := retry.NewBudget(retry.Options{Settings: p.settings.Retry, Registry: p.registry})
+	budget := retry.NewBudget(retry.Options{
+		Settings: p.settings.Retry, Registry: p.registry,
+		Saturated: func() bool { return p.admitter.CallsWait() && !picker.Impaired() },
+	})
 	p.reports = p.newReporter(collector, guard)
 	p.log.Observe(p.reports.observe)
 	p.registerGauges()
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -39,6 +40,8 @@
 	opts     Options
 	admitted metrics.Counter
 	refused  map[fault.Kind]metrics.Counter
+	// callsWaiting is the number of calls in queues.
+	callsWaiting atomic.Int64
 
 	mu       sync.Mutex // guards the fields below and all pools and teams
 	draining bool
--- a/internal/request/admission/dispatch.go
+++ b/internal/request/admission/dispatch.go
@@ -25,11 +25,25 @@
 	}
 	x.decided = make(chan struct{})
 	q.waiting = slices.Insert(q.waiting, at, x)
-	p.waiting++
+	a.countWaiting(p, x, 1)
 	a.refuseLateTail(p, q, now)
 	return nil
 }
 
+// countWaiting adds n to the numbers of waiting requests. The caller holds mu.
+func (a *Admitter) countWaiting(p *pool, x *waiter, n int) {
+	p.waiting += n
+	if isCall(&x.work) {
+		a.callsWaiting.Add(int64(n))
+	}
+}
+
+// CallsWait reports whether calls wait in a queue now: hedges would only make
+// them wait longer.
+func (a *Admitter) CallsWait() bool {
+	return a.callsWaiting.Load() > 0
+}
+
 // checkWait refuses x, at a place of its team's queue, when it would be late. It
 // is the team's limit when that holds x back longer than the pool does.
 func (a *Admitter) checkWait(p *pool, x *waiter, at int, now time.Time) error {
@@ -78,7 +92,7 @@
 // refuse takes x out of its queue with err. The caller holds mu.
 func (a *Admitter) refuse(p *pool, q *teamQueue, x *waiter, err error) {
 	q.remove(x)
-	p.waiting--
+	a.countWaiting(p, x, -1)
 	a.refund(x.team, &x.work, reserved(&x.work))
 	x.decide(err)
 }
@@ -121,7 +135,7 @@
 			continue
 		}
 		q.waiting = q.waiting[1:]
-		p.waiting--
+		a.countWaiting(p, x, -1)
 		p.start(x, a.limits(q.team).weight, now)
 		x.decide(nil)
 	}
@@ -171,7 +185,7 @@
 	if !p.queue(x.team).remove(x) {
 		return x.err
 	}
-	p.waiting--
+	a.countWaiting(p, x, -1)
 	a.refund(x.team, &x.work, reserved(&x.work))
 	now := time.Now()
 	a.dispatch(p, now)
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -18,6 +18,9 @@
 	// Rand gives uniform numbers from 0 to 1 and is safe for concurrent use; nil
 	// means the runtime's source.
 	Rand func() float64
+	// Saturated reports whether the targets are busy though all are well: a hedge
+	// then only makes other calls wait, and none is allowed. nil means never.
+	Saturated func() bool
 	// Registry takes the counters; nil means none.
 	Registry metrics.Registry
 }
@@ -27,9 +30,10 @@
 // empty go ahead at a fixed pace and leave it in debt, so that calls are retried
 // less while generations are rescued. It is safe for concurrent use.
 type Budget struct {
-	settings Settings
-	rand     func() float64
-	counts   counters
+	settings  Settings
+	rand      func() float64
+	saturated func() bool
+	counts    counters
 
 	mu sync.Mutex // guards the fields below
 	// account is the number of further attempts paid for; at least -Burst.
@@ -58,15 +62,19 @@
 	if opts.Rand == nil {
 		opts.Rand = rand.Float64
 	}
+	if opts.Saturated == nil {
+		opts.Saturated = func() bool { return false }
+	}
 	if opts.Registry == nil {
 		opts.Registry = metrics.NewRegistry()
 	}
 	b := &Budget{
-		settings: opts.Settings,
-		rand:     opts.Rand,
-		account:  opts.Settings.Burst,
-		pace:     opts.Settings.ResumeBurst,
-		pacedAt:  time.Now(),
+		settings:  opts.Settings,
+		rand:      opts.Rand,
+		saturated: opts.Saturated,
+		account:   opts.Settings.Burst,
+		pace:      opts.Settings.ResumeBurst,
+		pacedAt:   time.Now(),
 	}
 	for kind, name := range kindNames {
 		b.counts.allowed[kind] = metrics.GetOrRegisterCounter("retry."+name+".allowed", opts.Registry)
@@ -89,7 +97,7 @@
 	now := time.Now()
 	switch kind {
 	case request.HedgeCall:
-		ok = b.take(1 + b.settings.Burst*b.settings.HedgeReserve)
+		ok = !b.saturated() && b.take(1+b.settings.Burst*b.settings.HedgeReserve)
 	case request.ResumeGeneration:
 		ok = b.take(1) || b.takePace(now)
 	default:
--- a/internal/request/retry/budget_test.go
+++ b/internal/request/retry/budget_test.go
@@ -164,3 +164,15 @@
 	assert.Equal(t, count(request.RetryCall), 5)
 	assert.Equal(t, count(request.ResumeGeneration), 1)
 }
+
+func TestNoHedgeWhileSaturated(t *testing.T) {
+	saturated := true
+	b := NewBudget(Options{Settings: Defaults(), Saturated: func() bool { return saturated }})
+	ok, _ := b.Allow(request.HedgeCall)
+	assert.Assert(t, !ok)
+	ok, _ = b.Allow(request.RetryCall)
+	assert.Assert(t, ok)
+	saturated = false
+	ok, _ = b.Allow(request.HedgeCall)
+	assert.Assert(t, ok)
+}
--- a/internal/request/routing/endpoint.go
+++ b/internal/request/routing/endpoint.go
@@ -93,7 +93,7 @@
 		load += partPenalty
 	}
 	slowness := math.Float64frombits(e.slowness.Load())
-	if m.isCall && e.isStalled(now) {
+	if m.isCall && e.isAvoided(now) {
 		slowness = slowMax
 	}
 	return load * slowness
@@ -114,10 +114,15 @@
 const partPenalty = 0.5
 
 // isStalled reports whether calls wait at the target and none has succeeded for
-// much longer than usual. Now and then one call tries the target.
+// much longer than usual.
 func (e *endpoint) isStalled(now time.Time) bool {
 	since, after := e.waitingSince.Load(), e.stallAfter.Load()
-	return since != 0 && after != 0 && now.UnixNano()-since > after && now.UnixNano() < e.nextTrial.Load()
+	return since != 0 && after != 0 && now.UnixNano()-since > after
+}
+
+// isAvoided reports whether calls avoid a stalled target. Now and then one tries it.
+func (e *endpoint) isAvoided(now time.Time) bool {
+	return e.isStalled(now) && now.UnixNano() < e.nextTrial.Load()
 }
 
 // noteBegin notes that a request begins to wait at the target.
--- a/internal/request/routing/picker.go
+++ b/internal/request/routing/picker.go
@@ -179,6 +179,21 @@
 	return slices.Clone(e.reasons)
 }
 
+// Impaired reports whether a target is ejected, dead or stalled now.
+func (p *Picker) Impaired() bool {
+	t := p.current()
+	if t == nil {
+		return false
+	}
+	now := time.Now()
+	for _, e := range t.endpoints {
+		if e.status(now) == ejected || e.isStalled(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Capacity returns how many requests the targets in use of a service's version
 // run at once, and the estimated number at them now, of all routers. When none is
 // in use, the ejected ones count. Both are 0 when there is no target.
