Keep no engine work for callers that moved or were refused

Cause, found by reading: a run that was taken over left its attempt running when the caller's token named an older one; a resume refused by admission forgot the pending cancellation; a target that failed once was excluded for the whole generation; an attempt cancelled by another router counted as the engine's error. Change: abandonments name their attempt; targets are excluded for 10 s; a cancelled attempt is no evidence; the engine spares attempts one by one. Seen red: without the abandonment after a refusal the test finds 1 running attempt; without ending the old run it returns nil in place of cancelled.

--- a/internal/request/generation/cancel.go
+++ b/internal/request/generation/cancel.go
@@ -24,7 +24,9 @@
 
 // abandonment is the engine's work for a generation whose caller went away.
 type abandonment struct {
-	timer *time.Timer
+	address string
+	number  uint32
+	timer   *time.Timer
 }
 
 // Cancel ends a generation and frees its engine's work. It returns when the
@@ -45,6 +47,7 @@
 	}
 	if a := s.abandoned[id]; a != nil {
 		s.forget(id, a)
+		s.cancelAtEngine(a.address, id, a.number, always)
 	}
 	done := s.cancelAtEngine(state.GetTarget(), id, state.GetAttempt(), always)
 	s.mu.Unlock()
@@ -103,12 +106,15 @@
 func (s *Service) abandon(address, id string, number uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.abandoned[id] != nil {
-		return
+	s.tasks.Add(1)
+	if old := s.abandoned[id]; old != nil {
+		if old.number != number {
+			s.cancelAtEngine(old.address, id, old.number, ifDetached)
+		}
+		s.forget(id, old)
 	}
-	a := &abandonment{}
+	a := &abandonment{address: address, number: number}
 	s.abandoned[id] = a
-	s.tasks.Add(1)
 	a.timer = time.AfterFunc(s.opts.Settings.CallerGrace.Std(), func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/request/generation/ends_test.go
+++ b/internal/request/generation/ends_test.go
@@ -40,7 +40,7 @@
 		time.Sleep(DefaultSettings().CallerGrace.Std() + 100*time.Millisecond)
 		synctest.Wait()
 		assert.Equal(t, running(w.engines[0]), uint32(0))
-		assert.Equal(t, len(w.routers[0].open)+len(w.routers[0].abandoned), 0)
+		assert.Equal(t, w.routers[0].kept(), 0)
 		assert.Equal(t, w.routers[0].counters.cancelled.Count(), int64(1))
 	})
 }
@@ -72,6 +72,49 @@
 	})
 }
 
+func TestCallerOnASecondConnectionTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, "v1")
+		defer w.close()
+		r := w.routers[0]
+		x := &text{}
+		first := make(chan error, 1)
+		sent := 0
+		silent := func(c *chicoryv1.GenerationChunk) error { // the router does not see that it is gone
+			if sent++; sent > 5 {
+				return nil
+			}
+			return x.take(c)
+		}
+		go func() { first <- r.Generate(context.Background(), testRequest(300), silent) }()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.NilError(t, r.Resume(context.Background(), x.resumeRequest(testRequest(300)), x.take))
+		checkWhole(t, x, 300)
+		err := <-first
+		assert.Assert(t, fault.Is(err, fault.Cancelled), "%v", err)
+		assert.Equal(t, w.engines[0].Counts("").GetGenerations(), uint64(1))
+		time.Sleep(DefaultSettings().CallerGrace.Std())
+		assert.Equal(t, r.kept(), 0)
+	})
+}
+
+func TestRefusedResumeFreesTheEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, "v1")
+		defer w.close()
+		r := w.routers[0]
+		x := &text{}
+		_ = leaveAt(w, x, 1000, 5)
+		r.roles.refuse = fault.New(fault.TeamLimit, "limit")
+		err := r.Resume(context.Background(), x.resumeRequest(testRequest(1000)), noChunk(t))
+		assert.Assert(t, fault.Is(err, fault.TeamLimit), "%v", err)
+		time.Sleep(DefaultSettings().CallerGrace.Std() + 100*time.Millisecond)
+		assert.Equal(t, running(w.engines[0]), uint32(0))
+		assert.Equal(t, r.kept(), 0)
+	})
+}
+
 func TestCancelReachesTheEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2, "v1")
--- a/internal/request/generation/follow.go
+++ b/internal/request/generation/follow.go
@@ -23,6 +23,8 @@
 	lossGap
 	// lossRefused: the engine answered that it does not serve the attempt.
 	lossRefused
+	// lossCancelled: the attempt was cancelled by someone else than this router.
+	lossCancelled
 	// lossMisbehaved: the engine broke its protocol.
 	lossMisbehaved
 )
@@ -38,6 +40,8 @@
 		return "gap"
 	case lossRefused:
 		return "refused"
+	case lossCancelled:
+		return "cancelled"
 	case lossMisbehaved:
 		return "misbehaved"
 	}
@@ -104,15 +108,12 @@
 		return lossNone, fault.New(fault.Cancelled, "%v", context.Cause(ctx))
 	case context.Cause(streamCtx) == errSilent:
 		return lossSilent, nil
-	case isAnswer(err):
+	case connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeCanceled:
+		return lossCancelled, nil
+	case connect.IsWireError(err): // the engine itself sent it
 		return lossRefused, nil
 	case errors.Is(err, context.DeadlineExceeded):
 		return lossSilent, nil // the load report took too long
 	}
 	return lossReset, nil
 }
-
-// isAnswer reports whether the engine itself sent the error.
-func isAnswer(err error) bool {
-	return connect.IsWireError(err)
-}
--- a/internal/request/generation/recover.go
+++ b/internal/request/generation/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -67,8 +68,8 @@
 	r.closeAttempt(resultOf(l), l)
 	if old.address != "" {
 		r.s.cancelAtEngine(old.address, r.id, old.number, always)
-		if l != lossRefused || !old.alive && old.probes == 0 {
-			r.excluded = append(r.excluded, old.address)
+		if l != lossCancelled && (l != lossRefused || !old.alive && old.probes == 0) {
+			r.excluded = append(r.excluded, exclusion{old.address, time.Now()})
 		}
 	}
 	r.restarts++
@@ -114,7 +115,7 @@
 		return request.ResultSilent
 	case lossReset:
 		return request.ResultReset
-	case lossNone:
+	case lossNone, lossCancelled:
 		return request.ResultAbandoned
 	}
 	return request.ResultError
@@ -142,30 +143,51 @@
 	}
 }
 
+// excludeTime is how long a target that failed this generation is not picked again.
+const excludeTime = 10 * time.Second
+
+// recentlyFailed forgets older failures and returns the other targets' addresses.
+func (r *run) recentlyFailed() []string {
+	r.excluded = slices.DeleteFunc(r.excluded, func(e exclusion) bool {
+		return time.Since(e.at) > excludeTime
+	})
+	var addresses []string
+	for _, e := range r.excluded {
+		addresses = append(addresses, e.address)
+	}
+	return addresses
+}
+
 // pickAgain chooses a target for a further attempt: of the same version if there
 // is one, first without those that failed, else of another version.
 func (r *run) pickAgain() (request.Placement, error) {
 	work := r.work()
+	excluded := r.recentlyFailed()
 	for _, version := range r.versions() {
 		work.Version = version
-		if p, err := r.s.opts.Picker.Pick(work, r.excluded); err == nil {
+		if p, err := r.s.opts.Picker.Pick(work, excluded); err == nil {
 			return p, nil
 		}
 	}
 	return request.Placement{}, r.giveUp(fault.GenerationInterrupted.Row().RetryAfter)
 }
 
-// versions returns the run's version and then the others of its service.
+// versions returns the version of the last attempt, then the route's and then the
+// others of its service.
 func (r *run) versions() []string {
-	list := []string{r.version}
-	view := r.s.opts.Holder.Current()
-	seen := map[string]bool{r.version: true}
-	for _, t := range view.Targets(r.route.GetService()) {
-		if v := t.GetVersion(); !seen[v] {
-			seen[v] = true
+	list := []string{r.attempt.version}
+	add := func(v string) {
+		if !slices.Contains(list, v) {
 			list = append(list, v)
 		}
 	}
+	view := r.s.opts.Holder.Current()
+	if route := view.Route(r.route.GetName()); route != nil {
+		add(route.GetVersion())
+	}
+	for _, t := range view.Targets(r.route.GetService()) {
+		add(t.GetVersion())
+	}
 	return list
 }
 
--- a/internal/request/generation/run.go
+++ b/internal/request/generation/run.go
@@ -66,8 +66,8 @@
 	// nonce is the lower half of attempt numbers, so that two routers that resume
 	// one generation can't use one number.
 	nonce uint32
-	// excluded are the targets that failed since the last new token.
-	excluded []string
+	// excluded are the targets that failed, with the times.
+	excluded []exclusion
 	// restarts counts attempts in a row without a new token.
 	restarts int
 
@@ -81,6 +81,12 @@
 	sentVersion string
 }
 
+// exclusion keeps a failed target from being picked again at once.
+type exclusion struct {
+	address string
+	at      time.Time
+}
+
 // attemptStep is added to an attempt number for each further attempt.
 const attemptStep = 1 << 16
 
@@ -210,6 +216,7 @@
 		r.closeAttempt(request.ResultSuccess, lossNone)
 		return nil
 	case cause == errTakenOver:
+		r.s.abandon(a.address, r.id, a.number) // unless the caller follows it again
 		r.closeAttempt(request.ResultAbandoned, lossNone)
 		return fault.New(fault.Cancelled, "the caller came back on another connection")
 	case cause == errCancelled:
--- a/internal/request/generation/service.go
+++ b/internal/request/generation/service.go
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	entry := &openRun{cancel: cancel}
-	if err := s.enter(r.id, entry); err != nil {
+	if err := s.enter(r, entry); err != nil {
 		return s.refuse(r.requestID, r.team, err)
 	}
 	defer s.leave(r.id, entry)
@@ -116,6 +116,9 @@
 	defer stop()
 	release, err := s.opts.Admitter.Admit(ctx, r.work())
 	if err != nil {
+		if r.attempt.address != "" {
+			s.abandon(r.attempt.address, r.id, r.attempt.number)
+		}
 		return s.refuse(r.requestID, r.team, err)
 	}
 	err = r.drive(ctx, first)
@@ -126,19 +129,19 @@
 
 // enter registers an open generation. An older run of the same generation ends:
 // its caller came back.
-func (s *Service) enter(id string, run *openRun) error {
+func (s *Service) enter(r *run, entry *openRun) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
 		return fault.New(fault.Draining, "router is shutting down")
 	}
-	if old := s.open[id]; old != nil {
+	if old := s.open[r.id]; old != nil {
 		old.cancel(errTakenOver)
 	}
-	if a := s.abandoned[id]; a != nil {
-		s.forget(id, a)
+	if a := s.abandoned[r.id]; a != nil && a.number == r.attempt.number {
+		s.forget(r.id, a)
 	}
-	s.open[id] = run
+	s.open[r.id] = entry
 	s.tasks.Add(1)
 	s.counters.open.Inc(1)
 	return nil
--- a/internal/request/generation/storm_test.go
+++ b/internal/request/generation/storm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -29,13 +30,20 @@
 	return open
 }
 
+// bubbleGoroutines counts the goroutines of the bubble that runs.
+func bubbleGoroutines() (count int, stacks string) {
+	buf := make([]byte, 4<<20)
+	stacks = string(buf[:runtime.Stack(buf, true)])
+	return strings.Count(stacks, "synctest bubble"), stacks
+}
+
 func TestStormLeavesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, "v1", "v1", "v1", "v1")
 		defer w.close()
 		r := w.routers[0]
 		synctest.Wait()
-		before := runtime.NumGoroutine()
+		before, _ := bubbleGoroutines()
 		var wait sync.WaitGroup
 		for i := range 40 {
 			wait.Add(1)
@@ -68,11 +76,12 @@
 		time.Sleep(3 * time.Minute) // idle connections end
 		synctest.Wait()
 		assert.Equal(t, r.network.openConnections(), 0)
-		assert.Equal(t, len(r.open)+len(r.abandoned), 0)
+		assert.Equal(t, r.kept(), 0)
 		assert.Equal(t, r.counters.open.Count(), int64(0))
 		for _, e := range w.engines {
 			assert.Equal(t, running(e), uint32(0))
 		}
-		assert.Assert(t, runtime.NumGoroutine() <= before, "%d goroutines, %d before", runtime.NumGoroutine(), before)
+		after, stacks := bubbleGoroutines()
+		assert.Assert(t, after <= before, "%d goroutines, %d before:\n%s", after, before, stacks)
 	})
 }
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -190,23 +190,18 @@
 }
 
 // isRead reports whether a stream reads the attempt.
-func (r *Replica) isRead(generation string, number uint32) bool {
-	r.mu.Lock()
-	a := r.attempts[attemptKey{generation, number}]
-	r.mu.Unlock()
-	if a == nil {
-		return false
-	}
+func (a *attempt) isRead() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.streams > 0
 }
 
 // cancelUpTo cancels every attempt of a generation up to the number, also those
-// that arrive later.
-func (r *Replica) cancelUpTo(generation string, number uint32) {
+// that arrive later. With onlyDetached it spares attempts that a stream reads and
+// those that arrive later.
+func (r *Replica) cancelUpTo(generation string, number uint32, onlyDetached bool) {
 	r.mu.Lock()
-	if r.cancelled[generation] < number {
+	if r.cancelled[generation] < number && !onlyDetached {
 		r.cancelled[generation] = number
 	}
 	var hit []*attempt
@@ -217,6 +212,8 @@
 	}
 	r.mu.Unlock()
 	for _, a := range hit {
-		r.cancelAttempt(a)
+		if !onlyDetached || !a.isRead() {
+			r.cancelAttempt(a)
+		}
 	}
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -61,10 +61,7 @@
 	if !s.r.waitThaw() {
 		panic(http.ErrAbortHandler)
 	}
-	if req.Msg.GetOnlyDetached() && s.r.isRead(req.Msg.GetGenerationId(), req.Msg.GetAttempt()) {
-		return connect.NewResponse(&chicoryv1.EngineServiceCancelResponse{}), nil
-	}
-	s.r.cancelUpTo(req.Msg.GetGenerationId(), req.Msg.GetAttempt())
+	s.r.cancelUpTo(req.Msg.GetGenerationId(), req.Msg.GetAttempt(), req.Msg.GetOnlyDetached())
 	return connect.NewResponse(&chicoryv1.EngineServiceCancelResponse{}), nil
 }
 
