Moves: drawn windows

Cause: the schedule was tested for one window only. Ruled out: nothing. Change: drawn intents keep their planned times in order, and a good version with enough traffic is done in any window, hastened or not. Conclusion: none further.

--- a/internal/version/move/deadline_test.go
+++ b/internal/version/move/deadline_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 )
@@ -59,3 +60,36 @@
 	})
 	assert.Equal(t, m.GetState(), done, m.GetReason())
 }
+
+// TestScheduleFitsItsWindow draws intents; planned times are in order and a proof
+// at the last possible time still leaves room for growth and watch.
+func TestScheduleFitsItsWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := testMove(false).GetIntent()
+		window := time.Duration(rapid.Int64Range(int64(minWindow), int64(maxWindow)).Draw(t, "window"))
+		in.DeadlineUnixMs = epoch.Add(window).UnixMilli()
+		in.ExpectedRate = rapid.Float64Range(0, 5000).Draw(t, "rate")
+		s := scheduleOf(in)
+		assert.Assert(t, s.start.Before(s.plannedProof()) && !s.plannedProof().After(s.latestProof()))
+		now := s.latestProof()
+		for left := len(growingPermille); left > 0; left-- {
+			now = now.Add(s.stepTime(now, left, false))
+		}
+		assert.Assert(t, !now.Add(s.minWatch).After(s.deadline), "the least watch ends %s late", now.Add(s.minWatch).Sub(s.deadline))
+		_, _, err := Plan(in, &chicoryv1.Route{Name: "fares", Version: "1"}, epoch, 0)
+		assert.NilError(t, err)
+	})
+}
+
+// TestGoodVersionIsDoneInAnyWindow draws the window of a route with 1000 requests
+// a second, and whether an operator hastens the move.
+func TestGoodVersionIsDoneInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := testMove(rapid.Bool().Draw(t, "nonIdempotent"))
+		window := time.Duration(rapid.IntRange(120, 1200).Draw(t, "seconds")) * time.Second
+		m.Intent.DeadlineUnixMs = epoch.Add(window).UnixMilli()
+		m.Hastened = rapid.Bool().Draw(t, "hastened")
+		m, _ = run(m, epoch, epoch.Add(window), steady(0))
+		assert.Equal(t, m.GetState(), done, m.GetReason())
+	})
+}
