chicoryctl: an unknown command or output form is wrong usage

Change: groups of commands refuse a name that they don't have, and -o is checked before anything is sent.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -80,10 +80,18 @@
 			a.statusCommand(), a.historyCommand(), a.explainCommand(), a.reportCommand(),
 			a.claimsCommand(), a.configCommand(), a.certsCommand(), a.exampleCommand(), a.readyCommand(),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: execGroup,
 	}
 }
 
+// execGroup is run when no subcommand is named, or one that does not exist.
+func execGroup(_ context.Context, args []string) error {
+	if len(args) > 0 {
+		return errors.Errorf("there is no command %q", args[0])
+	}
+	return flag.ErrHelp
+}
+
 // command returns a command that talks to the control VMs.
 func (a *app) command(name, usage, help, example string, flags func(*flag.FlagSet), exec func(context.Context, []string) error) *ffcli.Command {
 	fs := flag.NewFlagSet("chicoryctl "+name, flag.ContinueOnError)
@@ -91,7 +99,7 @@
 	fs.StringVar(&a.keys.Certificate, "certificate", "", "PEM file of the operator's certificate")
 	fs.StringVar(&a.keys.Key, "key", "", "PEM file of the operator's key")
 	fs.StringVar(&a.keys.Authority, "authority", "", "PEM file of the system's authority")
-	fs.StringVar(&a.output, "o", "text", "output: text or json")
+	fs.StringVar(&a.output, "o", outputText, "output: text or json")
 	fs.String("config", "", "YAML file with values for these flags")
 	if flags != nil {
 		flags(fs)
@@ -108,13 +116,24 @@
 			ff.WithConfigFileParser(ffyaml.Parser),
 			ff.WithIgnoreUndefined(true),
 		},
-		Exec: exec,
+		Exec: func(ctx context.Context, args []string) error {
+			if a.output != outputText && a.output != outputJSON {
+				return errors.Errorf("output %q is neither text nor json", a.output)
+			}
+			return exec(ctx, args)
+		},
 	}
 }
 
+// Forms of the output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
 // print writes m as JSON when asked for, or the text.
 func (a *app) print(m proto.Message, text func(io.Writer)) error {
-	if a.output != "json" {
+	if a.output != outputJSON {
 		text(a.out)
 		return nil
 	}
--- a/internal/ctl/move.go
+++ b/internal/ctl/move.go
@@ -29,7 +29,7 @@
 			a.moveActionCommand("hasten", "Plans to grow as fast as the evidence allows.", chicoryv1.MoveActionKind_MOVE_ACTION_KIND_HASTEN),
 			a.moveActionCommand("take-back", "Plans to send all new work to the old version.", chicoryv1.MoveActionKind_MOVE_ACTION_KIND_TAKE_BACK),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: execGroup,
 	}
 }
 
--- a/internal/ctl/read.go
+++ b/internal/ctl/read.go
@@ -115,7 +115,7 @@
 			if err != nil {
 				return err
 			}
-			a.output = "json"
+			a.output = outputJSON
 			return a.print(resp.GetConfiguration(), nil)
 		})
 }
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -41,6 +41,6 @@
 		ShortHelp:   "Reports on service levels.",
 		FlagSet:     flag.NewFlagSet("chicoryctl report", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{burnCommand},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Exec:        execGroup,
 	}
 }
