--- a/bench/resume/cluster.go
+++ b/bench/resume/cluster.go
@@ -39,6 +39,8 @@
 	holder  *config.Holder
 	roles   *roles
 	journal *journalServer
+	// callers is how the callers reach the routers.
+	callers network
 
 	mu   sync.Mutex // guards dead
 	dead map[string]bool
@@ -152,7 +154,7 @@
 
 // newClient returns a client that reaches the routers through a balancer: each
 // new connection goes to the first router that is alive.
-func (c *cluster) newClient(t *traffic) (*client.Client, error) {
+func (c *cluster) newClient() (*client.Client, error) {
 	return client.New(client.Options{
 		Addresses: []string{"127.0.0.1:1"},
 		NewTransport: func() *http.Transport {
@@ -162,14 +164,14 @@
 				Protocols:          p,
 				DisableCompression: true,
 				DialContext: func(ctx context.Context, kind, _ string) (net.Conn, error) {
-					return c.dialRouter(ctx, kind, t)
+					return c.dialRouter(ctx, kind)
 				},
 			}
 		},
 	})
 }
 
-func (c *cluster) dialRouter(ctx context.Context, kind string, t *traffic) (net.Conn, error) {
+func (c *cluster) dialRouter(ctx context.Context, kind string) (net.Conn, error) {
 	c.mu.Lock()
 	address := ""
 	for _, r := range c.routers {
@@ -179,10 +181,5 @@
 		}
 	}
 	c.mu.Unlock()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, kind, address)
-	if err != nil {
-		return nil, err
-	}
-	return newWire(conn, t), nil
+	return c.callers.dial(ctx, kind, address)
 }
--- a/bench/resume/losses.go
+++ b/bench/resume/losses.go
@@ -15,7 +15,8 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/standin"
 )
 
-// loss is a kind of loss and the bar for the time to the next token.
+// loss is a kind of loss and the bar for the time to the next token; 0 is none,
+// for losses that are not single.
 type loss struct {
 	name  string
 	bound time.Duration
@@ -32,11 +33,16 @@
 	{"killed_engine", resetBound, func(c *cluster) { c.engines[0].kill() }},
 	{"frozen_engine", lossBound, func(c *cluster) { c.engines[0].SetFaults(&chicoryv1.Faults{Freeze: true}) }},
 	{"muted_connection", lossBound, func(c *cluster) { c.routers[0].network.mute() }},
+	{"caller_connection_muted", lossBound, func(c *cluster) { c.callers.mute() }},
 	{"router_killed", lossBound, func(c *cluster) { c.killRouter(0) }},
 	{"both_killed", lossBound, func(c *cluster) {
 		c.engines[0].kill()
 		c.killRouter(0)
 	}},
+	{"second_engine_lost", 0, func(c *cluster) {
+		c.engines[1].SetFaults(&chicoryv1.Faults{Freeze: true})
+		c.engines[0].kill()
+	}},
 }
 
 // lossOptions are the sizes of one cell.
@@ -131,7 +137,7 @@
 
 // follow reads one generation to its end.
 func (c *cluster) follow(req *chicoryv1.GenerateRequest) (out outcome) {
-	cl, err := c.newClient(&traffic{})
+	cl, err := c.newClient()
 	if err != nil {
 		return outcome{err: err}
 	}
--- a/bench/resume/main.go
+++ b/bench/resume/main.go
@@ -18,7 +18,7 @@
 	defaultSeconds = 45
 	tokenGap       = 37 * time.Millisecond
 	// cellsAtOnce bounds how many losses are measured at the same time.
-	cellsAtOnce = 12
+	cellsAtOnce = 16
 	// costRounds is how often each hop is measured.
 	costRounds = 4
 )
--- a/bench/resume/report.go
+++ b/bench/resume/report.go
@@ -70,7 +70,7 @@
 			wayNames[c.way], c.loss.name, c.started, 100*float64(c.resumed)/float64(c.started),
 			quantile(c.latency, 50), quantile(c.latency, 99), maximum(c.latency),
 			float64(c.prefilled)/float64(c.started), c.wrong, listErrors(c.errors))
-		if c.way == wayResupply {
+		if c.way == wayResupply && c.loss.bound > 0 {
 			bars = append(bars,
 				bar{"resume_" + c.loss.name, maximum(c.latency).String(), c.loss.bound.String(), maximum(c.latency) <= c.loss.bound},
 				bar{"resumed_share_" + c.loss.name, fmt.Sprintf("%.1f%%", 100*float64(c.resumed)/float64(c.started)), "100%", c.resumed == c.started})
