Wait for a living engine's prefill, tell resumed callers of a restart

Cause: a load report that came in time was not taken as life, so a prefill longer than about 2 s was begun anew at another engine, up to the limit of attempts. A caller that had come back learned of a restart only at its first token, after its own silence bound. Change: the load report counts as life; the new resume token goes out when the restart begins, for resumed callers too.

--- a/client/error.go
+++ b/client/error.go
@@ -9,7 +9,7 @@
 
 // Error is the system's final answer to a request that failed.
 type Error struct {
-	// Kind is a name from the closed list in docs/ERRORS.md.
+	// Kind is a name from the closed list in docs/callers-generations.md and docs/callers-calls.md.
 	Kind string
 	// Ran is "not_run", "ran" or "unknown".
 	Ran string
--- a/internal/request/generation/recover.go
+++ b/internal/request/generation/recover.go
@@ -96,8 +96,8 @@
 // tellAttempt gives the caller the resume token of the new attempt before its
 // first token, so that a router lost during the prefill does not lose the prefill.
 func (r *run) tellAttempt() error {
-	if !r.sentFirst {
-		return nil
+	if !r.sentFirst && r.releaseFrom == 0 {
+		return nil // the caller holds nothing to resume
 	}
 	chunk, err := r.callerChunk(r.prefix.count, nil, unfinished)
 	if err != nil {
--- a/internal/request/generation/routers_test.go
+++ b/internal/request/generation/routers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,6 +72,28 @@
 	}
 }
 
+func TestResumedCallerIsToldOfTheNewAttemptBeforeItsPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, "v1", "v1")
+		defer w.close()
+		x := &text{}
+		loseRouterAt(w, x, 60, 25)
+		w.engines[0].kill()
+		w.engines[1].SetFaults(&chicoryv1.Faults{SlowFactor: 500}) // a long prefill
+		old, start := x.token, time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		err := w.routers[1].Resume(ctx, x.resumeRequest(testRequest(60)), func(c *chicoryv1.GenerationChunk) error {
+			cancel()
+			return x.take(c)
+		})
+		assert.Assert(t, fault.Is(err, fault.Cancelled), "%v", err)
+		assert.Assert(t, x.token != old)
+		assert.Equal(t, len(x.tokens), 25)
+		assert.Assert(t, time.Since(start) < resetBound)
+	})
+}
+
 func TestSecondLossDuringResume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, "v1", "v1", "v1")
@@ -143,6 +166,20 @@
 	})
 }
 
+func TestSlowPrefillIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, "v1", "v1")
+		defer w.close()
+		w.engines[0].SetFaults(&chicoryv1.Faults{SlowFactor: 10})
+		req := testRequest(5)
+		req.Prompt = strings.Repeat("x", 40<<10) // 10 s of prefill
+		x := &text{}
+		assert.NilError(t, w.routers[0].Generate(context.Background(), req, x.take))
+		checkWhole(t, x, 5)
+		assert.Equal(t, w.routers[0].counters.restarted.Count(), int64(0))
+	})
+}
+
 func TestSlowEngineIsNotRestarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, "v1", "v1")
--- a/internal/request/generation/run.go
+++ b/internal/request/generation/run.go
@@ -32,7 +32,7 @@
 	// slow: the engine was alive in the silence and had no token, so that the
 	// silence is a gap like others.
 	slow bool
-	// alive: the engine sent a valid chunk on the current stream.
+	// alive: the engine sent a valid chunk on the current stream, or its load report.
 	alive bool
 	// dropped counts chunks in a row that were not released.
 	dropped int
--- a/internal/request/generation/stream.go
+++ b/internal/request/generation/stream.go
@@ -56,8 +56,11 @@
 	offset := r.prefix.count
 	if offset > r.attempt.start {
 		offset--
-	} else if err := r.ping(ctx); err != nil {
-		return nil, err
+	} else {
+		if err := r.ping(ctx); err != nil {
+			return nil, err
+		}
+		r.attempt.alive = true
 	}
 	stream, err := r.attempt.clients.Engine.Attach(ctx, connect.NewRequest(&chicoryv1.EngineServiceAttachRequest{
 		GenerationId: r.id,
