--- a/bench/route/calls.go
+++ b/bench/route/calls.go
@@ -57,6 +57,8 @@
 	name     string
 	arrivals []arrival
 	length   time.Duration
+	// skewed sends nine of ten arrivals to the first router.
+	skewed bool
 	// strike switches faults on when a quarter of the length has passed; nil means none.
 	strike func(c *cluster)
 }
@@ -82,7 +84,7 @@
 		}
 		struck <- c.totals().calls
 	})
-	res := result{byTeam: play(routers, s.arrivals)}
+	res := result{byTeam: play(routers, s.arrivals, s.skewed)}
 	after := 0
 	for _, a := range s.arrivals {
 		if a.at >= s.length/4 {
@@ -141,6 +143,14 @@
 		}
 	}
 	r.add("goodput-2x-of-1x", goodput[2]/goodput[1], 0.9, true)
+	skewed := scenario{
+		name:     "skewed-0.8",
+		arrivals: schedule(seed, smallTeam, 0.8*callCapacity, length),
+		length:   length,
+		skewed:   true,
+	}
+	skewed.run(full(admission.LimitShared), seed)
+	skewed.run(full(admission.LimitStatic), seed)
 }
 
 // measureFaults compares what is lost and how much load is added under faults.
--- a/bench/route/load.go
+++ b/bench/route/load.go
@@ -52,9 +52,12 @@
 	return float64(o.good) / length.Seconds()
 }
 
-// play sends the arrivals to the routers in turn and waits for all answers. It
-// returns the outcome by team.
-func play(routers []router, arrivals []arrival) map[string]*outcome {
+// skew is one over the share of arrivals that don't go to the first router.
+const skew = 10
+
+// play sends the arrivals to the routers in turn, or most of them to the first
+// one, and waits for all answers. It returns the outcome by team.
+func play(routers []router, arrivals []arrival, skewed bool) map[string]*outcome {
 	outcomes := map[string]*outcome{}
 	var mu sync.Mutex // guards outcomes
 	var tasks sync.WaitGroup
@@ -67,8 +70,12 @@
 		mu.Lock()
 		outcomes[a.team].arrivals++
 		mu.Unlock()
+		to := routers[i%len(routers)]
+		if skewed && i%skew != 0 {
+			to = routers[0]
+		}
 		tasks.Go(func() {
-			latency, err := send(routers[i%len(routers)], a)
+			latency, err := send(to, a)
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes[a.team].add(latency, err)
--- a/bench/route/main.go
+++ b/bench/route/main.go
@@ -20,7 +20,7 @@
 // A run has parts equally long measurements, and overhead for starting and ending
 // them. A short run is longer than BENCH_SECONDS says.
 const (
-	parts    = 35
+	parts    = 37
 	overhead = 17 * time.Second
 	minPart  = time.Second
 )
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -190,3 +190,42 @@
 		time.Sleep(time.Second)
 	})
 }
+
+func TestSlotsAreLeftForTeamsBelowTheirShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots = 20
+		a := newAdmitter(slots)
+		assert.NilError(t, run(a, callOf("small", time.Hour), 0))
+		for range 2 * slots {
+			go func() { _ = run(a, callOf("large", time.Hour), time.Second) }()
+		}
+		synctest.Wait()
+		left := int(Defaults().ReserveShare * slots)
+		assert.Equal(t, a.pools[poolKey{"s", "v1"}].running, slots-left)
+		before := time.Now()
+		for range left {
+			go func() { _ = run(a, callOf("small", time.Hour), time.Second) }()
+		}
+		synctest.Wait()
+		assert.Equal(t, a.pools[poolKey{"s", "v1"}].running, slots)
+		assert.Equal(t, time.Since(before), time.Duration(0))
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestOverloadAdviceIsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmitter(1)
+		warm(t, a, callOf("a", time.Hour), 100*time.Millisecond)
+		go func() { _ = run(a, callOf("a", time.Hour), 100*time.Millisecond) }()
+		synctest.Wait()
+		last := time.Duration(0)
+		for range 10 {
+			err := run(a, callOf("a", 150*time.Millisecond), 0)
+			assert.Assert(t, fault.Is(err, fault.Overloaded), "%v", err)
+			assert.Assert(t, fault.Of(err).RetryAfter > last, "two are told the same time")
+			last = fault.Of(err).RetryAfter
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/request/routing/picker_test.go
+++ b/internal/request/routing/picker_test.go
@@ -267,6 +267,40 @@
 	})
 }
 
+func TestCallsAvoidAStalledTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4)
+		for i := range 4 {
+			f.finish(i, 1, request.ResultSuccess)
+		}
+		f.picks(t, 1)
+		assert.Assert(t, !f.picker.Impaired())
+		e := f.picker.current().endpoints[address(0)]
+		place(f.picker.current().groups[groupKey{"s", "v1"}], e, time.Now(), true)
+		time.Sleep(minStall + time.Millisecond)
+		assert.Assert(t, f.picker.Impaired())
+		assert.Equal(t, f.picks(t, 200)[address(0)], 0)
+		time.Sleep(trialInterval)
+		assert.Assert(t, !e.isAvoided(time.Now()), "no trial is due")
+		e.noteSuccess(time.Now())
+		assert.Assert(t, !f.picker.Impaired())
+	})
+}
+
+func TestCallsOvertakenByHedgesEject(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(4)
+		f.finish(0, 1, request.ResultSuccess)
+		g := f.picker.current().groups[groupKey{"s", "v1"}]
+		e := f.picker.current().endpoints[address(0)]
+		for range Defaults().EjectLate {
+			g.finish(e, request.ResultAbandoned, 0, time.Minute)
+		}
+		assert.Equal(t, f.picks(t, 200)[address(0)], 0)
+		assert.Assert(t, strings.HasSuffix(f.picker.Explain(address(0))[0], "ejected: late answers in a row"))
+	})
+}
+
 func TestPrefixGoesToItsTargetWithinTheBound(t *testing.T) {
 	f := newFixture(6)
 	w := lookup()
