Resumes need their team's key; checkpoints of moves are no revisions

A move's evidence, kept every 30 s, raised the configuration's revision and was pushed to routers, about 900 numbers a move. It is replicated without a revision now, and routers get a move's share and state only. Plans of moves use the rate that was observed when none is given.

--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -60,18 +60,18 @@
 	return s.answer(err, m.GetRequestId(), m.GetTeam(), m.GetRoute())
 }
 
-// Resume implements CallerService. The team is that of the original request.
+// Resume implements CallerService. The team whose key is checked is the one for
+// which the resume token is opened.
 func (s *Service) Resume(ctx context.Context, req *connect.Request[chicoryv1.ResumeRequest], stream *connect.ServerStream[chicoryv1.ResumeResponse]) error {
 	m := req.Msg
 	m.RequestId = orDrawn(m.GetRequestId())
-	team := m.GetOriginal().GetTeam()
-	err := s.admit(req.Header(), team)
+	err := s.admit(req.Header(), m.GetTeam())
 	if err == nil {
 		err = s.generations.Resume(ctx, m, func(c *chicoryv1.GenerationChunk) error {
 			return stream.Send(&chicoryv1.ResumeResponse{Chunk: c})
 		})
 	}
-	return s.answer(err, m.GetRequestId(), team, m.GetOriginal().GetRoute())
+	return s.answer(err, m.GetRequestId(), m.GetTeam(), m.GetOriginal().GetRoute())
 }
 
 // Cancel implements CallerService.
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -164,8 +164,7 @@
 }
 
 func (s moveSource) OpenMoves() []*chicoryv1.Move {
-	c, _ := s.p.machine.Configuration()
-	return c.GetMoves()
+	return s.p.machine.View().Raw().GetMoves()
 }
 
 // RelatedRoutes returns the idempotent routes of the same service when the route
--- a/internal/process/control/operator_service.go
+++ b/internal/process/control/operator_service.go
@@ -12,6 +12,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/move"
 )
 
 // defaultHistory is how many entries History returns when none are asked for.
@@ -48,6 +49,7 @@
 	if err := s.p.readBarrier(ctx); err != nil {
 		return nil, fault.Answer(err, "")
 	}
+	s.p.fillRates(req.Msg.GetChanges())
 	p, err := s.p.machine.Plan(operatorOf(ctx), req.Msg.GetChanges(), time.Now())
 	if err != nil {
 		return nil, fault.Answer(err, "")
@@ -56,6 +58,16 @@
 	return connect.NewResponse(&chicoryv1.PlanResponse{Plan: p}), nil
 }
 
+// fillRates gives moves without an expected rate the one that was observed. The
+// plan carries it, so that the confirm schedules by the same.
+func (p *Process) fillRates(changes []*chicoryv1.Change) {
+	for _, c := range changes {
+		if x, ok := c.GetChange().(*chicoryv1.Change_StartMove); ok {
+			x.StartMove = move.WithRate(x.StartMove, p.evidence.Load().Rate(time.Now(), x.StartMove.GetRoute()))
+		}
+	}
+}
+
 func (s *operatorService) Confirm(ctx context.Context, req *connect.Request[chicoryv1.ConfirmRequest]) (*connect.Response[chicoryv1.ConfirmResponse], error) {
 	id := req.Msg.GetRequestId()
 	if id == "" || req.Msg.GetWhy() == "" {
--- a/internal/process/control/status.go
+++ b/internal/process/control/status.go
@@ -10,6 +10,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/move"
 )
 
 // maxExplained is how many recent decisions of routers explain shows.
@@ -91,7 +92,7 @@
 	lines := explainConfiguration(s.p.machine.View(), subject)
 	for _, m := range s.p.machine.Moves() {
 		if m.GetId() == subject || m.GetIntent().GetRoute() == subject {
-			lines = append(lines, explainMove(m)...)
+			lines = append(lines, move.Explain(m, time.Now())...)
 		}
 	}
 	lines = append(lines, s.p.routers.decisionsAbout(subject, maxExplained)...)
@@ -117,17 +118,3 @@
 	}
 	return lines
 }
-
-func explainMove(m *chicoryv1.Move) []string {
-	in := m.GetIntent()
-	lines := []string{fmt.Sprintf("move %s: route %s from %s to %s, %s, share %d permille; asked for by %s: %s",
-		m.GetId(), in.GetRoute(), in.GetFrom(), in.GetTo(), m.GetState(), m.GetSharePermille(), m.GetOperator(), m.GetWhy())}
-	for _, e := range m.GetEvents() {
-		at := time.UnixMilli(e.GetUnixMs()).UTC().Format(time.RFC3339)
-		lines = append(lines, fmt.Sprintf("  %s %s share %d permille: %s", at, e.GetState(), e.GetSharePermille(), e.GetReason()))
-	}
-	if m.GetReason() != "" {
-		lines = append(lines, "  ended: "+m.GetReason())
-	}
-	return lines
-}
--- a/internal/process/state/moves.go
+++ b/internal/process/state/moves.go
@@ -19,16 +19,29 @@
 	if !ok {
 		return Result{}
 	}
-	if !move.Ended(next) {
-		m.swap(m.patched(&chicoryv1.ConfigurationDelta{
-			Changed: &chicoryv1.Configuration{Moves: []*chicoryv1.Move{next}},
-		}), nil)
-		return Result{Stepped: true}
+	switch {
+	case move.Ended(next):
+		m.endMove(next)
+	case len(next.GetEvents()) == len(current.GetEvents()):
+		m.checkpoint(next)
+	default:
+		m.swap(m.withMove(next), nil)
 	}
-	m.endMove(next)
 	return Result{Stepped: true}
 }
 
+// checkpoint keeps the sums of a move's evidence. It is no new revision: nothing
+// changes for routers.
+func (m *Machine) checkpoint(next *chicoryv1.Move) {
+	m.view = m.withMove(next).WithRevision(m.view.Revision(), m.view.Raw().GetClusterId())
+}
+
+func (m *Machine) withMove(next *chicoryv1.Move) *config.View {
+	return m.patched(&chicoryv1.ConfigurationDelta{
+		Changed: &chicoryv1.Configuration{Moves: []*chicoryv1.Move{next}},
+	})
+}
+
 func (m *Machine) endMove(next *chicoryv1.Move) {
 	d := &chicoryv1.ConfigurationDelta{
 		Changed:      &chicoryv1.Configuration{},
--- a/internal/process/state/read.go
+++ b/internal/process/state/read.go
@@ -10,15 +10,15 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/plan"
 )
 
-// Configuration returns the configuration in force, which must not be changed,
-// and a channel that closes at the next revision.
+// Configuration returns the configuration in force as routers get it, which must
+// not be changed, and a channel that closes at the next revision.
 func (m *Machine) Configuration() (*chicoryv1.Configuration, <-chan struct{}) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.view.Raw(), m.changed
+	return m.public, m.changed
 }
 
-// View returns the configuration in force, indexed.
+// View returns the configuration in force, indexed, with whole moves.
 func (m *Machine) View() *config.View {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
--- a/internal/process/state/snapshot.go
+++ b/internal/process/state/snapshot.go
@@ -64,6 +64,7 @@
 		c = &chicoryv1.Configuration{}
 	}
 	m.view = config.NewView(c)
+	m.public = forRouters(c)
 	m.ended = s.GetEndedMoves()
 	m.history = s.GetHistory()
 	m.calls = ledger.New(m.settings)
--- a/internal/process/state/state.go
+++ b/internal/process/state/state.go
@@ -43,10 +43,11 @@
 type Machine struct {
 	settings ledger.Settings
 
-	mu      sync.RWMutex         // guards the fields below
-	view    *config.View         // the configuration in force
-	items   map[plan.Item]uint64 // revision that last changed the item
-	ended   []*chicoryv1.Move    // the oldest first
+	mu      sync.RWMutex             // guards the fields below
+	view    *config.View             // the configuration in force, with whole moves
+	public  *chicoryv1.Configuration // the same as routers get it
+	items   map[plan.Item]uint64     // revision that last changed the item
+	ended   []*chicoryv1.Move        // the oldest first
 	results map[string]*chicoryv1.ResultRecord
 	history []*chicoryv1.HistoryEntry // the oldest first
 	calls   *ledger.Ledger
@@ -65,6 +66,7 @@
 	return &Machine{
 		settings: s,
 		view:     config.NewView(&chicoryv1.Configuration{}),
+		public:   &chicoryv1.Configuration{},
 		items:    map[plan.Item]uint64{},
 		results:  map[string]*chicoryv1.ResultRecord{},
 		calls:    ledger.New(s),
@@ -134,6 +136,7 @@
 		cluster = m.view.Raw().GetClusterId()
 	}
 	m.view = next.WithRevision(m.view.Revision()+1, cluster)
+	m.public = forRouters(m.view.Raw())
 	for _, item := range touched {
 		m.items[item] = m.view.Revision()
 	}
@@ -141,6 +144,27 @@
 	m.changed = make(chan struct{})
 }
 
+// forRouters returns c with moves that carry only what routers need. The sums of
+// evidence and the policy's numbers stay with the control VMs.
+func forRouters(c *chicoryv1.Configuration) *chicoryv1.Configuration {
+	if len(c.GetMoves()) == 0 {
+		return c
+	}
+	public := config.NewView(c).WithRevision(c.GetRevision(), c.GetClusterId()).Raw()
+	public.Moves = nil
+	for _, m := range c.GetMoves() {
+		public.Moves = append(public.Moves, &chicoryv1.Move{
+			Id:            m.GetId(),
+			Intent:        m.GetIntent(),
+			State:         m.GetState(),
+			SharePermille: m.GetSharePermille(),
+			Paused:        m.GetPaused(),
+			Hastened:      m.GetHastened(),
+		})
+	}
+	return public
+}
+
 // expire drops what is older than its retention.
 func (m *Machine) expire(now time.Time) {
 	m.calls.Expire(now)
--- a/internal/process/state/state_test.go
+++ b/internal/process/state/state_test.go
@@ -230,6 +230,49 @@
 	assert.Equal(t, restored(t, r).Lease().Fencing, uint64(2))
 }
 
+// openMove returns a replica with one open move and the move's replicated state.
+func openMove(t *testing.T) (*replica, *chicoryv1.Move) {
+	t.Helper()
+	r := newReplica()
+	target := func(version string) *chicoryv1.Change {
+		return &chicoryv1.Change{Change: &chicoryv1.Change_PutTarget{PutTarget: &chicoryv1.Target{
+			Address: "127.0.0.1:" + version[1:], Service: "s", Version: version, AvailabilityZone: "a",
+		}}}
+	}
+	_, err := r.confirm(confirmOf("base", planOf(t, r.Machine,
+		&chicoryv1.Change{Change: &chicoryv1.Change_PutService{PutService: &chicoryv1.Service{Name: "s", Kind: chicoryv1.ServiceKind_SERVICE_KIND_TRANSACTIONAL}}},
+		&chicoryv1.Change{Change: &chicoryv1.Change_PutRoute{PutRoute: &chicoryv1.Route{Name: "r", Service: "s", Version: "v1"}}},
+		target("v1"), target("v2"))))
+	assert.NilError(t, err)
+	in := &chicoryv1.MoveIntent{
+		Route: "r", From: "v1", To: "v2", ExpectedRate: 100,
+		StartUnixMs: start.Add(time.Minute).UnixMilli(), DeadlineUnixMs: start.Add(time.Hour).UnixMilli(),
+	}
+	_, err = r.confirm(confirmOf("move", planOf(t, r.Machine, &chicoryv1.Change{Change: &chicoryv1.Change_StartMove{StartMove: in}})))
+	assert.NilError(t, err)
+	return r, r.View().Raw().GetMoves()[0]
+}
+
+// A checkpoint of a move's evidence is replicated and is no new revision; routers
+// get neither evidence nor the policy's numbers.
+func TestCheckpointOfAMoveIsNoRevision(t *testing.T) {
+	r, m := openMove(t)
+	before, _ := r.Configuration()
+	next := proto.CloneOf(m)
+	next.PolicyState = []float64{1, 2, 3}
+	next.NewEvidence = &chicoryv1.VersionEvidence{Requests: 7}
+	res := r.do(&chicoryv1.Command{Command: &chicoryv1.Command_MoveStep{
+		MoveStep: &chicoryv1.MoveStep{Move: next, ExpectedEvents: uint32(len(m.GetEvents()))},
+	}})
+	assert.Assert(t, res.Stepped)
+	after, _ := r.Configuration()
+	assert.Assert(t, before == after)
+	assert.DeepEqual(t, r.View().Raw().GetMoves()[0].GetPolicyState(), next.PolicyState)
+	assert.Equal(t, len(after.GetMoves()[0].GetPolicyState()), 0)
+	assert.Assert(t, after.GetMoves()[0].GetNewEvidence() == nil)
+	assert.DeepEqual(t, restored(t, r).View().Raw().GetMoves()[0].GetPolicyState(), next.PolicyState)
+}
+
 // Deltas lead to the same configuration as whole ones.
 func TestDeltasAgainstWholeConfigurations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
