Found a new ledger without history; log each refusal once

A refusal was logged by the path and by the callers' layer; the layer's line, which has the kind, whether it ran and when to come back, stays. A new lease holder waits one load interval before its first order. Replaced connections are logged.

--- a/internal/connection/target/endpoint.go
+++ b/internal/connection/target/endpoint.go
@@ -15,12 +15,13 @@
 // connections.
 type endpoint struct {
 	opts    Options
+	address string
 	clients *Clients
 	current atomic.Pointer[generation]
 }
 
 func newEndpoint(opts Options, address string) *endpoint {
-	e := &endpoint{opts: opts}
+	e := &endpoint{opts: opts, address: address}
 	e.current.Store(newGeneration(opts))
 	client := &http.Client{
 		Transport: e,
@@ -74,13 +75,24 @@
 	}
 }
 
-// replace puts a new generation in the place of old, if old is still current.
+// replace puts a new generation in the place of old, if old is still current, and
+// tells of it.
 func (e *endpoint) replace(old *generation) {
-	if e.current.CompareAndSwap(old, newGeneration(e.opts)) {
-		old.retire()
+	if e.swap(old) && e.opts.OnReplaced != nil {
+		e.opts.OnReplaced(e.address)
 	}
 }
 
+// swap puts a new generation in the place of old and reports false when old was
+// not current any more.
+func (e *endpoint) swap(old *generation) bool {
+	if !e.current.CompareAndSwap(old, newGeneration(e.opts)) {
+		return false
+	}
+	old.retire()
+	return true
+}
+
 // generation is a transport whose connections are replaced together.
 type generation struct {
 	transport *http.Transport
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -32,6 +32,8 @@
 	Dial DialFunc
 	// HTTP1 speaks HTTP/1.1 instead of HTTP/2.
 	HTTP1 bool
+	// OnReplaced is told of each target whose connections were replaced; nil: nobody.
+	OnReplaced func(address string)
 }
 
 // Clients are the services of one target.
@@ -92,7 +94,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.endpoints {
-		e.replace(e.current.Load())
+		e.swap(e.current.Load())
 	}
 }
 
--- a/internal/process/ledger/expire.go
+++ b/internal/process/ledger/expire.go
@@ -25,6 +25,12 @@
 	return before - len(l.entries)
 }
 
+// Found begins a ledger that has no history: keys from before now are too old,
+// because a ledger that was lost may have run their calls.
+func (l *Ledger) Found(now time.Time) {
+	l.floorMs = max(l.floorMs, now.UnixMilli())
+}
+
 // raiseFloor moves the floor to the retention period before now and drops older
 // keys. A clock that steps back leaves the floor where it is.
 func (l *Ledger) raiseFloor(now time.Time) {
--- a/internal/process/orders/dispatcher.go
+++ b/internal/process/orders/dispatcher.go
@@ -38,7 +38,8 @@
 // to lead. A VM that was cut off and does not know it stops when its lease ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	l := &lease{log: d.Log, id: d.ID}
-	nextLoad := time.Now()
+	// A former holder may just have ordered a load.
+	nextLoad := time.Now().Add(d.LoadInterval)
 	for round := time.Now(); ctx.Err() == nil; {
 		wait := d.hold(ctx, l)
 		if wait == 0 && !time.Now().Before(round) {
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -76,9 +76,11 @@
 		incarnation: rand.Text(),
 		registry:    metrics.NewRegistry(),
 		holder:      &config.Holder{},
-		pool:        target.NewPool(nil),
-		leaders:     peer.NewClient(keys),
-		watched:     peer.NewClient(keys),
+		pool: target.NewPoolWith(target.Options{OnReplaced: func(address string) {
+			log.Warn(logging.ConnectionReplaced, logging.Fields{"target": address})
+		}}),
+		leaders: peer.NewClient(keys),
+		watched: peer.NewClient(keys),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.control = control.NewClient(controlVMs(s), p.leaders)
--- a/internal/process/state/state.go
+++ b/internal/process/state/state.go
@@ -98,7 +98,7 @@
 	case *chicoryv1.Command_Lease:
 		return m.applyLease(c.Lease)
 	case *chicoryv1.Command_Found:
-		m.applyFound(c.Found)
+		m.applyFound(c.Found, now)
 	case *chicoryv1.Command_RouterLost:
 		m.calls.RouterLost(c.RouterLost.GetRouterId(), c.RouterLost.GetIncarnation(), now)
 	}
@@ -121,11 +121,14 @@
 	return r
 }
 
-// applyFound names the cluster once, with its first revision.
-func (m *Machine) applyFound(f *chicoryv1.FoundCommand) {
+// applyFound names the cluster once, with its first revision. A cluster that was
+// founded anew after all disks were lost knows of no earlier call, so earlier keys
+// are too old.
+func (m *Machine) applyFound(f *chicoryv1.FoundCommand, now time.Time) {
 	if m.view.Raw().GetClusterId() != "" {
 		return
 	}
+	m.calls.Found(now)
 	m.swap(m.view.WithRevision(0, f.GetClusterId()), nil)
 }
 
--- a/internal/process/state/state_test.go
+++ b/internal/process/state/state_test.go
@@ -298,3 +298,16 @@
 		}
 	})
 }
+
+// A cluster founded anew knows of no earlier call, so it runs none under an
+// earlier key.
+func TestFoundedAnewRefusesEarlierKeys(t *testing.T) {
+	r := newReplica()
+	claim := func(at time.Time) chicoryv1.ClaimVerdict {
+		c := &chicoryv1.Claim{Team: "desk", Key: ledger.FormatKey(at, []byte("12345678")), RouterId: "r1", Incarnation: "i", Nonce: "n"}
+		res := r.do(&chicoryv1.Command{Command: &chicoryv1.Command_Claim{Claim: &chicoryv1.ClaimRequest{Claims: []*chicoryv1.Claim{c}}}})
+		return res.Claims[0].GetVerdict()
+	}
+	assert.Equal(t, claim(start.Add(-time.Minute)), chicoryv1.ClaimVerdict_CLAIM_VERDICT_TOO_OLD)
+	assert.Equal(t, claim(start.Add(2*time.Second)), chicoryv1.ClaimVerdict_CLAIM_VERDICT_DISPATCH)
+}
--- a/internal/request/call/attempt.go
+++ b/internal/request/call/attempt.go
@@ -169,7 +169,7 @@
 	})
 	if a.ending == crossed {
 		s.opts.Logger.Warn(logging.AnswerDropped, logging.Fields{
-			"request_id": c.req.GetRequestId(), "call_id": c.id, "team": c.req.GetTeam(),
+			"request": c.req.GetRequestId(), "call_id": c.id, "team": c.req.GetTeam(),
 			"route": c.req.GetRoute(), "target": a.target, "reason": "another call's identity",
 		})
 	}
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -144,15 +144,6 @@
 // Call serves one call. Its error is a *fault.Error, which says whether the call
 // ran; for a call with a key that statement is about the key.
 func (s *Service) Call(ctx context.Context, req *chicoryv1.CallRequest) (*chicoryv1.CallResponse, error) {
-	resp, err := s.serve(ctx, req)
-	if err != nil {
-		s.logRefusal(req, fault.Of(err))
-		return nil, err
-	}
-	return resp, nil
-}
-
-func (s *Service) serve(ctx context.Context, req *chicoryv1.CallRequest) (*chicoryv1.CallResponse, error) {
 	if !s.enter() {
 		return nil, beforeClaim(req, fault.New(fault.Draining, "the router is shutting down"))
 	}
--- a/internal/request/call/idempotent.go
+++ b/internal/request/call/idempotent.go
@@ -154,7 +154,7 @@
 	wait, err := r.tryRetry(ctx)
 	if err == nil {
 		r.s.opts.Logger.Info(logging.CallRetried, logging.Fields{
-			"request_id": r.c.req.GetRequestId(), "route": r.c.req.GetRoute(),
+			"request": r.c.req.GetRequestId(), "route": r.c.req.GetRoute(),
 			"target": failed.target, "attempt": r.launched,
 		})
 		return nil
--- a/internal/request/call/outcome.go
+++ b/internal/request/call/outcome.go
@@ -76,7 +76,7 @@
 
 func (s *Service) logClosed(c *call, claim *chicoryv1.Claim, state chicoryv1.ClaimState) {
 	s.opts.Logger.Info(logging.CallEnded, logging.Fields{
-		"request_id": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
+		"request": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
 		"route": c.req.GetRoute(), "target": claim.GetTarget(), "version": claim.GetVersion(),
 		"closed": claim.GetState(), "state": state,
 	})
@@ -84,14 +84,7 @@
 
 func (s *Service) logDoubt(c *call, target, reason string) {
 	s.opts.Logger.Warn(logging.ClaimInDoubt, logging.Fields{
-		"request_id": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
+		"request": c.req.GetRequestId(), "team": c.req.GetTeam(), "key": c.req.GetKey(),
 		"route": c.req.GetRoute(), "target": target, "reason": reason,
 	})
 }
-
-func (s *Service) logRefusal(req *chicoryv1.CallRequest, e *fault.Error) {
-	s.opts.Logger.Info(logging.RequestRefused, logging.Fields{
-		"request_id": req.GetRequestId(), "team": req.GetTeam(), "route": req.GetRoute(),
-		"kind": e.Kind, "ran": e.Ran, "retry_after": e.RetryAfter, "reason": e.Message,
-	})
-}
--- a/internal/request/generation/cancel.go
+++ b/internal/request/generation/cancel.go
@@ -34,13 +34,13 @@
 func (s *Service) Cancel(ctx context.Context, req *chicoryv1.CancelRequest) error {
 	state, err := s.codec.open(req.GetResumeToken(), req.GetTeam())
 	if err != nil {
-		return s.refuse(req.GetRequestId(), req.GetTeam(), err)
+		return fault.Of(err)
 	}
 	id := state.GetGenerationId()
 	s.mu.Lock()
 	if s.draining {
 		s.mu.Unlock()
-		return s.refuse(req.GetRequestId(), req.GetTeam(), fault.New(fault.Draining, "router is shutting down"))
+		return fault.New(fault.Draining, "router is shutting down")
 	}
 	if run := s.open[id]; run != nil {
 		run.cancel(errCancelled)
--- a/internal/request/generation/service.go
+++ b/internal/request/generation/service.go
@@ -87,7 +87,7 @@
 func (s *Service) Generate(ctx context.Context, req *chicoryv1.GenerateRequest, send SendFunc) error {
 	r, err := s.newRun(req, send)
 	if err != nil {
-		return s.refuse(req.GetRequestId(), req.GetTeam(), err)
+		return fault.Of(err)
 	}
 	s.opts.Budget.OnRequest()
 	return s.serve(ctx, r, r.begin)
@@ -98,7 +98,7 @@
 func (s *Service) Resume(ctx context.Context, req *chicoryv1.ResumeRequest, send SendFunc) error {
 	r, err := s.resumedRun(req, send)
 	if err != nil {
-		return s.refuse(req.GetRequestId(), req.GetTeam(), err)
+		return fault.Of(err)
 	}
 	return s.serve(ctx, r, r.rejoin)
 }
@@ -109,7 +109,7 @@
 	defer cancel(nil)
 	entry := &openRun{cancel: cancel}
 	if err := s.enter(r, entry); err != nil {
-		return s.refuse(r.requestID, r.team, err)
+		return fault.Of(err)
 	}
 	defer s.leave(r.id, entry)
 	ctx, stop := context.WithDeadline(ctx, r.deadline)
@@ -119,7 +119,7 @@
 		if r.attempt.address != "" {
 			s.abandon(r.attempt.address, r.id, r.attempt.number)
 		}
-		return s.refuse(r.requestID, r.team, err)
+		return fault.Of(err)
 	}
 	err = r.drive(ctx, first)
 	release(promptTokens(r.prompt) + r.prefix.count)
@@ -158,15 +158,6 @@
 	s.tasks.Done()
 }
 
-// refuse logs and returns the error of a request that was not served.
-func (s *Service) refuse(requestID, team string, err error) error {
-	e := fault.Of(err)
-	s.opts.Logger.Info(logging.RequestRefused, logging.Fields{
-		"request": requestID, "team": team, "kind": string(e.Kind), "reason": e.Message,
-	})
-	return e
-}
-
 // Drain refuses new generations with the kind Draining and waits until the open
 // ones have ended or ctx ends.
 func (s *Service) Drain(ctx context.Context) error {
