--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -32,7 +32,7 @@
 	r := &report{}
 	for _, m := range []measurement{
 		measureConfiguration, measureLedger, measureEvidence, measureRouting,
-		measureTeamLimits, measureGenerations, measureFanOut,
+		measureAdmission, measureTeamLimits, measureObservation, measureGenerations, measureFanOut,
 	} {
 		if err := m(r); err != nil {
 			return errors.Trace(err)
