Generations of a version that was taken back go on at the old one

Cause: a run that began on a move's new version and lost its engine preferred that version again although it had been taken back. Shown red first: TestRunOfATakenBackVersionGoesOnAtTheOldOne went on at v2.

--- a/internal/request/generation/harness_test.go
+++ b/internal/request/generation/harness_test.go
@@ -46,6 +46,8 @@
 	// refuse is what admission answers, if anything.
 	refuse error
 	seen   []request.Observation
+	// version is what new requests get; empty is the route's.
+	version string
 }
 
 func (f *fakeRoles) Admit(context.Context, request.Work) (func(int), error) {
@@ -54,7 +56,14 @@
 	return func(int) {}, f.refuse
 }
 
-func (f *fakeRoles) Choose(route *chicoryv1.Route, _ string) string { return route.GetVersion() }
+func (f *fakeRoles) Choose(route *chicoryv1.Route, _ string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.version != "" {
+		return f.version
+	}
+	return route.GetVersion()
+}
 
 func (f *fakeRoles) Pick(w request.Work, exclude []string) (request.Placement, error) {
 	f.mu.Lock()
--- a/internal/request/generation/recover.go
+++ b/internal/request/generation/recover.go
@@ -173,14 +173,19 @@
 }
 
 // versions returns the version of the last attempt, then the route's and then the
-// others of its service.
+// others of its service. A run that began on the new version of a move goes on at
+// the old one first once the new one was taken back or stopped.
 func (r *run) versions() []string {
-	list := []string{r.attempt.version}
+	var list []string
 	add := func(v string) {
 		if !slices.Contains(list, v) {
 			list = append(list, v)
 		}
 	}
+	if r.provisional {
+		add(r.s.opts.Chooser.Choose(r.route, r.requestID))
+	}
+	add(r.attempt.version)
 	view := r.s.opts.Holder.Current()
 	if route := view.Route(r.route.GetName()); route != nil {
 		add(route.GetVersion())
--- a/internal/request/generation/routers_test.go
+++ b/internal/request/generation/routers_test.go
@@ -145,6 +145,36 @@
 	})
 }
 
+// A generation on a move's new version loses its engine after the version was taken
+// back: it goes on at the old version, although an engine of the new one is left.
+func TestRunOfATakenBackVersionGoesOnAtTheOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, "v1", "v2", "v2")
+		defer w.close()
+		roles := w.routers[0].roles
+		roles.version = "v2"
+		x := &text{}
+		versions := []string{}
+		x.on = func(n int) {
+			if n == 10 {
+				roles.mu.Lock()
+				roles.version = ""
+				roles.mu.Unlock()
+				go w.engines[1].kill()
+			}
+		}
+		err := w.routers[0].Generate(context.Background(), testRequest(40), func(c *chicoryv1.GenerationChunk) error {
+			if c.GetVersion() != "" {
+				versions = append(versions, c.GetVersion())
+			}
+			return x.take(c)
+		})
+		assert.NilError(t, err)
+		checkWhole(t, x, 40)
+		assert.DeepEqual(t, versions, []string{"v2", "v1"})
+	})
+}
+
 func TestExhaustedBudgetIsToldAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, "v1", "v1")
--- a/internal/request/generation/run.go
+++ b/internal/request/generation/run.go
@@ -63,6 +63,8 @@
 	proof       uint32
 
 	attempt attempt
+	// provisional: the run began on the new version of a move, which may be taken back.
+	provisional bool
 	// nonce is the lower half of attempt numbers, so that two routers that resume
 	// one generation can't use one number.
 	nonce uint32
@@ -113,6 +115,7 @@
 	if r.version == "" {
 		r.version = route.GetVersion()
 	}
+	r.provisional = r.version != route.GetVersion()
 	return r, nil
 }
 
