--- a/internal/request/routing/picker_test.go
+++ b/internal/request/routing/picker_test.go
@@ -275,6 +275,10 @@
 		}
 		f.picks(t, 1)
 		assert.Assert(t, !f.picker.Impaired())
+		for i := 1; i < 4; i++ {
+			f.table.State(address(i)).SetReport(observe.Report{Load: testCapacity / 2, TakenAt: time.Now()})
+		}
+		assert.Assert(t, f.picks(t, 200)[address(0)] > 0)
 		e := f.picker.current().endpoints[address(0)]
 		place(f.picker.current().groups[groupKey{"s", "v1"}], e, time.Now(), true)
 		time.Sleep(minStall + time.Millisecond)
