Router reports: one identity until answered, no lock over the guard

A report that got NotLeader after an earlier lost answer gave its evidence back to the collector: the leader that had counted it counted it again under a new identity, and its decisions were lost. A report now keeps its identity until it is answered. refresh held the reporter's lock while it asked the guard for stopped versions; the guard logs a stop with its own lock held, and the log's observer takes the reporter's: a deadlock of the request path and the reports.

Ruled out: readiness (floor), growth of decisions while control is away.

--- a/internal/process/router/report.go
+++ b/internal/process/router/report.go
@@ -11,7 +11,6 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/control"
-	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
@@ -23,13 +22,20 @@
 	maxPendingDecisions = 100
 )
 
+// reportClient sends a report to the leader, as control.Client does.
+type reportClient interface {
+	Report(context.Context, *chicoryv1.ReportRequest) (*chicoryv1.ReportResponse, error)
+}
+
+var _ reportClient = (*control.Client)(nil)
+
 // reporter sends heartbeats with evidence to the leader. It also learns from the
 // answers whether the router is current: a router serves only once it runs a
 // revision that is not older than what the leader had when the router started.
 type reporter struct {
 	base      *chicoryv1.ReportRequest // the fields that never change
 	interval  time.Duration
-	client    *control.Client
+	client    reportClient
 	holder    *config.Holder
 	collector *evidence.Collector
 	stopped   func() []string
@@ -60,9 +66,9 @@
 	}
 }
 
-// send sends the unsent report again, or a new one. It returns the report when
-// its answer was lost: the next try has the same identity, so that its evidence
-// counts once.
+// send sends the unsent report again, or a new one. It returns the report when it
+// was not answered: the next try has the same identity, because an earlier one may
+// have arrived, and its evidence counts once.
 func (r *reporter) send(ctx context.Context, unsent *chicoryv1.ReportRequest) *chicoryv1.ReportRequest {
 	req := unsent
 	if req == nil {
@@ -72,10 +78,6 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	resp, err := r.client.Report(ctx, req)
-	if fault.Is(err, fault.NotLeader) {
-		r.collector.Return(req.GetEvidence())
-		return nil
-	}
 	if err != nil {
 		return req
 	}
@@ -85,6 +87,7 @@
 
 // next returns a new report with the evidence and decisions since the last one.
 func (r *reporter) next() *chicoryv1.ReportRequest {
+	evidence := r.collector.Drain()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req := &chicoryv1.ReportRequest{
@@ -93,19 +96,20 @@
 		AvailabilityZone: r.base.GetAvailabilityZone(),
 		Address:          r.base.GetAddress(),
 		ReportId:         rand.Text(),
-		Evidence:         r.collector.Drain(),
+		Evidence:         evidence,
 		Decisions:        r.decisions,
 	}
 	r.decisions = nil
 	return req
 }
 
-// refresh sets what must be new in every try.
+// refresh sets what must be new in every try. mu is not held over stopped: the
+// source of stops logs with its own lock held, and observe takes mu.
 func (r *reporter) refresh(req *chicoryv1.ReportRequest) {
+	req.StoppedVersions = r.stopped()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req.Leaving = r.leaving
-	req.StoppedVersions = r.stopped()
 	if v := r.holder.Current(); v != nil {
 		req.Revision = v.Revision()
 	}
