Watches: leave a control VM that is cut off; refuse deltas of another cluster

A follower that is cut off from the other control VMs keeps its watch streams alive with keepalives, so a router stayed at that follower's revision for as long as the cut lasted, while the reports told it of later revisions. The reporter now tells the watcher what is committed, and a watch that lacks it for a second ends; the next server is asked. ApplyDelta now checks the cluster as ApplyFull does.

--- a/internal/connection/control/watch.go
+++ b/internal/connection/control/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -20,6 +21,9 @@
 	// watchSilence is how long a watch may be silent before another server is asked.
 	watchSilence = 3 * watch.KeepaliveInterval
 	watchPause   = 200 * time.Millisecond
+	// lagTimeout is how long a watch may lack a committed revision before another
+	// server is asked.
+	lagTimeout = time.Second
 )
 
 // Watcher keeps a holder at the newest revision that its servers know.
@@ -31,6 +35,10 @@
 	log      *logging.Logger
 	// onApplied is called after each revision that came into force.
 	onApplied func(revision uint64)
+
+	mu     sync.Mutex         // guards the fields below
+	cancel context.CancelFunc // ends the present watch
+	lag    *time.Timer        // runs while a committed revision is expected
 }
 
 // NewWatcher returns a watcher of the servers at the addresses, which are relays
@@ -68,10 +76,42 @@
 	return 0
 }
 
+// Expect tells the watcher which revision is committed. A watch that doesn't bring
+// it within lagTimeout ends: its server may be cut off from the other control VMs
+// and would never bring it.
+func (w *Watcher) Expect(revision uint64) {
+	if revision <= w.revision() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lag == nil {
+		w.lag = time.AfterFunc(lagTimeout, func() { w.endLagging(revision) })
+	}
+}
+
+// endLagging ends the present watch unless the revision has come.
+func (w *Watcher) endLagging(revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lag = nil
+	if w.revision() < revision && w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// begin notes how the present watch ends.
+func (w *Watcher) begin(cancel context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel = cancel
+}
+
 // watchOne reads one stream until it ends, or was silent too long.
 func (w *Watcher) watchOne(ctx context.Context, s chicoryv1connect.ControlServiceClient) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	w.begin(cancel)
 	silence := time.AfterFunc(watchSilence, cancel)
 	defer silence.Stop()
 	req := &chicoryv1.WatchRequest{RouterId: w.routerID, Revision: w.revision()}
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -186,6 +186,7 @@
 func (p *Process) startTasks(targets *observe.Watcher) {
 	configurations := control.NewWatcher(p.holder, p.settings.ID, p.watchAddresses(), p.watched, p.log,
 		func(uint64) { p.reports.poke() })
+	p.reports.expect = configurations.Expect
 	for _, task := range []func(context.Context){targets.Run, configurations.Run, p.reports.run} {
 		p.tasks.Add(1)
 		go func() {
--- a/internal/process/router/report.go
+++ b/internal/process/router/report.go
@@ -39,7 +39,9 @@
 	holder    *config.Holder
 	collector *evidence.Collector
 	stopped   func() []string
-	wake      chan struct{}
+	// expect is told the revision that the leader has committed.
+	expect func(revision uint64)
+	wake   chan struct{}
 
 	mu        sync.Mutex // guards the fields below
 	floor     uint64     // revision that must run before the router is ready
@@ -82,6 +84,7 @@
 		return req
 	}
 	r.learn(resp)
+	r.expect(resp.GetCommittedRevision())
 	return nil
 }
 
--- a/internal/process/router/report_test.go
+++ b/internal/process/router/report_test.go
@@ -46,6 +46,7 @@
 		holder:    &config.Holder{},
 		collector: evidence.NewCollector(),
 		stopped:   func() []string { return nil },
+		expect:    func(uint64) {},
 		wake:      make(chan struct{}, 1),
 	}, l
 }
--- a/internal/version/config/holder.go
+++ b/internal/version/config/holder.go
@@ -53,9 +53,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old := h.view.Load()
-	if old != nil && old.raw.GetClusterId() != c.GetClusterId() {
-		return false, fault.New(fault.PlanRejected, "configuration is of cluster %s, not %s",
-			c.GetClusterId(), old.raw.GetClusterId())
+	if err := sameCluster(old, c); err != nil {
+		return false, err
 	}
 	if old != nil && c.GetRevision() <= old.Revision() {
 		return false, nil
@@ -64,8 +63,18 @@
 	return true, nil
 }
 
+// sameCluster refuses a configuration of another cluster than the one in force.
+func sameCluster(old *View, c *chicoryv1.Configuration) error {
+	if old == nil || old.raw.GetClusterId() == c.GetClusterId() {
+		return nil
+	}
+	return fault.New(fault.PlanRejected, "configuration is of cluster %s, not %s",
+		c.GetClusterId(), old.raw.GetClusterId())
+}
+
 // ApplyDelta applies d to the view in force. It fails with the kind PlanStale
-// when d starts at another revision; the caller then asks for a whole one.
+// when d starts at another revision; the caller then asks for a whole one. A delta of
+// another cluster is refused with the kind PlanRejected.
 func (h *Holder) ApplyDelta(d *chicoryv1.ConfigurationDelta) (bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -73,6 +82,9 @@
 	if old == nil || old.Revision() != d.GetBaseRevision() {
 		return false, fault.New(fault.PlanStale, "delta starts at revision %d", d.GetBaseRevision())
 	}
+	if err := sameCluster(old, d.GetChanged()); err != nil {
+		return false, err
+	}
 	if d.GetChanged().GetRevision() <= old.Revision() {
 		return false, nil
 	}
