Control: what a leader knows of routers belongs to its term; a failed disk ends the process

A wait now also ends when a router becomes silent and no report comes. - the first router to report to a new leader spoke for all: one stop of nine took a good version back (stopped by 1 of 1), and each router got every team's whole limit (1 live router). Both wait until the table is settled; routers keep the larger count meanwhile. - evidence answered after leadership began and before the leader's tasks did was dropped: the term begins with whichever comes first. - a late report of a router's former life replaced its present one, whose open claims were then put in doubt. - a control process that stood still longer than the router timeout (alone, or with a quorum of others) put the claims of every live router in doubt. - a confirm's answer was the replicated result itself: the handler wrote the wait's outcome into the state of the leader alone, unlocked. - a failed disk left the process running, ready and useless: readiness fails, the process ends with status 1. Two processes on one data folder are refused by a lock. - words after the flags were ignored: '-settings F check-settings' started the server.

Ruled out: the operator's name from the request; read barriers of every operator read.

--- a/cmd/chicory-control/main.go
+++ b/cmd/chicory-control/main.go
@@ -34,12 +34,12 @@
 			return &s
 		},
 		ID: func(s any) string { return s.(*control.Settings).ID },
-		Start: func(s any, log *logging.Logger) (func(), error) {
+		Start: func(s any, log *logging.Logger) (run.Running, error) {
 			p, err := control.Start(*s.(*control.Settings), log)
 			if err != nil {
-				return nil, errors.Trace(err)
+				return run.Running{}, errors.Trace(err)
 			}
-			return p.Stop, nil
+			return run.Running{Stop: p.Stop, Failed: p.Failed()}, nil
 		},
 	}
 	os.Exit(server.Main(os.Args[1:]))
--- a/cmd/chicory-router/main.go
+++ b/cmd/chicory-router/main.go
@@ -34,12 +34,12 @@
 			return &s
 		},
 		ID: func(s any) string { return s.(*router.Settings).ID },
-		Start: func(s any, log *logging.Logger) (func(), error) {
+		Start: func(s any, log *logging.Logger) (run.Running, error) {
 			p, err := router.Start(*s.(*router.Settings), log)
 			if err != nil {
-				return nil, errors.Trace(err)
+				return run.Running{}, errors.Trace(err)
 			}
-			return p.Stop, nil
+			return run.Running{Stop: p.Stop}, nil
 		},
 	}
 	os.Exit(server.Main(os.Args[1:]))
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -9,6 +9,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/burn"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/consensus"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/move"
@@ -29,8 +30,8 @@
 	defer p.tasks.Done()
 	for p.ctx.Err() == nil {
 		changed := p.node.LeadershipChanged()
-		if p.node.Status().Role == consensus.Leader {
-			p.lead(changed)
+		if s := p.node.Status(); s.Role == consensus.Leader {
+			p.lead(s.Term, changed)
 			continue
 		}
 		select {
@@ -40,12 +41,10 @@
 	}
 }
 
-// lead runs the leader's tasks until leadership changes. What they learned in an
-// earlier term is forgotten first.
-func (p *Process) lead(changed <-chan struct{}) {
+// lead runs the leader's tasks until leadership changes.
+func (p *Process) lead(term uint64, changed <-chan struct{}) {
 	ctx, cancel := context.WithCancel(p.ctx)
-	store := evidence.NewStore()
-	p.beginTerm(store)
+	store := p.enterTerm(term)
 	var tasks sync.WaitGroup
 	for _, task := range []func(context.Context){
 		p.runFounding, p.runLostRouters, p.runExpiry, p.runBurnGauges, p.moveDriver(store).Run, p.orderDispatcher().Run,
@@ -64,9 +63,18 @@
 	tasks.Wait()
 }
 
-func (p *Process) beginTerm(store *evidence.Store) {
-	p.routers.forget()
-	p.evidence.Store(store)
+// enterTerm returns the evidence of a term. The first caller in the term, which
+// may be a report that comes before the leader's tasks run, forgets what was learned
+// in earlier ones.
+func (p *Process) enterTerm(term uint64) *evidence.Store {
+	p.termLock.Lock()
+	defer p.termLock.Unlock()
+	if term > p.term {
+		p.term = term
+		p.routers.begin(time.Now())
+		p.evidence = evidence.NewStore()
+	}
+	return p.evidence
 }
 
 func (p *Process) moveDriver(store *evidence.Store) *move.Driver {
@@ -97,14 +105,8 @@
 
 // runLostRouters puts the open claims of routers that were silent too long in doubt.
 func (p *Process) runLostRouters(ctx context.Context) {
-	timeout := p.settings.RouterTimeout.Std()
-	// Routers that are alive report to a new leader within their timeout.
-	pause(ctx, timeout)
 	for ctx.Err() == nil {
-		for _, c := range p.machine.OpenClaimants() {
-			if p.routers.isAlive(c.RouterID, c.Incarnation, time.Now(), timeout) {
-				continue
-			}
+		for _, c := range p.lostClaimants(time.Now()) {
 			p.log.Warn(logging.RouterLost, logging.Fields{"router": c.RouterID, "incarnation": c.Incarnation})
 			p.commit(ctx, &chicoryv1.Command{Command: &chicoryv1.Command_RouterLost{
 				RouterLost: &chicoryv1.RouterLostCommand{RouterId: c.RouterID, Incarnation: c.Incarnation},
@@ -114,6 +116,24 @@
 	}
 }
 
+// lostClaimants returns the lives of routers that hold open claims and were silent
+// too long. Routers that are alive report to a new leader within their timeout, so
+// none is lost before that.
+func (p *Process) lostClaimants(now time.Time) []ledger.Claimant {
+	timeout := p.settings.RouterTimeout.Std()
+	p.routers.tick(now, timeout)
+	if !p.routers.settled(now, timeout) {
+		return nil
+	}
+	var lost []ledger.Claimant
+	for _, c := range p.machine.OpenClaimants() {
+		if !p.routers.isAlive(c.RouterID, c.Incarnation, now, timeout) {
+			lost = append(lost, c)
+		}
+	}
+	return lost
+}
+
 // runExpiry drops ledger entries and results that are older than their retention.
 func (p *Process) runExpiry(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -146,14 +166,15 @@
 	}
 }
 
-// receiveReport keeps a router's heartbeat and adds its evidence.
-func (p *Process) receiveReport(r *chicoryv1.ReportRequest) {
+// receiveReport keeps a router's heartbeat and adds its evidence to the term's.
+func (p *Process) receiveReport(term uint64, r *chicoryv1.ReportRequest) {
+	store := p.enterTerm(term)
 	now := time.Now()
 	p.routers.receive(r, now)
 	if len(r.GetEvidence()) == 0 {
 		return
 	}
-	if p.evidence.Load().Add(now, r.GetRouterId(), r.GetReportId(), r.GetEvidence()) {
+	if store.Add(now, r.GetRouterId(), r.GetReportId(), r.GetEvidence()) {
 		p.burn.Add(now, r.GetEvidence(), p.machine.View().Route)
 	}
 }
@@ -185,7 +206,12 @@
 	return out
 }
 
+// Routers counts none until every live router has had the time to report: the
+// first ones to report to a new leader don't speak for the others.
 func (s moveSource) Routers(route, version string) (live, stopped int) {
+	if !s.p.routers.settled(time.Now(), s.p.settings.RouterTimeout.Std()) {
+		return 0, 0
+	}
 	name := route + "/" + version
 	for _, l := range s.p.routers.list() {
 		if time.Since(l.seen) >= s.p.settings.RouterTimeout.Std() {
--- a/internal/process/control/operator_service.go
+++ b/internal/process/control/operator_service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
@@ -24,6 +25,10 @@
 	p *Process
 }
 
+// inForcePeriod is the time after which it is looked again whether a revision is in
+// force, because a router that became silent tells so by no report.
+const inForcePeriod = time.Second
+
 type operatorKey struct{}
 
 // withOperator puts the name in the client's certificate into the context. It is
@@ -71,27 +76,41 @@
 	s.p.log.Info(logging.ChangeConfirmed, logging.Fields{
 		"operator": req.Msg.GetOperator(), "request": id, "revision": r.Confirm.GetRevision(), "why": req.Msg.GetWhy(),
 	})
-	r.Confirm.InForceEverywhere = s.p.waitInForce(ctx, r.Confirm.GetRevision(), req.Msg.GetWaitInForceMs())
-	return connect.NewResponse(r.Confirm), nil
+	// The result is part of the replicated state, so the answer is a copy.
+	resp := proto.Clone(r.Confirm).(*chicoryv1.ConfirmResponse)
+	resp.InForceEverywhere = s.p.waitInForce(ctx, resp.GetRevision(), req.Msg.GetWaitInForceMs())
+	return connect.NewResponse(resp), nil
 }
 
 // waitInForce waits at most waitMs until every live router runs the revision.
 func (p *Process) waitInForce(ctx context.Context, revision uint64, waitMs uint32) bool {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(waitMs)*time.Millisecond)
-	defer cancel()
+	end := time.After(time.Duration(waitMs) * time.Millisecond)
 	for {
 		ok, changed := p.routers.inForce(revision, time.Now(), p.settings.RouterTimeout.Std())
 		if ok {
-			return true
+			return p.stillInForce(ctx, revision)
 		}
 		select {
 		case <-changed:
+		case <-time.After(inForcePeriod):
+		case <-end:
+			return false
 		case <-ctx.Done():
 			return false
 		}
 	}
 }
 
+// stillInForce looks again once a quorum has confirmed that this VM leads: routers
+// are silent towards a VM that doesn't.
+func (p *Process) stillInForce(ctx context.Context, revision uint64) bool {
+	if p.readBarrier(ctx) != nil {
+		return false
+	}
+	ok, _ := p.routers.inForce(revision, time.Now(), p.settings.RouterTimeout.Std())
+	return ok
+}
+
 func (s *operatorService) Moves(ctx context.Context, req *connect.Request[chicoryv1.MovesRequest]) (*connect.Response[chicoryv1.MovesResponse], error) {
 	if err := s.p.readBarrier(ctx); err != nil {
 		return nil, fault.Answer(err, "")
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -4,8 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,6 +17,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/watch"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/burn"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/consensus"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/disk"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/monitor"
@@ -36,17 +37,23 @@
 	machine  *state.Machine
 	node     *consensus.Node
 	routers  *routerTable
-	evidence atomic.Pointer[evidence.Store]
 	burn     *burn.Tracker
 	watches  *watch.Server
 	registry metrics.Registry
 
+	termLock sync.Mutex // guards the fields below
+	term     uint64
+	evidence *evidence.Store // of the term
+
 	targets   *target.Pool
 	peers     *peer.Client // of the replicated log alone
 	peerHTTP  *peer.Server
 	operators *http.Server
 	monitor   *monitor.Server
 
+	folder *os.File // locked while the process runs
+	failed chan error
+
 	ctx   context.Context
 	stop  context.CancelFunc
 	tasks sync.WaitGroup
@@ -54,6 +61,11 @@
 
 // Start opens the data folder, joins the other control VMs and serves.
 func Start(s Settings, log *logging.Logger) (*Process, error) {
+	return start(s, log, disk.OS{})
+}
+
+// start is Start with the data folder on fs.
+func start(s Settings, log *logging.Logger, fs disk.FS) (*Process, error) {
 	keys, err := peer.LoadKeys(s.Keys)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -63,23 +75,29 @@
 		log:      log,
 		machine:  state.New(ledgerSettings(s)),
 		routers:  newRouterTable(),
+		evidence: evidence.NewStore(),
 		burn:     burn.NewTracker(),
 		registry: metrics.NewRegistry(),
 		targets:  target.NewPool(nil),
 		peers:    peer.NewClient(keys),
+		failed:   make(chan error, 1),
 	}
-	p.evidence.Store(evidence.NewStore())
 	p.watches = watch.NewServer(p.machine)
 	p.ctx, p.stop = context.WithCancel(context.Background())
-	if err := p.startNode(); err != nil {
+	if p.folder, err = lockFolder(s.DataFolder); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := p.startNode(fs); err != nil {
+		_ = p.folder.Close()
 		return nil, errors.Trace(err)
 	}
 	if err := p.listen(keys); err != nil {
 		p.Stop()
 		return nil, errors.Trace(err)
 	}
-	p.tasks.Add(1)
+	p.tasks.Add(2)
 	go p.runLeaderTasks()
+	go p.watchNode()
 	log.Info(logging.ProcessStarted, logging.Fields{"peer_address": s.PeerAddress, "operator_address": s.OperatorAddress})
 	return p, nil
 }
@@ -90,7 +108,7 @@
 	return l
 }
 
-func (p *Process) startNode() error {
+func (p *Process) startNode(fs disk.FS) error {
 	var members []consensus.Member
 	for _, vm := range p.settings.Control {
 		members = append(members, consensus.Member{ID: vm.ID, Address: string(vm.Address)})
@@ -102,6 +120,7 @@
 		Transport:    consensus.NewPeerTransport(p.peers),
 		StateMachine: p.machine,
 		Logger:       p.log,
+		FS:           fs,
 	})
 	p.node = node
 	return errors.Trace(err)
@@ -142,8 +161,11 @@
 	return nil
 }
 
-// ready reports whether this VM knows a leader.
+// ready reports whether this VM takes part and knows a leader.
 func (p *Process) ready() (bool, string) {
+	if err := p.node.Status().Failed; err != nil {
+		return false, err.Error()
+	}
 	if _, ok := p.node.Leader(); !ok {
 		return false, "no leader is known"
 	}
@@ -173,5 +195,6 @@
 	if p.monitor != nil {
 		_ = p.monitor.Close()
 	}
+	_ = p.folder.Close()
 	p.log.Info(logging.ProcessStopped, nil)
 }
--- a/internal/process/control/propose.go
+++ b/internal/process/control/propose.go
@@ -34,9 +34,13 @@
 }
 
 // readBarrier waits until the applied state holds everything that was committed
-// before the call.
+// before the call, and what is known of routers belongs to the present term.
 func (p *Process) readBarrier(ctx context.Context) error {
-	return p.withLeader(p.node.ReadBarrier(ctx))
+	if err := p.node.ReadBarrier(ctx); err != nil {
+		return p.withLeader(err)
+	}
+	p.enterTerm(p.node.Status().Term)
+	return nil
 }
 
 // withLeader names the leader in a NotLeader error.
--- a/internal/process/control/router_service.go
+++ b/internal/process/control/router_service.go
@@ -37,11 +37,13 @@
 	if err := s.p.readBarrier(ctx); err != nil {
 		return nil, fault.Answer(err, "")
 	}
-	s.p.receiveReport(req.Msg)
+	s.p.receiveReport(s.p.node.Status().Term, req.Msg)
 	c, _ := s.p.machine.Configuration()
+	now, timeout := time.Now(), s.p.settings.RouterTimeout.Std()
 	return connect.NewResponse(&chicoryv1.ReportResponse{
 		CommittedRevision: c.GetRevision(),
-		LiveRouters:       uint32(s.p.routers.live(time.Now(), s.p.settings.RouterTimeout.Std())),
+		LiveRouters:       uint32(s.p.routers.live(now, timeout)),
+		Settling:          !s.p.routers.settled(now, timeout),
 	}), nil
 }
 
--- a/internal/process/router/report.go
+++ b/internal/process/router/report.go
@@ -122,7 +122,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.contact = time.Now()
-	r.routers = int(resp.GetLiveRouters())
+	if n := int(resp.GetLiveRouters()); !resp.GetSettling() || n > r.routers {
+		r.routers = n
+	}
 	if !r.confirmed {
 		r.confirmed = true
 		r.floor = resp.GetCommittedRevision()
--- a/internal/process/router/report_test.go
+++ b/internal/process/router/report_test.go
@@ -116,6 +116,21 @@
 	assert.Assert(t, isReady())
 }
 
+// A leader that began only just now has not heard of every router: team limits are
+// not widened by its count.
+func TestCountOfNewLeaderOnlyGrows(t *testing.T) {
+	r, l := newTestReporter()
+	for _, c := range []struct {
+		told     uint32
+		settling bool
+		want     int
+	}{{2, true, 2}, {9, false, 9}, {1, true, 9}, {10, true, 10}, {8, false, 8}} {
+		l.response = &chicoryv1.ReportResponse{LiveRouters: c.told, Settling: c.settling}
+		r.send(t.Context(), nil)
+		assert.Equal(t, r.liveRouters(), c.want)
+	}
+}
+
 // While control is away, what waits for it stays within its bound.
 func TestDecisionsAreBoundedWhileControlIsAway(t *testing.T) {
 	r, l := newTestReporter()
--- a/internal/process/run/run.go
+++ b/internal/process/run/run.go
@@ -35,8 +35,16 @@
 	Settings func() any
 	// ID returns the process's identity from the settings.
 	ID func(s any) string
-	// Start starts the process and returns a function that shuts it down in order.
-	Start func(s any, log *logging.Logger) (stop func(), err error)
+	// Start starts the process.
+	Start func(s any, log *logging.Logger) (Running, error)
+}
+
+// Running is a started process.
+type Running struct {
+	// Stop shuts the process down in order.
+	Stop func()
+	// Failed receives the reason when the process can't go on. It may be nil.
+	Failed <-chan error
 }
 
 // Main runs the server until SIGTERM or SIGINT and returns the exit status.
@@ -75,6 +83,10 @@
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(s.envPrefix())); err != nil {
 		return "", err
 	}
+	if fs.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "unknown argument %q\n", fs.Arg(0))
+		return "", flag.ErrHelp
+	}
 	if *path == "" {
 		fmt.Fprintln(os.Stderr, "the flag -settings is missing")
 		return "", flag.ErrHelp
@@ -90,12 +102,18 @@
 	log := logging.New(os.Stderr, s.Role, s.ID(set))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	stop, err := s.Start(set, log)
+	process, err := s.Start(set, log)
 	if err != nil {
 		log.Error(logging.ProcessStopped, logging.Fields{"reason": err})
 		return ExitError
 	}
-	<-signals
-	stop()
-	return ExitOK
+	select {
+	case <-signals:
+		process.Stop()
+		return ExitOK
+	case err := <-process.Failed:
+		process.Stop()
+		log.Error(logging.ProcessStopped, logging.Fields{"reason": err})
+		return ExitError
+	}
 }
