Questions to the leader: replace busy silent connections, blame no VM for its refusals

- A connection that went silent for good was closed only when idle.
With several callers it never is, so claims and reports failed until the QUIC idle timeout of 12 s, longer than the 10 s after which the leader puts a silent router's claims in doubt: 8 requests of each caller failed in a row.
- A refusal by the leader, or a caller that cancelled, made every caller ask another VM first; only NoQuorum and StorageFailed do now.
- A request that ran out of time before any VM was asked said that it may be committed; it says surely not.

Ruled out by synctest: resending after a lost answer, unbounded waits at a dead and a frozen VM with 8 callers, named leaders not followed.

--- a/internal/connection/control/client.go
+++ b/internal/connection/control/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/juju/errors"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
@@ -74,13 +75,18 @@
 func atLeader[Q, A any](ctx context.Context, c *Client, req *Q, call method[Q, A]) (*A, error) {
 	for {
 		for range c.vms {
+			if ctx.Err() != nil {
+				return nil, errNoLeader()
+			}
 			vm := c.presumedLeader()
 			resp, err := callOne(ctx, c, vm, req, call)
 			if err == nil {
 				return resp, nil
 			}
 			if !fault.Is(err, fault.NotLeader) {
-				c.moveOn(vm, "")
+				if tellsAgainst(ctx, err) {
+					c.moveOn(vm, "")
+				}
 				return nil, err
 			}
 			c.moveOn(vm, fault.Of(err).Leader)
@@ -88,22 +94,39 @@
 		select {
 		case <-time.After(electionPause):
 		case <-ctx.Done():
-			return nil, fault.New(fault.NotLeader, "no control VM leads")
+			return nil, errNoLeader()
 		}
 	}
 }
 
+// errNoLeader says that the request reached no leader in the caller's time.
+func errNoLeader() error {
+	return fault.New(fault.NotLeader, "no control VM leads")
+}
+
+// tellsAgainst reports whether another VM may lead after err. It may not when a
+// leader answered, or the caller itself gave the request up.
+func tellsAgainst(ctx context.Context, err error) bool {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	return fault.Is(err, fault.NoQuorum) || fault.Is(err, fault.StorageFailed)
+}
+
 func callOne[Q, A any](ctx context.Context, c *Client, vm VM, req *Q, call method[Q, A]) (*A, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	began := time.Now()
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	resp, err := call(c.services[vm.ID], ctx, connect.NewRequest(req))
+	resp, err := call(c.services[vm.ID], attempt, connect.NewRequest(req))
 	if err == nil {
 		return resp.Msg, nil
 	}
 	if f := fault.FromAnswer(err); f != nil {
 		return nil, f
 	}
-	c.peers.CloseIdleConnections()
+	if errors.Is(attempt.Err(), context.DeadlineExceeded) {
+		c.peers.ReplaceConnections(began)
+	}
 	return nil, fault.New(fault.NoQuorum, "no answer from a control VM: %v", err)
 }
 
--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -126,37 +124,6 @@
 	return errors.Trace(err)
 }
 
-// Client is an HTTP client for peers. One connection is kept for each address
-// and replaced after it went silent for the idle timeout.
-type Client struct {
-	*http.Client
-	transport *http3.Transport
-}
-
-// NewClient returns a client that shows keys to every peer.
-func NewClient(keys *Keys) *Client {
-	t := &http3.Transport{
-		TLSClientConfig:    keys.ClientConfig(),
-		QUICConfig:         quicConfig(),
-		DisableCompression: true,
-		Dial:               dialOwnSocket,
-	}
-	return &Client{Client: &http.Client{Transport: t}, transport: t}
-}
-
-// dialOwnSocket opens each connection from a UDP port of its own. With one port
-// for all, something between the two ends that lost track of the port would
-// swallow the packets of every later connection too.
-func dialOwnSocket(ctx context.Context, address string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
-	conn, err := quic.DialAddrEarly(ctx, address, tlsConfig, config)
-	return conn, errors.Trace(err)
-}
-
-// Close cuts all connections.
-func (c *Client) Close() error {
-	return errors.Trace(c.transport.Close())
-}
-
 // BaseURL returns the URL under which the services of the peer at address are found.
 func BaseURL(address string) string {
 	return "https://" + address
