Plans: a route keeps its service and kind of calls under its open move

A route could be put on another service, or be made non-idempotent, while a move was open on it, also by a plan made before the move was confirmed: the move's target version need not exist there, and its share kept the larger cap of idempotent calls. Such a put is refused.

Ruled out by drawn lists of changes against a naive configuration of maps, and by drawn pairs of plans: dangling references, half-applied lists, outcomes that depend on items that were not read.

--- a/internal/version/plan/items.go
+++ b/internal/version/plan/items.go
@@ -30,6 +30,10 @@
 	b.touch(RouteItem(r.GetName()))
 	b.read(ServiceItem(r.GetService()))
 	old := b.view.Route(r.GetName())
+	if m := b.view.Move(r.GetName()); m != nil && !fitsMove(old, r) {
+		return fault.New(fault.PlanRejected, "route %s has the open move %s, which was planned for its service and kind of calls",
+			r.GetName(), m.GetId())
+	}
 	b.effect("%s route %s: service %s, version %s", verb(old != nil), r.GetName(), r.GetService(), r.GetVersion())
 	if old != nil && old.GetVersion() != r.GetVersion() {
 		b.effect("route %s goes from version %s to %s at once, without a move", r.GetName(), old.GetVersion(), r.GetVersion())
@@ -39,6 +43,12 @@
 	return nil
 }
 
+// fitsMove reports whether a route stays what its open move was planned for: the
+// move's targets are of the service, and its largest share depends on idempotence.
+func fitsMove(old, next *chicoryv1.Route) bool {
+	return old.GetService() == next.GetService() && old.GetNonIdempotent() == next.GetNonIdempotent()
+}
+
 // warnOfEmptyRoutes names the changed routes that nothing serves once all
 // changes are made.
 func (b *builder) warnOfEmptyRoutes() {
