Peer keys: files replaced while they are read are read again

The times of the files were noted after reading them, so a pair that was replaced between reading and noting was never loaded: the process went on with the old certificate until the files changed again, or it expired. They are noted before.

Ruled out: a half-written pair, another authority, another role and expired certificates, each both ways where it applies. Red first: TestKeysReplacedDuringReadAreReadAgain (old serial number); the others were seen red with verification taken out on either side.

--- a/internal/connection/peer/keys.go
+++ b/internal/connection/peer/keys.go
@@ -56,6 +56,7 @@
 
 // load reads all three files. The caller holds mu or is the only user.
 func (k *Keys) load() error {
+	modTimes := k.stat() // before reading: what is replaced meanwhile is read again
 	cert, err := tls.LoadX509KeyPair(k.files.Certificate, k.files.Key)
 	if err != nil {
 		return errors.Annotate(err, "certificate and key")
@@ -70,7 +71,7 @@
 	}
 	k.cert = &cert
 	k.pool = pool
-	k.modTimes = k.stat()
+	k.modTimes = modTimes
 	k.checked = time.Now()
 	return nil
 }
