chicoryctl: unknown commands and arguments are usage errors

An unknown command ended with status 0 as if it were done, also below move and report. Words after the flags were ignored: 'confirm -why new booking desk' recorded 'new' as the reason. Both end with status 2 and send nothing.

Ruled out: flags from the command line, the environment and the config file in this order; flags of the same name in several commands.

--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -27,13 +27,13 @@
 			fs.StringVar(&file, "f", "", "YAML file with the changes")
 			fs.StringVar(&planFile, "plan", "", "file to write the plan to; - for the output")
 		},
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			changes, err := ReadChanges(file)
 			if err != nil {
 				return err
 			}
 			return a.plan(ctx, changes, planFile)
-		})
+		}))
 }
 
 // ReadChanges reads a YAML file of the form "changes: [...]", each a Change
@@ -107,7 +107,7 @@
 			fs.StringVar(&request, "request", "", "identity of this confirm; the plan's by default")
 			fs.DurationVar(&wait, "wait", 0, "time to wait until the change is in force on every router")
 		},
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			p, err := readPlan(planFile)
 			if err != nil {
 				return err
@@ -116,7 +116,7 @@
 				request = p.GetPlanId()
 			}
 			return a.confirm(ctx, &chicoryv1.ConfirmRequest{RequestId: request, Why: why, Plan: p}, wait)
-		})
+		}))
 }
 
 func (a *app) confirmOnce(ctx context.Context, req *chicoryv1.ConfirmRequest, wait time.Duration) (*chicoryv1.ConfirmResponse, error) {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -80,7 +80,7 @@
 			a.statusCommand(), a.historyCommand(), a.explainCommand(), a.reportCommand(),
 			a.claimsCommand(), a.configCommand(), a.certsCommand(), a.exampleCommand(), a.readyCommand(),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: unknownCommand,
 	}
 }
 
@@ -112,6 +112,25 @@
 	}
 }
 
+// unknownCommand is what a command with subcommands does itself.
+func unknownCommand(_ context.Context, args []string) error {
+	if len(args) == 0 {
+		return flag.ErrHelp
+	}
+	return errors.Errorf("unknown command %q", args[0])
+}
+
+// withoutArguments refuses words after the flags, such as those of a text that was
+// not quoted.
+func withoutArguments(exec func(context.Context) error) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) > 0 {
+			return errors.Errorf("unknown argument %q", args[0])
+		}
+		return exec(ctx)
+	}
+}
+
 // print writes m as JSON when asked for, or the text.
 func (a *app) print(m proto.Message, text func(io.Writer)) error {
 	if a.output != "json" {
--- a/internal/ctl/move.go
+++ b/internal/ctl/move.go
@@ -29,7 +29,7 @@
 			a.moveActionCommand("hasten", "Plans to grow as fast as the evidence allows.", chicoryv1.MoveActionKind_MOVE_ACTION_KIND_HASTEN),
 			a.moveActionCommand("take-back", "Plans to send all new work to the old version.", chicoryv1.MoveActionKind_MOVE_ACTION_KIND_TAKE_BACK),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: unknownCommand,
 	}
 }
 
@@ -51,14 +51,14 @@
 			fs.Float64Var(&in.ExpectedRate, "rate", 0, "requests a second that are expected; 0 is unknown")
 			fs.StringVar(&planFile, "plan", "", "file to write the plan to")
 		},
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			now := time.Now()
 			in.StartUnixMs = now.Add(after).UnixMilli()
 			in.DeadlineUnixMs = now.Add(deadline).UnixMilli()
 			in.CapPermille = uint32(maxShare)
 			change := &chicoryv1.Change{Change: &chicoryv1.Change_StartMove{StartMove: in}}
 			return a.plan(ctx, []*chicoryv1.Change{change}, planFile)
-		})
+		}))
 }
 
 func (a *app) moveActionCommand(name, help string, kind chicoryv1.MoveActionKind) *ffcli.Command {
--- a/internal/ctl/read.go
+++ b/internal/ctl/read.go
@@ -24,13 +24,13 @@
 func (a *app) statusCommand() *ffcli.Command {
 	return a.command("status", "status", "Shows every VM, what it runs and who leads.",
 		"chicoryctl status -config ctl.yaml", nil,
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			resp, err := ask(ctx, a, &chicoryv1.StatusRequest{}, chicoryv1connect.OperatorServiceClient.Status)
 			if err != nil {
 				return err
 			}
 			return a.print(resp, func(w io.Writer) { printStatus(w, resp) })
-		})
+		}))
 }
 
 func printStatus(w io.Writer, s *chicoryv1.StatusResponse) {
@@ -70,7 +70,7 @@
 	return a.command("history", "history [-n 50]", "Shows confirmed changes: who, when, why.",
 		"chicoryctl history -config ctl.yaml -n 10",
 		func(fs *flag.FlagSet) { fs.UintVar(&limit, "n", 0, "number of entries") },
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			req := &chicoryv1.HistoryRequest{Limit: uint32(limit)}
 			resp, err := ask(ctx, a, req, chicoryv1connect.OperatorServiceClient.History)
 			if err != nil {
@@ -84,7 +84,7 @@
 					}
 				}
 			})
-		})
+		}))
 }
 
 func (a *app) explainCommand() *ffcli.Command {
@@ -110,14 +110,14 @@
 func (a *app) configCommand() *ffcli.Command {
 	return a.command("config", "config", "Shows the configuration in force as JSON.",
 		"chicoryctl config -config ctl.yaml", nil,
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			resp, err := ask(ctx, a, &chicoryv1.GetConfigurationRequest{}, chicoryv1connect.OperatorServiceClient.GetConfiguration)
 			if err != nil {
 				return err
 			}
 			a.output = "json"
 			return a.print(resp.GetConfiguration(), nil)
-		})
+		}))
 }
 
 func (a *app) claimsCommand() *ffcli.Command {
@@ -131,7 +131,7 @@
 			fs.StringVar(&ran, "ran", "", "yes if the call was found to have run, no if not")
 			fs.StringVar(&planFile, "plan", "", "file to write the plan to")
 		},
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			if key == "" {
 				return a.listClaims(ctx)
 			}
@@ -141,7 +141,7 @@
 			settle := &chicoryv1.SettleClaim{Team: team, Key: key, Ran: ran == "yes"}
 			change := &chicoryv1.Change{Change: &chicoryv1.Change_SettleClaim{SettleClaim: settle}}
 			return a.plan(ctx, []*chicoryv1.Change{change}, planFile)
-		})
+		}))
 }
 
 func (a *app) listClaims(ctx context.Context) error {
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -22,7 +22,7 @@
 			fs.StringVar(&route, "route", "", "route; empty is all")
 			fs.StringVar(&plot, "plot", "", "PNG or SVG file to draw the burn rates to")
 		},
-		func(ctx context.Context, _ []string) error {
+		withoutArguments(func(ctx context.Context) error {
 			req := &chicoryv1.ReportBurnRequest{Route: route}
 			resp, err := ask(ctx, a, req, chicoryv1connect.OperatorServiceClient.ReportBurn)
 			if err != nil {
@@ -34,13 +34,13 @@
 				}
 			}
 			return a.print(resp, func(w io.Writer) { fmt.Fprint(w, burn.Text(resp.GetRows())) })
-		})
+		}))
 	return &ffcli.Command{
 		Name:        "report",
 		ShortUsage:  "chicoryctl report burn [flags]",
 		ShortHelp:   "Reports on service levels.",
 		FlagSet:     flag.NewFlagSet("chicoryctl report", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{burnCommand},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Exec:        unknownCommand,
 	}
 }
