Callers: a refusal doesn't tell whether a team exists

'unknown team' and 'the team's key is missing or wrong' told a caller without any key which teams there are. Both are one message now.

Ruled out: other teams' keys, refusals without kind, ran, retry-after or request identity, over JSON on HTTP/1.1, Connect and gRPC-Web, unary and streams. Not covered: bodies that Connect itself can't decode are refused without a FaultDetail. Red first: TestTeamsNeedTheirOwnKey (the messages differ).

--- a/internal/connection/caller/service.go
+++ b/internal/connection/caller/service.go
@@ -110,24 +110,22 @@
 	return id
 }
 
-// admit checks readiness and the team's key. Nothing has run when it fails.
+// admit checks readiness and the team's key. Nothing has run when it fails. The
+// answer doesn't tell whether a team exists.
 func (s *Service) admit(h http.Header, team string) error {
 	view := s.holder.Current()
 	if view == nil || !s.ready() {
 		return fault.New(fault.NotReady, "this router has no current configuration yet")
 	}
 	t := view.Team(team)
-	if t == nil {
-		return fault.New(fault.Unauthenticated, "unknown team")
-	}
-	if t.GetKeyDigest() == "" {
+	if t != nil && t.GetKeyDigest() == "" {
 		return nil
 	}
 	key := strings.TrimPrefix(h.Get("Authorization"), "Bearer ")
 	sum := sha256.Sum256([]byte(key))
 	given := hex.EncodeToString(sum[:])
-	if subtle.ConstantTimeCompare([]byte(given), []byte(t.GetKeyDigest())) != 1 {
-		return fault.New(fault.Unauthenticated, "the team's key is missing or wrong")
+	if t == nil || subtle.ConstantTimeCompare([]byte(given), []byte(t.GetKeyDigest())) != 1 {
+		return fault.New(fault.Unauthenticated, "the team is unknown, or its key is missing or wrong")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/connection/caller/service_test.go
@@ -0,0 +1,171 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/generation"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
+)
+
+// paths counts what was let through and refuses it with err.
+type paths struct {
+	err    error
+	passed int
+}
+
+func (p *paths) Generate(context.Context, *chicoryv1.GenerateRequest, generation.SendFunc) error {
+	p.passed++
+	return p.err
+}
+
+func (p *paths) Resume(context.Context, *chicoryv1.ResumeRequest, generation.SendFunc) error {
+	p.passed++
+	return p.err
+}
+
+func (p *paths) Cancel(context.Context, *chicoryv1.CancelRequest) error {
+	p.passed++
+	return p.err
+}
+
+func (p *paths) Call(context.Context, *chicoryv1.CallRequest) (*chicoryv1.CallResponse, error) {
+	p.passed++
+	return &chicoryv1.CallResponse{}, p.err
+}
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// serve serves the teams ours and theirs, which have keys, over HTTP/1.1.
+func serve(t *testing.T, p *paths, ready bool) string {
+	t.Helper()
+	h := &config.Holder{}
+	_, err := h.ApplyFull(&chicoryv1.Configuration{Revision: 1, ClusterId: "c", Teams: []*chicoryv1.Team{
+		{Name: "ours", KeyDigest: digest("our-key")}, {Name: "theirs", KeyDigest: digest("their-key")},
+	}})
+	assert.NilError(t, err)
+	s := NewService(h, p, p, func() bool { return ready }, logging.Discard())
+	mux := http.NewServeMux()
+	mux.Handle(chicoryv1connect.NewCallerServiceHandler(s))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// post sends a call as curl does and returns the fault in the answer, or nil, and
+// its message.
+func post(t *testing.T, url, team, key string) (*chicoryv1.FaultDetail, string) {
+	t.Helper()
+	body := `{"request_id":"q1","team":"` + team + `","route":"book"}`
+	req, err := http.NewRequest(http.MethodPost, url+chicoryv1connect.CallerServiceCallProcedure, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		return nil, ""
+	}
+	var answer struct {
+		Message string
+		Details []struct{ Type, Value string }
+	}
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&answer))
+	assert.Equal(t, len(answer.Details), 1)
+	b, err := base64.RawStdEncoding.DecodeString(answer.Details[0].Value)
+	assert.NilError(t, err)
+	d := &chicoryv1.FaultDetail{}
+	assert.NilError(t, proto.Unmarshal(b, d))
+	assert.Equal(t, resp.StatusCode, fault.Kind(d.GetKind()).Row().Status)
+	return d, answer.Message
+}
+
+// Only the team's own key lets a request in. The refusal doesn't tell whether a team
+// of another name exists.
+func TestTeamsNeedTheirOwnKey(t *testing.T) {
+	p := &paths{}
+	url := serve(t, p, true)
+	accepted, _ := post(t, url, "ours", "our-key")
+	assert.Assert(t, accepted == nil)
+	first, firstMessage := post(t, url, "ours", "")
+	for _, c := range [][2]string{{"ours", "wrong"}, {"ours", "their-key"}, {"theirs", "our-key"}, {"none", "our-key"}, {"", ""}} {
+		d, message := post(t, url, c[0], c[1])
+		assert.Equal(t, message, firstMessage)
+		assert.Assert(t, proto.Equal(d, first), "%v: %v", c, d)
+		assert.Equal(t, d.GetKind(), string(fault.Unauthenticated))
+		assert.Equal(t, d.GetRan(), chicoryv1.Ran_RAN_NOT_RUN)
+		assert.Equal(t, d.GetRequestId(), "q1")
+	}
+	assert.Equal(t, p.passed, 1)
+}
+
+// Every refusal says what it is, whether the request ran, when to come back and
+// which request it answers, on unary requests and streams of every protocol.
+func TestRefusalsTellWhatHappened(t *testing.T) {
+	refused := fault.New(fault.Overloaded, "full").WithRetryAfter(7 * time.Second)
+	for _, ready := range []bool{true, false} {
+		want := refused
+		if !ready {
+			want = fault.New(fault.NotReady, "")
+		}
+		url := serve(t, &paths{err: refused}, ready)
+		d, _ := post(t, url, "ours", "our-key")
+		assert.Equal(t, d.GetRetryAfterMs(), uint32(want.RetryAfter.Milliseconds()))
+		for _, option := range []connect.ClientOption{connect.WithProtoJSON(), connect.WithGRPCWeb()} {
+			c := chicoryv1connect.NewCallerServiceClient(http.DefaultClient, url, option)
+			for name, err := range refusals(c) {
+				f := fault.FromAnswer(err)
+				assert.Assert(t, f != nil, "%s: %v", name, err)
+				assert.Equal(t, f.Kind, want.Kind)
+				assert.Equal(t, f.Ran, want.Ran)
+				assert.Equal(t, f.RetryAfter, want.RetryAfter)
+			}
+		}
+	}
+}
+
+func authorized[T any](m *T) *connect.Request[T] {
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer our-key")
+	return r
+}
+
+// refusals returns the error of each method.
+func refusals(c chicoryv1connect.CallerServiceClient) map[string]error {
+	ctx, out := context.Background(), map[string]error{}
+	_, out["Call"] = c.Call(ctx, authorized(&chicoryv1.CallRequest{Team: "ours"}))
+	_, out["Cancel"] = c.Cancel(ctx, authorized(&chicoryv1.CancelRequest{Team: "ours"}))
+	g, err := c.Generate(ctx, authorized(&chicoryv1.GenerateRequest{Team: "ours"}))
+	if out["Generate"] = err; err == nil {
+		g.Receive()
+		out["Generate"] = g.Err()
+	}
+	r, err := c.Resume(ctx, authorized(&chicoryv1.ResumeRequest{Original: &chicoryv1.GenerateRequest{Team: "ours"}}))
+	if out["Resume"] = err; err == nil {
+		r.Receive()
+		out["Resume"] = r.Err()
+	}
+	return out
+}
