--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -131,6 +131,17 @@
 	outputJSON = "json"
 )
 
+// withoutArguments refuses words after the flags, such as those of a text that was
+// not quoted.
+func withoutArguments(exec func(context.Context) error) func(context.Context, []string) error {
+	return func(ctx context.Context, args []string) error {
+		if len(args) > 0 {
+			return errors.Errorf("unknown argument %q", args[0])
+		}
+		return exec(ctx)
+	}
+}
+
 // print writes m as JSON when asked for, or the text.
 func (a *app) print(m proto.Message, text func(io.Writer)) error {
 	if a.output != outputJSON {
