Bound a lookup's silent attempt by a third of its time

Change: an attempt counts as silent after a third of the call's time at most, and none starts that could not be answered in time.

--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
@@ -32,7 +33,11 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/share"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// compressFrom is the size in bytes from which answers to callers are compressed.
+	compressFrom = 1024
+)
 
 // Process is a running router.
 type Process struct {
@@ -235,7 +240,8 @@
 func (p *Process) listenCallers() error {
 	ready := func() bool { ok, _ := p.reports.ready(); return ok }
 	service := caller.NewService(p.holder, p.generations, p.calls, ready, p.log)
-	path, h := chicoryv1connect.NewCallerServiceHandler(service)
+	// Messages of a few hundred bytes cost more to compress than to send.
+	path, h := chicoryv1connect.NewCallerServiceHandler(service, connect.WithCompressMinBytes(compressFrom))
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
 	protocols := new(http.Protocols)
--- a/internal/request/call/idempotent.go
+++ b/internal/request/call/idempotent.go
@@ -20,6 +20,9 @@
 	// connections in use are replaced and another attempt is started beside them.
 	silenceFactor = 10
 	minSilence    = 100 * time.Millisecond
+	// silenceShare bounds one attempt's silence to a share of the call's time, so that
+	// a third target is tried before the deadline.
+	silenceShare = 3
 	// maxBudgetWait bounds how long a retry waits for the budget.
 	maxBudgetWait = 100 * time.Millisecond
 )
@@ -37,10 +40,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.opts.Budget.OnRequest()
+	hedge := s.latencies.hedgeDelay(c.req.GetRoute())
 	r := &race{
 		s:       s,
 		c:       c,
-		hedge:   s.latencies.hedgeDelay(c.req.GetRoute()),
+		hedge:   hedge,
+		silence: silenceBound(hedge, time.Until(c.work.Deadline)),
 		results: make(chan *attempt, s.opts.Settings.MaxAttempts),
 	}
 	if err := r.launch(ctx); err != nil {
@@ -54,6 +59,7 @@
 	s       *Service
 	c       *call
 	hedge   time.Duration
+	silence time.Duration
 	results chan *attempt
 
 	launched int
@@ -77,7 +83,7 @@
 	r.tried = append(r.tried, p.Target.GetAddress())
 	d := &target.Dispatch{}
 	r.dispatches = append(r.dispatches, d)
-	number, silence := r.launched, r.silence()
+	number, silence := r.launched, r.silence
 	r.s.tasks.Go(func() {
 		r.results <- r.s.dispatch(ctx, r.c, p, d, number, silence)
 	})
@@ -103,16 +109,17 @@
 	return p, err
 }
 
-// silence is the time without an answer after which an attempt counts as silent.
-func (r *race) silence() time.Duration {
-	return max(silenceFactor*r.hedge, minSilence)
+// silenceBound is the time without an answer after which an attempt of a call that
+// has the time left counts as silent.
+func silenceBound(hedge, left time.Duration) time.Duration {
+	return min(max(silenceFactor*hedge, minSilence), left/silenceShare)
 }
 
 // run waits for the first answer.
 func (r *race) run(ctx context.Context) (*chicoryv1.CallResponse, error) {
 	hedge := time.NewTimer(r.hedge)
 	defer hedge.Stop()
-	silence := time.NewTimer(r.silence())
+	silence := time.NewTimer(r.silence)
 	defer silence.Stop()
 	for {
 		select {
@@ -136,7 +143,7 @@
 			hedge.Reset(r.hedge)
 		case <-silence.C:
 			r.replaceSilent(ctx)
-			silence.Reset(r.silence())
+			silence.Reset(r.silence)
 		case <-ctx.Done():
 			return nil, r.refusal(ctx)
 		}
@@ -203,7 +210,9 @@
 		d.DropConnection()
 	}
 	r.dispatches = nil
-	if r.launched >= r.s.opts.Settings.MaxAttempts {
+	// An attempt that starts later could not be answered in time.
+	tooLate := time.Until(r.c.work.Deadline) < r.hedge
+	if tooLate || r.launched >= r.s.opts.Settings.MaxAttempts {
 		return
 	}
 	if ok, _ := r.s.opts.Budget.Allow(request.RetryCall); ok {
