--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 bench-resume:
 	go run ./bench/resume
+	./scripts/bench-hops.sh
 
 bench-route:
 	go run ./bench/route
--- a/bench/resume/costs.go
+++ b/bench/resume/costs.go
@@ -49,17 +49,6 @@
 	return bars, nil
 }
 
-// runHops measures the processor time of forwarder and router and returns the bar.
-func runHops(o costOptions) (bar, error) {
-	forward, router, err := measureHops(o)
-	if err != nil {
-		return bar{}, err
-	}
-	share := float64(forward) / float64(router)
-	fmt.Printf("hop cpu_per_token forwarder=%v router=%v tokens_per_core_share=%.2f\n", forward, router, share)
-	return bar{"tokens_per_core_of_forwarder", fmt.Sprintf("%.2f", share), fmt.Sprintf("%.2f", minForwardShare), share >= minForwardShare}, nil
-}
-
 // typical returns the usage with the least processor time and the median memory.
 func typical(list []usage) usage {
 	out := list[0]
@@ -83,7 +72,7 @@
 
 // compare prints what the router costs beyond the forwarder. The shares of
 // processor time are those of all parts in one process, and coarse: the bar is
-// measured by runHops.
+// measured by scripts/bench-hops.sh.
 func compare(w way, forward, u usage, o costOptions) []bar {
 	perToken := func(x usage) float64 { return float64(x.cpu) / float64(max(x.tokens, 1)) }
 	share := perToken(u) / perToken(forward)
--- a/bench/resume/hopcpu.go
+++ b/bench/resume/hopcpu.go
@@ -1,13 +1,15 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
-	"os/exec"
+	"os/signal"
 	"strconv"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,100 +20,135 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
-// The processor time of a hop is that of this process while engine and callers
-// run in processes of their own, started from this program.
+// The processor time of a hop is that of a process of its own, while engine and
+// callers run in other ones. scripts/bench-hops.sh starts the three roles.
 const (
 	roleEngine  = "engine"
+	roleHops    = "hops"
 	roleCallers = "callers"
 )
 
-// runRole is the main function of the other processes.
-func runRole(role, address string, h hop, o costOptions) error {
-	if role == roleEngine {
-		r, _, err := standin.Listen(standin.Options{
-			Address: "127.0.0.1:0", Version: "v1", TokenGap: o.gap, Capacity: 2 * o.streams, Seed: o.seed,
-		})
-		if err != nil {
-			return errors.Trace(err)
-		}
-		fmt.Println(r.Address())
-		_, _ = bufio.NewReader(os.Stdin).ReadByte() // until the parent ends
-		return nil
-	}
-	cl := newCaller()
-	var wait sync.WaitGroup
-	for i := range o.streams {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			if tokens, _, err := cl.read(h, address, i, o.tokens); err != nil || tokens != int64(o.tokens) {
-				fmt.Fprintf(os.Stderr, "stream %d: %d tokens, %v\n", i, tokens, err)
-			}
-		}()
-	}
-	wait.Wait()
-	return nil
+// hopAddresses are where the callers' role finds the other roles.
+type hopAddresses struct {
+	engine, forwarder, router, cpu string
 }
 
-// child starts this program in a role.
-func child(role, address string, h hop, o costOptions) *exec.Cmd {
-	cmd := exec.Command(os.Args[0], "-role", role, "-address", address, "-hop", strconv.Itoa(int(h)),
-		"-streams", strconv.Itoa(o.streams), "-tokens", strconv.Itoa(o.tokens), "-gap", o.gap.String())
-	cmd.Stderr = os.Stderr
-	return cmd
+// runRole is the main function of one role. The engine and the hops print their
+// addresses and serve until they are told to end.
+func runRole(role string, at hopAddresses, o costOptions) error {
+	switch role {
+	case roleEngine:
+		return serveEngine(o)
+	case roleHops:
+		return serveHops(at.engine)
+	case roleCallers:
+		return callHops(at, o)
+	}
+	return errors.Errorf("there is no role %q", role)
 }
 
-// measureHops returns the least processor time per token of the bare forwarder
-// and of the router.
-func measureHops(o costOptions) (forward, router time.Duration, err error) {
-	engine := child(roleEngine, "", hopDirect, o)
-	stdin, err := engine.StdinPipe()
-	if err != nil {
-		return 0, 0, errors.Trace(err)
-	}
-	stdout, err := engine.StdoutPipe()
-	if err != nil {
-		return 0, 0, errors.Trace(err)
-	}
-	if err := engine.Start(); err != nil {
-		return 0, 0, errors.Trace(err)
-	}
-	defer func() {
-		_ = stdin.Close()
-		_ = engine.Wait()
-	}()
-	line, err := bufio.NewReader(stdout).ReadString('\n')
+func serveEngine(o costOptions) error {
+	r, _, err := standin.Listen(standin.Options{
+		Address: "127.0.0.1:0", Version: "v1", TokenGap: o.gap, Capacity: 2 * o.streams, Seed: o.seed,
+	})
 	if err != nil {
-		return 0, 0, errors.Trace(err)
+		return errors.Trace(err)
 	}
-	address := strings.TrimSpace(line)
-	f, err := startForwarder(address)
+	fmt.Println(r.Address())
+	waitForEnd()
+	return nil
+}
+
+// serveHops serves the bare forwarder, the router and this process's processor time.
+func serveHops(engine string) error {
+	f, err := startForwarder(engine)
 	if err != nil {
-		return 0, 0, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	defer f.close()
-	r, err := routerOf(address)
+	r, err := routerOf(engine)
 	if err != nil {
-		return 0, 0, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	defer r.close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	go func() {
+		_ = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprint(w, cpuTime().Nanoseconds())
+		}))
+	}()
+	fmt.Println(f.address, r.address, ln.Addr())
+	waitForEnd()
+	return nil
+}
+
+func waitForEnd() {
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	<-end
+}
+
+// callHops measures the least processor time per token of the bare forwarder and of
+// the router, and prints the bar.
+func callHops(at hopAddresses, o costOptions) error {
+	var forward, router time.Duration
 	for range o.rounds {
 		for _, x := range []struct {
 			hop     hop
 			address string
 			least   *time.Duration
-		}{{hopForwarder, f.address, &forward}, {hopRouter, r.address, &router}} {
-			start := cpuTime()
-			if err := child(roleCallers, x.address, x.hop, o).Run(); err != nil {
-				return 0, 0, errors.Trace(err)
+		}{{hopForwarder, at.forwarder, &forward}, {hopRouter, at.router, &router}} {
+			used, err := callHop(x.hop, x.address, at.cpu, o)
+			if err != nil {
+				return errors.Trace(err)
 			}
-			used := (cpuTime() - start) / time.Duration(o.streams*o.tokens)
 			if *x.least == 0 || used < *x.least {
 				*x.least = used
 			}
 		}
 	}
-	return forward, router, nil
+	share := float64(forward) / float64(router)
+	fmt.Printf("hop cpu_per_token forwarder=%v router=%v tokens_per_core_share=%.2f\n", forward, router, share)
+	fmt.Println(bar{"tokens_per_core_of_forwarder", fmt.Sprintf("%.2f", share), fmt.Sprintf("%.2f", minForwardShare), share >= minForwardShare})
+	return nil
+}
+
+// callHop runs all streams through one hop and returns its processor time per token.
+func callHop(h hop, address, cpu string, o costOptions) (time.Duration, error) {
+	before, err := askCPU(cpu)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	cl := newCaller()
+	var wait sync.WaitGroup
+	for i := range o.streams {
+		wait.Go(func() {
+			if tokens, _, err := cl.read(h, address, i, o.tokens); err != nil || tokens != int64(o.tokens) {
+				fmt.Fprintf(os.Stderr, "stream %d: %d tokens, %v\n", i, tokens, err)
+			}
+		})
+	}
+	wait.Wait()
+	after, err := askCPU(cpu)
+	return (after - before) / time.Duration(o.streams*o.tokens), errors.Trace(err)
+}
+
+// askCPU returns the processor time that the hops' process has used.
+func askCPU(address string) (time.Duration, error) {
+	resp, err := http.Get("http://" + address)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	n, err := strconv.ParseInt(string(b), 10, 64)
+	return time.Duration(n), errors.Trace(err)
 }
 
 // routerOf starts a router with one engine.
--- a/bench/resume/main.go
+++ b/bench/resume/main.go
@@ -25,18 +25,18 @@
 
 func main() {
 	seed := flag.Uint64("seed", 1, "seed of the stand-in engines")
-	part := flag.String("part", "all", "all, losses, cost, hops, alarms or placement")
+	part := flag.String("part", "all", "all, losses, cost, alarms or placement")
 	profile := flag.String("cpuprofile", "", "file for a profile of the processor time")
-	role := flag.String("role", "", "engine or callers; set by this program for its own processes")
-	address := flag.String("address", "", "where the role callers connects")
-	through := flag.Int("hop", 0, "what the role callers connects to")
-	o := costOptions{seed: 1}
-	flag.IntVar(&o.streams, "streams", 0, "streams of a role")
-	flag.IntVar(&o.tokens, "tokens", 0, "tokens of each stream of a role")
-	flag.DurationVar(&o.gap, "gap", 0, "time between tokens of a role")
+	role := flag.String("role", "", "engine, hops or callers; see scripts/bench-hops.sh")
+	var at hopAddresses
+	flag.StringVar(&at.engine, "engine", "", "address of the role engine")
+	flag.StringVar(&at.forwarder, "forwarder", "", "address of the bare forwarder")
+	flag.StringVar(&at.router, "router", "", "address of the router")
+	flag.StringVar(&at.cpu, "cpu", "", "address of the processor time of the role hops")
 	flag.Parse()
 	if *role != "" {
-		if err := runRole(*role, *address, hop(*through), o); err != nil {
+		o := costOptions{streams: 50, tokens: 300, gap: 5 * time.Millisecond, seed: *seed, rounds: costRounds * scale()}
+		if err := runRole(*role, at, o); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
@@ -103,13 +103,6 @@
 		}
 		bars = append(bars, b...)
 	}
-	if part == "all" || part == "hops" {
-		b, err := runHops(costOptions{streams: 50, tokens: 300, gap: 5 * time.Millisecond, seed: seed, rounds: costRounds * n})
-		if err != nil {
-			return err
-		}
-		bars = append(bars, b)
-	}
 	for _, b := range bars {
 		fmt.Println(b)
 	}
