Router: a callers' listener that can't serve is a failure; draining closes connections

- With missing files of caller_tls the router started, became ready and served nobody: the error of ServeTLS was dropped.
The files are read at the start (status 1), and a listener that ends by itself ends the process.
- While draining, answers carry Connection: close (GOAWAY on HTTP/2), so that a client doesn't send its next request into a kept-alive connection that shuts down.

Ruled out: http.Server.Shutdown cutting open streams over HTTP/1.1 and h2c.

--- a/cmd/chicory-router/main.go
+++ b/cmd/chicory-router/main.go
@@ -39,7 +39,7 @@
 			if err != nil {
 				return run.Running{}, errors.Trace(err)
 			}
-			return run.Running{Stop: p.Stop}, nil
+			return run.Running{Stop: p.Stop, Failed: p.Failed()}, nil
 		},
 	}
 	os.Exit(server.Main(os.Args[1:]))
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,7 +14,6 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
-	"github.com/chicoryswitch/chicoryswitch/internal/connection/caller"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/control"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
@@ -54,6 +53,9 @@
 	peerHTTP *peer.Server
 	monitor  *monitor.Server
 
+	draining atomic.Bool // connections of callers are closed after each answer
+	failed   chan error
+
 	ctx   context.Context
 	stop  context.CancelFunc
 	tasks sync.WaitGroup
@@ -79,6 +81,7 @@
 		pool:        target.NewPool(nil),
 		leaders:     peer.NewClient(keys),
 		watched:     peer.NewClient(keys),
+		failed:      make(chan error, 1),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.control = control.NewClient(controlVMs(s), p.leaders)
@@ -95,6 +98,11 @@
 	return p, nil
 }
 
+// Failed receives the reason when the process can't go on serving callers.
+func (p *Process) Failed() <-chan error {
+	return p.failed
+}
+
 func controlVMs(s Settings) []control.VM {
 	var vms []control.VM
 	for _, vm := range s.Control {
@@ -226,28 +234,3 @@
 	}
 	return errors.Trace(p.listenCallers())
 }
-
-func (p *Process) listenCallers() error {
-	ready := func() bool { ok, _ := p.reports.ready(); return ok }
-	service := caller.NewService(p.holder, p.generations, p.calls, ready, p.log)
-	path, h := chicoryv1connect.NewCallerServiceHandler(service)
-	mux := http.NewServeMux()
-	mux.Handle(path, h)
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	p.callers = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}
-	ln, err := net.Listen("tcp", string(p.settings.CallerAddress))
-	if err != nil {
-		return errors.Annotate(err, "caller address")
-	}
-	go func() {
-		if t := p.settings.CallerTLS; t != nil {
-			_ = p.callers.ServeTLS(ln, t.Certificate, t.Key)
-			return
-		}
-		_ = p.callers.Serve(ln)
-	}()
-	return nil
-}
--- a/internal/process/router/stop.go
+++ b/internal/process/router/stop.go
@@ -21,6 +21,7 @@
 func (p *Process) Stop() {
 	p.log.Info(logging.ProcessDraining, nil)
 	p.monitor.Drain()
+	p.draining.Store(true)
 	p.reports.leave()
 	time.Sleep(balancerDelay)
 	p.drain()
