Certificates keep to their files; a monitor request can't hold up a stop

- 'chicoryctl certs ca' replaced the authority's certificate and key, 'r1-key' the key of r1, and '../r1' left the folder: such identities are refused.
- An authority whose ca.pem was missing was made anew over its key: refused.
- The monitor's Close waited without bound for open requests, and with it the process after SIGTERM; they are cut after a second.

--- a/internal/process/certs/certs.go
+++ b/internal/process/certs/certs.go
@@ -12,6 +12,7 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,6 +46,9 @@
 	if _, err := os.Stat(certPath); err == nil {
 		return readAuthority(dir)
 	}
+	if _, err := os.Stat(filepath.Join(dir, "ca-key.pem")); err == nil {
+		return nil, errors.Errorf("%s has ca-key.pem but not its certificate ca.pem", dir)
+	}
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -101,6 +105,9 @@
 // Issue writes NAME.pem and NAME-key.pem for one process into the authority's
 // folder and returns their paths.
 func (a *Authority) Issue(id peer.Identity) (peer.Files, error) {
+	if !namesFiles(id.ID) {
+		return peer.Files{}, errors.Errorf("identity %q can't name files", id.ID)
+	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return peer.Files{}, errors.Trace(err)
@@ -127,6 +134,12 @@
 	}, nil
 }
 
+// namesFiles reports whether the files of id are in the authority's folder and are
+// not those of the authority or of another identity.
+func namesFiles(id string) bool {
+	return id == filepath.Base(id) && id != "." && id != ".." && id != "ca" && !strings.HasSuffix(id, "-key")
+}
+
 func template(name pkix.Name, lifetime time.Duration) (*x509.Certificate, error) {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
 	if err != nil {
--- a/internal/process/monitor/monitor.go
+++ b/internal/process/monitor/monitor.go
@@ -23,7 +23,10 @@
 	MetricsPath = "/metrics"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	closeTimeout      = time.Second
+)
 
 // Server serves the endpoints.
 type Server struct {
@@ -57,9 +60,14 @@
 	s.draining.Store(true)
 }
 
-// Close stops the server.
+// Close stops the server. Requests that are open after closeTimeout are cut.
 func (s *Server) Close() error {
-	return errors.Trace(s.http.Shutdown(context.Background()))
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if s.http.Shutdown(ctx) == nil {
+		return nil
+	}
+	return errors.Trace(s.http.Close())
 }
 
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
