--- a/internal/version/config/validate.go
+++ b/internal/version/config/validate.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -30,8 +32,8 @@
 		}
 	}
 	for _, t := range c.GetTeams() {
-		if t.GetName() == "" {
-			return reject("a team has no name")
+		if err := validateTeam(t); err != nil {
+			return err
 		}
 	}
 	return validateMoves(v, c.GetMoves())
@@ -81,6 +83,18 @@
 	return nil
 }
 
+// validateTeam refuses a key digest that the digest of no key is equal to.
+func validateTeam(t *chicoryv1.Team) error {
+	if t.GetName() == "" {
+		return reject("a team has no name")
+	}
+	d := t.GetKeyDigest()
+	if b, err := hex.DecodeString(d); d != "" && (err != nil || hex.EncodeToString(b) != d || len(b) != sha256.Size) {
+		return reject("team %s: the key digest must be a SHA-256 in lower-case hexadecimal digits", t.GetName())
+	}
+	return nil
+}
+
 func validateMoves(v *View, moves []*chicoryv1.Move) error {
 	seen := map[string]bool{}
 	for _, m := range moves {
--- a/internal/version/plan/plan_test.go
+++ b/internal/version/plan/plan_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -248,3 +249,14 @@
 	_, err = apply(out.Next, []*chicoryv1.Change{route("x", "s", "v1")})
 	assert.NilError(t, err)
 }
+
+// A digest that no key can have would lock the team out.
+func TestKeyDigestIsChecked(t *testing.T) {
+	for digest, accepted := range map[string]bool{
+		"": true, strings.Repeat("0a", 32): true, strings.Repeat("0A", 32): false, "our-key": false, strings.Repeat("0a", 31): false,
+	} {
+		team := &chicoryv1.Team{Name: "x", KeyDigest: digest}
+		_, err := apply(base(t), []*chicoryv1.Change{{Change: &chicoryv1.Change_PutTeam{PutTeam: team}}})
+		assert.Equal(t, err == nil, accepted, digest)
+	}
+}
