chicoryctl: a control VM whose disk failed is passed over

Its answer ended the command although the others go on. Ruled out: refusals by the leader asked for again. Red first: TestTheVMThatCanAnswerIsAsked (status 4, not 0).

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -64,7 +64,7 @@
 				return resp, nil
 			}
 			f := fault.FromAnswer(err)
-			if f != nil && f.Kind != fault.NotLeader && f.Kind != fault.NoQuorum {
+			if f != nil && !mayBeAnswered(f.Kind) {
 				return nil, f
 			}
 			last = err
@@ -77,6 +77,12 @@
 	return nil, fault.New(fault.NoQuorum, "no control VM answers as leader: %v", last)
 }
 
+// mayBeAnswered reports whether another control VM may answer after a refusal of
+// the kind.
+func mayBeAnswered(kind fault.Kind) bool {
+	return kind == fault.NotLeader || kind == fault.NoQuorum || kind == fault.StorageFailed
+}
+
 func askOne[Q, A any](ctx context.Context, s chicoryv1connect.OperatorServiceClient, req *Q, call method[Q, A]) (*A, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
