--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -41,7 +41,7 @@
 	watches  *watch.Server
 	registry metrics.Registry
 
-	termLock sync.Mutex // guards the fields below
+	termLock sync.Mutex // guards term and evidence
 	term     uint64
 	evidence *evidence.Store // of the term
 
