Router: a last report at the stop

What requests showed since the last interval was lost with the process. A last report is sent when the tasks end, for a second at most.

--- a/internal/process/router/report.go
+++ b/internal/process/router/report.go
@@ -18,6 +18,8 @@
 
 const (
 	reportTimeout = 5 * time.Second
+	// lastReportTimeout bounds the last report of a process that stops.
+	lastReportTimeout = time.Second
 	// maxPendingDecisions bounds the decisions that wait for the next report.
 	maxPendingDecisions = 100
 )
@@ -52,7 +54,8 @@
 	routers   int
 }
 
-// run sends a report at each interval and at once after a new revision.
+// run sends a report at each interval, at once after a new revision, and a last one
+// when ctx ends.
 func (r *reporter) run(ctx context.Context) {
 	t := time.NewTicker(r.interval)
 	defer t.Stop()
@@ -63,11 +66,22 @@
 		case <-t.C:
 		case <-r.wake:
 		case <-ctx.Done():
+			r.sendLast(unsent)
 			return
 		}
 	}
 }
 
+// sendLast reports what the last requests showed, before the process ends.
+func (r *reporter) sendLast(unsent *chicoryv1.ReportRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastReportTimeout)
+	defer cancel()
+	if unsent != nil && r.send(ctx, unsent) != nil {
+		return
+	}
+	r.send(ctx, nil)
+}
+
 // send sends the unsent report again, or a new one. It returns the report when it
 // was not answered: the next try has the same identity, because an earlier one may
 // have arrived, and its evidence counts once.
--- a/internal/process/router/report_test.go
+++ b/internal/process/router/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -131,6 +133,29 @@
 	}
 }
 
+// What the last requests showed is reported although the router stops.
+func TestLastReportIsSentAtTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, l := newTestReporter()
+		r.interval, l.arrives = time.Hour, true
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.run(ctx)
+		}()
+		synctest.Wait()
+		r.collector.Record(request.Observation{Route: "book", Version: "v1"})
+		r.leave()
+		synctest.Wait()
+		assert.Assert(t, l.last.GetLeaving())
+		r.collector.Record(request.Observation{Route: "book", Version: "v1"})
+		cancel()
+		<-done
+		assert.Equal(t, l.requests, uint64(2))
+	})
+}
+
 // While control is away, what waits for it stays within its bound.
 func TestDecisionsAreBoundedWhileControlIsAway(t *testing.T) {
 	r, l := newTestReporter()
