--- a/internal/connection/control/client_test.go
+++ b/internal/connection/control/client_test.go
@@ -88,12 +88,16 @@
 // was committed.
 func TestNoLeaderEndsWithTheCallersTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newVMs(&controlVM{mode: follows}, &controlVM{mode: follows}, &controlVM{mode: follows})
+		first := &controlVM{mode: follows}
+		c := newVMs(first, &controlVM{mode: follows}, &controlVM{mode: follows})
 		ctx, cancel := context.WithTimeout(t.Context(), 9*electionPause/2)
 		defer cancel()
 		began := time.Now()
 		assert.Assert(t, fault.Is(ask(ctx, c), fault.NotLeader))
 		assert.Equal(t, time.Since(began), 9*electionPause/2)
+		asked := first.asked.Load()
+		assert.Assert(t, fault.Is(ask(ctx, c), fault.NotLeader))
+		assert.Equal(t, first.asked.Load(), asked)
 	})
 }
 
--- a/internal/process/control/process_test.go
+++ b/internal/process/control/process_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -104,8 +105,9 @@
 	_, err := p.propose(context.Background(), &chicoryv1.Command{Command: &chicoryv1.Command_Expire{Expire: &chicoryv1.ExpireCommand{}}})
 	assert.Assert(t, fault.Is(err, fault.StorageFailed), "%v", err)
 	assert.Assert(t, fault.Is(<-p.Failed(), fault.StorageFailed))
-	ok, _ := p.ready()
+	ok, reason := p.ready()
 	assert.Assert(t, !ok)
+	assert.Assert(t, strings.HasPrefix(reason, string(fault.StorageFailed)), reason)
 }
 
 // Two processes on one data folder would both vote.
