--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -3,19 +3,17 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
-	"github.com/chicoryswitch/chicoryswitch/internal/connection/caller"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/control"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
@@ -33,12 +31,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/share"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	// compressFrom is the size in bytes from which answers to callers are compressed.
-	compressFrom = 1024
-)
-
 // Process is a running router.
 type Process struct {
 	settings    Settings
@@ -59,6 +51,9 @@
 	peerHTTP *peer.Server
 	monitor  *monitor.Server
 
+	draining atomic.Bool // connections of callers are closed after each answer
+	failed   chan error
+
 	ctx   context.Context
 	stop  context.CancelFunc
 	tasks sync.WaitGroup
@@ -86,6 +81,7 @@
 		}}),
 		leaders: peer.NewClient(keys),
 		watched: peer.NewClient(keys),
+		failed:  make(chan error, 1),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.control = control.NewClient(controlVMs(s), p.leaders)
@@ -102,6 +98,11 @@
 	return p, nil
 }
 
+// Failed receives the reason when the process can't go on serving callers.
+func (p *Process) Failed() <-chan error {
+	return p.failed
+}
+
 func controlVMs(s Settings) []control.VM {
 	var vms []control.VM
 	for _, vm := range s.Control {
@@ -236,29 +237,3 @@
 	}
 	return errors.Trace(p.listenCallers())
 }
-
-func (p *Process) listenCallers() error {
-	ready := func() bool { ok, _ := p.reports.ready(); return ok }
-	service := caller.NewService(p.holder, p.generations, p.calls, ready, p.log)
-	// Messages of a few hundred bytes cost more to compress than to send.
-	path, h := chicoryv1connect.NewCallerServiceHandler(service, connect.WithCompressMinBytes(compressFrom))
-	mux := http.NewServeMux()
-	mux.Handle(path, h)
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	p.callers = &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout}
-	ln, err := net.Listen("tcp", string(p.settings.CallerAddress))
-	if err != nil {
-		return errors.Annotate(err, "caller address")
-	}
-	go func() {
-		if t := p.settings.CallerTLS; t != nil {
-			_ = p.callers.ServeTLS(ln, t.Certificate, t.Key)
-			return
-		}
-		_ = p.callers.Serve(ln)
-	}()
-	return nil
-}
