--- a/internal/process/control/settings.go
+++ b/internal/process/control/settings.go
@@ -55,7 +55,7 @@
 
 // Defaults of a control VM.
 const (
-	defaultKeyRetention  = 24 * time.Hour
+	defaultKeyRetention  = 2 * time.Hour
 	defaultRouterTimeout = 10 * time.Second
 	defaultLoadInterval  = 5 * time.Second
 )
