--- a/client/call.go
+++ b/client/call.go
@@ -8,6 +8,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 // Call makes one short call and returns the target's answer. A call that is not
@@ -33,7 +34,7 @@
 		if !mayResend(req, answer) || time.Now().Add(answer.RetryAfter).After(limit) {
 			return nil, publicError(answer)
 		}
-		if !sleep(ctx, answer.RetryAfter) {
+		if !pause.For(ctx, answer.RetryAfter) {
 			return nil, publicError(answer)
 		}
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -155,15 +154,3 @@
 		h[name] = append([]string(nil), values...)
 	}
 }
-
-// sleep waits for d and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/client/stream.go
+++ b/client/stream.go
@@ -10,6 +10,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 var errSilent = errors.New("router is silent")
@@ -160,7 +161,7 @@
 		s.c.replace(lost.endpoint)
 	}
 	s.tries++
-	if !sleep(s.ctx, wait) {
+	if !pause.For(s.ctx, wait) {
 		s.err = s.ctx.Err()
 		return
 	}
--- a/internal/connection/observe/poll.go
+++ b/internal/connection/observe/poll.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 // poll asks the target once for its load.
@@ -47,7 +48,7 @@
 	for {
 		w.follow(ctx, address)
 		w.shorten(address)
-		if !pause(ctx, w.opts.Settings.PollInterval.Std()) {
+		if !pause.For(ctx, w.opts.Settings.PollInterval.Std()) {
 			return
 		}
 	}
@@ -89,7 +90,7 @@
 func (w *Watcher) watchPlatform(ctx context.Context) {
 	for {
 		w.readPlatform(ctx)
-		if !pause(ctx, w.opts.Settings.PlatformInterval.Std()) {
+		if !pause.For(ctx, w.opts.Settings.PlatformInterval.Std()) {
 			return
 		}
 	}
--- a/internal/connection/observe/watcher.go
+++ b/internal/connection/observe/watcher.go
@@ -8,6 +8,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
@@ -92,20 +93,8 @@
 	}
 	for {
 		w.poll(ctx, address)
-		if !pause(ctx, w.opts.Settings.PollInterval.Std()) {
+		if !pause.For(ctx, w.opts.Settings.PollInterval.Std()) {
 			return
 		}
 	}
 }
-
-// pause waits for d and reports false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/process/burn/main_test.go
+++ b/internal/process/burn/main_test.go
@@ -1,20 +1,13 @@
 package burn
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 )
 
-// TestMain fixes the seed of drawn tests; SEED replays another.
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
--- a/internal/process/consensus/client_test.go
+++ b/internal/process/consensus/client_test.go
@@ -11,12 +11,13 @@
 	"github.com/juju/errors"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 // client calls drawn nodes until ctx ends and notes what it saw.
 func (c *cluster) client(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(c.seed, uint64(10+number)))
-	for i := 0; sleep(ctx, time.Duration(random.IntN(150))*time.Millisecond); i++ {
+	for i := 0; pause.For(ctx, time.Duration(random.IntN(150))*time.Millisecond); i++ {
 		id := c.ids[random.IntN(len(c.ids))]
 		if n := c.net.node(id); n != nil {
 			text := ""
--- a/internal/process/consensus/join.go
+++ b/internal/process/consensus/join.go
@@ -7,6 +7,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
@@ -24,7 +25,7 @@
 		if !n.isServedMember() {
 			n.join()
 		}
-		if !sleep(n.ctx, n.options.ElectionTimeout/2) {
+		if !pause.For(n.ctx, n.options.ElectionTimeout/2) {
 			return
 		}
 	}
--- a/internal/process/consensus/network_test.go
+++ b/internal/process/consensus/network_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 const maxDelay = 4 * time.Millisecond
@@ -56,7 +57,7 @@
 // never returns from a blocked link before ctx ends.
 func (w *network) cross(ctx context.Context, from, to string) error {
 	for first := true; ; first = false {
-		if !sleep(ctx, w.delay()) {
+		if !pause.For(ctx, w.delay()) {
 			return ctx.Err()
 		}
 		w.mu.Lock()
--- a/internal/process/consensus/peertask.go
+++ b/internal/process/consensus/peertask.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
@@ -79,7 +80,7 @@
 		p.note(err)
 	}
 	if err != nil {
-		sleep(epoch, n.options.HeartbeatInterval)
+		pause.For(epoch, n.options.HeartbeatInterval)
 	}
 	return sent
 }
--- a/internal/process/consensus/simulation_run_test.go
+++ b/internal/process/consensus/simulation_run_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"os"
 	"sync"
 	"testing"
@@ -12,28 +11,13 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/disk/disktest"
 )
 
-// TestMain sets the seed and the number of the drawn tests; SEED replays
-// another seed, and the flags of rapid take precedence.
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	for name, value := range map[string]string{
-		"rapid.seed":       seed,
-		"rapid.nofailfile": "true",
-		"rapid.checks":     "300",
-		"rapid.shrinktime": "5s",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m, drawn.Flag{Name: "rapid.checks", Value: "300"}, drawn.Flag{Name: "rapid.shrinktime", Value: "5s"}))
 }
 
 // plan is one drawn run.
--- a/internal/process/consensus/sync.go
+++ b/internal/process/consensus/sync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 )
 
 // signal wakes one goroutine; signals that come before it looks are merged.
@@ -32,15 +31,3 @@
 }
 
 func (l ioLock) unlock() { <-l }
-
-// sleep returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/process/control/failure.go
+++ b/internal/process/control/failure.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 const (
@@ -51,6 +52,6 @@
 			p.failed <- errors.Trace(err)
 			return
 		}
-		pause(p.ctx, failurePeriod)
+		pause.For(p.ctx, failurePeriod)
 	}
 }
--- a/internal/process/control/leader.go
+++ b/internal/process/control/leader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/burn"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/consensus"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
@@ -99,7 +100,7 @@
 				Found: &chicoryv1.FoundCommand{ClusterId: rand.Text()},
 			}})
 		}
-		pause(ctx, lostRouterPeriod)
+		pause.For(ctx, lostRouterPeriod)
 	}
 }
 
@@ -112,7 +113,7 @@
 				RouterLost: &chicoryv1.RouterLostCommand{RouterId: c.RouterID, Incarnation: c.Incarnation},
 			}})
 		}
-		pause(ctx, lostRouterPeriod)
+		pause.For(ctx, lostRouterPeriod)
 	}
 }
 
@@ -137,7 +138,7 @@
 // runExpiry drops ledger entries and results that are older than their retention.
 func (p *Process) runExpiry(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, expirePeriod)
+		pause.For(ctx, expirePeriod)
 		p.commit(ctx, &chicoryv1.Command{Command: &chicoryv1.Command_Expire{Expire: &chicoryv1.ExpireCommand{}}})
 	}
 }
@@ -146,7 +147,7 @@
 func (p *Process) runBurnGauges(ctx context.Context) {
 	for ctx.Err() == nil {
 		burn.SetGauges(p.registry, p.burn.Rows(time.Now(), ""))
-		pause(ctx, gaugePeriod)
+		pause.For(ctx, gaugePeriod)
 	}
 }
 
@@ -157,15 +158,6 @@
 	_, _ = p.propose(ctx, cmd)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // receiveReport keeps a router's heartbeat and adds its evidence to the term's.
 func (p *Process) receiveReport(term uint64, r *chicoryv1.ReportRequest) {
 	store := p.enterTerm(term)
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -13,23 +12,13 @@
 	"pgregory.net/rapid"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 )
 
-// TestMain fixes the seed of the drawn histories; SEED replays another one,
-// with -count=1, because the cache of test results does not see it.
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := "1"
-	if s := os.Getenv("SEED"); s != "" {
-		seed = s
-	}
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m, drawn.Flag{Name: "rapid.checks", Value: "2000"}))
 }
 
 var start = time.UnixMilli(1_800_000_000_000)
--- a/internal/process/orders/dispatcher.go
+++ b/internal/process/orders/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
@@ -46,7 +47,7 @@
 			round = time.Now().Add(roundInterval)
 			nextLoad = d.compare(ctx, l, nextLoad)
 		}
-		pause(ctx, max(wait, renewInterval))
+		pause.For(ctx, max(wait, renewInterval))
 	}
 }
 
@@ -110,12 +111,3 @@
 		d.Logger.Info(logging.OrderSent, fields)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/process/orders/orders_test.go
+++ b/internal/process/orders/orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -16,18 +15,14 @@
 	"pgregory.net/rapid"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/state"
 )
 
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	_ = flag.Set("rapid.seed", seed)
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
 
 // quorum is the committed lease, as a naive single copy.
--- a/internal/process/router/main_test.go
+++ b/internal/process/router/main_test.go
@@ -1,17 +1,13 @@
 package router
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 )
 
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	_ = flag.Set("rapid.seed", seed)
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
--- a/internal/process/state/state_test.go
+++ b/internal/process/state/state_test.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -12,19 +11,15 @@
 	"pgregory.net/rapid"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/ledger"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	_ = flag.Set("rapid.seed", seed)
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
 
 // start is the time of the first entry.
--- a/internal/process/wal/wal_test.go
+++ b/internal/process/wal/wal_test.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"flag"
 	"os"
 	"strings"
 	"testing"
@@ -12,23 +11,14 @@
 	"pgregory.net/rapid"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/disk/disktest"
 )
 
-// TestMain sets the seed of the drawn tests; SEED replays another one.
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	for name, value := range map[string]string{"rapid.seed": seed, "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
 
 const folder = "data/log"
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"os"
 	"testing"
 	"testing/synctest"
@@ -11,21 +10,15 @@
 	"gotest.tools/v3/assert"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
 
 // newAdmitter returns an admitter for a service with slots and the teams.
--- a/internal/request/call/batch.go
+++ b/internal/request/call/batch.go
@@ -9,6 +9,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 // Bounds of the pause before a batch without an answer is sent again.
@@ -111,7 +112,7 @@
 
 // deliver sends items until they are answered or nobody waits for them.
 func (b *batcher[R]) deliver(items []*batchItem[R]) {
-	for pause := minBatchPause; ; pause = min(2*pause, maxBatchPause) {
+	for wait := minBatchPause; ; wait = min(2*wait, maxBatchPause) {
 		if items = waiting(items); len(items) == 0 {
 			return
 		}
@@ -122,8 +123,7 @@
 			}
 			return
 		}
-		sleep(b.ctx, pause)
-		if b.ctx.Err() != nil {
+		if !pause.For(b.ctx, wait) {
 			return
 		}
 	}
--- a/internal/request/call/claimed.go
+++ b/internal/request/call/claimed.go
@@ -7,6 +7,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
 
@@ -175,13 +176,13 @@
 func (s *Service) commit(c *call, claim *chicoryv1.Claim) {
 	s.uncommitted.Add(1)
 	defer s.uncommitted.Add(-1)
-	for pause := minCommitPause; ; pause = min(2*pause, maxCommitPause) {
+	for wait := minCommitPause; ; wait = min(2*wait, maxCommitPause) {
 		state, err := s.opts.Ledger.Close(s.ctx, claim)
 		if err == nil {
 			s.logClosed(c, claim, state)
 			return
 		}
-		if sleep(s.ctx, pause); s.ctx.Err() != nil {
+		if !pause.For(s.ctx, wait) {
 			s.logDoubt(c, claim.GetTarget(), "the process ends before the outcome is committed")
 			return
 		}
--- a/internal/request/call/idempotent.go
+++ b/internal/request/call/idempotent.go
@@ -10,6 +10,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
@@ -180,7 +181,7 @@
 	}
 	ok, wait := r.s.opts.Budget.Allow(request.RetryCall)
 	if !ok && r.running == 0 && wait > 0 && wait <= maxBudgetWait {
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 		ok, wait = r.s.opts.Budget.Allow(request.RetryCall)
 	}
 	if !ok || ctx.Err() != nil {
@@ -236,13 +237,3 @@
 		return unknownOutcome(ctx, r.last)
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/request/generation/harness_test.go
+++ b/internal/request/generation/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"net"
 	"os"
 	"sync"
@@ -14,6 +13,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
@@ -21,18 +21,9 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
-// TestMain fixes the seed of drawn tests; SEED=n draws another.
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", seed)
-	}
-	_ = flag.Set("rapid.nofailfile", "true") // the seed is printed
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
 
 // fakeRoles admit everything and pick targets in turn.
--- a/internal/request/retry/budget_test.go
+++ b/internal/request/retry/budget_test.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"testing/synctest"
@@ -10,19 +9,13 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/drawn"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
 
+// TestMain fixes the seed of drawn tests; SEED draws anew.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
+	os.Exit(drawn.Main(m))
 }
 
 // event is a first attempt, a wish for a further one, or a pause.
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -42,6 +42,16 @@
 
 var binFolder string
 
+// maxClusters bounds how many clusters run at once, with 18 processes each.
+const maxClusters = 4
+
+var (
+	running = make(chan struct{}, maxClusters)
+
+	portsMu sync.Mutex // guards used
+	used    = map[int]bool{}
+)
+
 func TestMain(m *testing.M) {
 	os.Exit(runTests(m))
 }
@@ -75,6 +85,9 @@
 // token every 10 ms.
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	c := &cluster{t: t, folder: t.TempDir(), base: freeBase(t), procs: map[string]*exec.Cmd{}}
 	c.ctl("example", "-folder", c.folder, "-base-port", fmt.Sprint(c.base))
 	t.Cleanup(c.killAll)
@@ -96,11 +109,14 @@
 	return c
 }
 
-// freeBase returns the first of 100 ports of which none is in use.
+// freeBase returns the first of 100 ports of which none is in use, each range once.
 func freeBase(t *testing.T) int {
 	t.Helper()
+	portsMu.Lock()
+	defer portsMu.Unlock()
 	for base := 20000 + os.Getpid()%80*100; base < 32000; base += 100 {
-		if rangeIsFree(base) {
+		if !used[base] && rangeIsFree(base) {
+			used[base] = true
 			return base
 		}
 	}
