--- a/bench/control/main.go
+++ b/bench/control/main.go
@@ -64,7 +64,7 @@
 	r := &run{folder: folder, length: seconds(), seed: seed}
 	fmt.Printf("seed %d, %v\n", seed, r.length)
 	for _, part := range []func(*run) error{
-		measureCommitRate, measureFailover, measureIdle, measureRestart, measureForce, measureConflicts,
+		measureCommitRate, measureFailover, measureIdle, measureRestart, measureForce, measureClaims, measureConflicts,
 	} {
 		if err := part(r); err != nil {
 			return errors.Trace(err)
--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -1,13 +1,13 @@
 #!/usr/bin/env bash
-# Runs the curl examples of docs/callers.md as they are printed, against one control
+# Runs the curl examples of README.md and docs/callers.md as they are printed, against one control
 # VM, one router and stand-in targets on this machine. Each block that is marked
 # "```sh curl expect=TEXT" must exit with 0 and print TEXT. Blocks share one shell.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-page=docs/callers.md
+pages="README.md docs/callers.md"
 if ! command -v curl >/dev/null; then
-  echo "check-docs: SKIPPED: curl is not installed; the examples of $page were not run"
+  echo "check-docs: SKIPPED: curl is not installed; the examples of $pages were not run"
   exit 0
 fi
 
@@ -78,7 +78,7 @@
     /^```sh curl expect=/ { n++; inside = 1; sub(/^```sh curl expect=/, ""); print > (folder "/block-" n ".expect"); next }
     /^```/ { inside = 0 }
     inside { print > (folder "/block-" n ".sh") }
-  ' "$page"
+  ' $pages
 }
 
 run_blocks() {
@@ -88,14 +88,14 @@
     wanted=$(cat "$data/block-$n.expect")
     status=0
     source "$data/block-$n.sh" >"$data/block-$n.out" || status=$?
-    [ "$status" -eq 0 ] || { cat "$data/block-$n.sh" "$data/block-$n.out"; fail "block $n of $page exits with $status"; }
+    [ "$status" -eq 0 ] || { cat "$data/block-$n.sh" "$data/block-$n.out"; fail "block $n of $pages exits with $status"; }
     # JSON may have blanks after its commas and colons.
     tr -d ' ' <"$data/block-$n.out" | grep -qaF -- "$wanted" ||
-      { cat "$data/block-$n.sh" "$data/block-$n.out"; fail "block $n of $page does not print $wanted"; }
-    echo "block $n of $page prints $wanted"
+      { cat "$data/block-$n.sh" "$data/block-$n.out"; fail "block $n of $pages does not print $wanted"; }
+    echo "block $n of $pages prints $wanted"
   done
-  [ "$n" -gt 1 ] || fail "$page has no curl example"
-  [ "$((n - 1))" -eq "$blocks" ] || fail "a block of $page has no expect="
+  [ "$n" -gt 1 ] || fail "$pages has no curl example"
+  [ "$((n - 1))" -eq "$blocks" ] || fail "a block of $pages has no expect="
 }
 
 # Stops everything in order and fails if a process doesn't end with 0.
@@ -111,11 +111,11 @@
 make_settings
 extract_blocks
 start_example
-blocks=$(grep -c '^```sh curl' "$page")
+blocks=$(cat $pages | grep -c '^```sh curl')
 ROUTER=$(at 30) # read by the blocks
 cd "$data"
 set +eu +o pipefail
 run_blocks
 set -euo pipefail
 stop_example
-echo "check-docs: every example of docs/callers.md did what the page says"
+echo "check-docs: every example of $pages did what the page says"
