--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -24,8 +24,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/admission"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/call"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/generation"
-	"github.com/chicoryswitch/chicoryswitch/internal/request/retry"
-	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/evidence"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/share"
@@ -46,6 +44,7 @@
 	admitter    *admission.Admitter
 	generations *generation.Service
 	calls       *call.Service
+	ledger      *call.LedgerClient
 
 	callers  *http.Server
 	peerHTTP *peer.Server
@@ -111,50 +110,6 @@
 	return vms
 }
 
-// assemble builds the paths of requests and starts the router's tasks.
-func (p *Process) assemble(resumeKey []byte) error {
-	zone := string(p.settings.AvailabilityZone)
-	loads := observe.NewTable(p.settings.Observe)
-	picker := routing.NewPicker(routing.Options{
-		Holder: p.holder, Zone: zone, Loads: loads, Logger: p.log, Settings: p.settings.Routing,
-		Routers: func() int { return p.reports.liveRouters() },
-	})
-	collector := evidence.NewCollector()
-	guard := share.NewGuard(p.holder, collector, time.Now, p.log)
-	chooser := share.NewChooser(p.holder, guard)
-	budget := retry.NewBudget(retry.Options{
-		Settings: p.settings.Retry, Registry: p.registry,
-		Saturated: func() bool { return p.admitter.CallsWait() && !picker.Impaired() },
-	})
-	p.reports = p.newReporter(collector, guard)
-	p.log.Observe(p.reports.observe)
-	p.registerGauges()
-	p.admitter = admission.New(admission.Options{
-		Holder: p.holder, Routers: p.reports.liveRouters, Capacity: picker.Capacity,
-		Registry: p.registry, Settings: p.settings.Admission,
-	})
-	var err error
-	p.generations, err = generation.New(generation.Options{
-		Holder: p.holder, Pool: p.pool, Picker: picker, Admitter: p.admitter, Chooser: chooser,
-		Budget: budget, Recorder: guard, TokenKey: resumeKey, RouterID: p.settings.ID,
-		AvailabilityZone: zone, Logger: p.log, Metrics: p.registry, Settings: p.settings.Generation,
-	})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	p.calls = call.New(call.Options{
-		Holder: p.holder, Pool: p.pool, Picker: picker, Admitter: p.admitter, Chooser: chooser,
-		Budget: budget, Recorder: guard, Ledger: call.NewLedgerClient(p.control, call.BatchSettings{}),
-		RouterID: p.settings.ID, Incarnation: p.incarnation,
-		AvailabilityZone: zone, Logger: p.log, Settings: p.settings.Calls.settings(),
-	})
-	p.startTasks(observe.NewWatcher(observe.Options{
-		Holder: p.holder, Table: loads, Pool: p.pool,
-		Platform: p.platform(), Settings: p.settings.Observe,
-	}))
-	return nil
-}
-
 // registerGauges shows which revision the router runs and how old it may be.
 func (p *Process) registerGauges() {
 	_ = p.registry.Register("configuration.leader_silence_ms", metrics.NewFunctionalGauge(p.reports.silenceMs))
--- a/internal/process/router/stop.go
+++ b/internal/process/router/stop.go
@@ -30,6 +30,7 @@
 	_ = p.callers.Shutdown(ctx)
 	p.stop()
 	p.tasks.Wait()
+	p.ledger.Stop()
 	_ = p.peerHTTP.Close()
 	_ = p.leaders.Close()
 	_ = p.watched.Close()
