--- a/bench/route/calls.go
+++ b/bench/route/calls.go
@@ -57,7 +57,7 @@
 	name     string
 	arrivals []arrival
 	length   time.Duration
-	// skewed sends nine of ten arrivals to the first router.
+	// skewed sends all arrivals to the first router.
 	skewed bool
 	// strike switches faults on when a quarter of the length has passed; nil means none.
 	strike func(c *cluster)
--- a/bench/route/load.go
+++ b/bench/route/load.go
@@ -52,11 +52,8 @@
 	return float64(o.good) / length.Seconds()
 }
 
-// skew is one over the share of arrivals that don't go to the first router.
-const skew = 10
-
-// play sends the arrivals to the routers in turn, or most of them to the first
-// one, and waits for all answers. It returns the outcome by team.
+// play sends the arrivals to the routers in turn, or all of them to the first one,
+// and waits for all answers. It returns the outcome by team.
 func play(routers []router, arrivals []arrival, skewed bool) map[string]*outcome {
 	outcomes := map[string]*outcome{}
 	var mu sync.Mutex // guards outcomes
@@ -71,7 +68,7 @@
 		outcomes[a.team].arrivals++
 		mu.Unlock()
 		to := routers[i%len(routers)]
-		if skewed && i%skew != 0 {
+		if skewed {
 			to = routers[0]
 		}
 		tasks.Go(func() {
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -191,6 +191,13 @@
 	})
 }
 
+// runningIn returns the number of admitted requests of the test's pool.
+func runningIn(a *Admitter) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pools[poolKey{"s", "v1"}].running
+}
+
 func TestSlotsAreLeftForTeamsBelowTheirShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const slots = 20
@@ -201,13 +208,13 @@
 		}
 		synctest.Wait()
 		left := int(Defaults().ReserveShare * slots)
-		assert.Equal(t, a.pools[poolKey{"s", "v1"}].running, slots-left)
+		assert.Equal(t, runningIn(a), slots-left)
 		before := time.Now()
 		for range left {
 			go func() { _ = run(a, callOf("small", time.Hour), time.Second) }()
 		}
 		synctest.Wait()
-		assert.Equal(t, a.pools[poolKey{"s", "v1"}].running, slots)
+		assert.Equal(t, runningIn(a), slots)
 		assert.Equal(t, time.Since(before), time.Duration(0))
 		time.Sleep(time.Minute)
 	})
--- a/internal/request/admission/settings.go
+++ b/internal/request/admission/settings.go
@@ -50,7 +50,7 @@
 		Headroom:      1,
 		MaxQueue:      1000,
 		QueueShare:    0.5,
-		ReserveShare:  0.15,
+		ReserveShare:  0.25,
 		BurstTime:     settings.Duration(2 * time.Second),
 		MinRetryAfter: settings.Duration(200 * time.Millisecond),
 		MaxRetryAfter: settings.Duration(30 * time.Second),
