--- a/internal/process/orders/orders_test.go
+++ b/internal/process/orders/orders_test.go
@@ -84,6 +84,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand // nil: messages take no time
 	orders []uint64
+	times  []time.Time // of the orders
 }
 
 func (t *trustingTargets) Configured() []*chicoryv1.Target {
@@ -120,6 +121,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.orders = append(t.orders, req.GetFencing())
+	t.times = append(t.times, time.Now())
 	return &chicoryv1.OrderResponse{Accepted: true}, nil
 }
 
@@ -179,3 +181,21 @@
 		assert.Assert(t, len(target.orders) >= 5 && len(target.orders) <= 6, "%d orders in 59 s", len(target.orders))
 	})
 }
+
+// The weight store's rate is kept over a change of holder.
+func TestLoadsKeepTheirRateOverAChangeOfHolder(t *testing.T) {
+	const interval = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		targets, q := &trustingTargets{count: 1}, &quorum{}
+		for _, id := range []string{"c1", "c2"} {
+			ctx, cancel := context.WithTimeout(t.Context(), 21500*time.Millisecond)
+			d := &Dispatcher{ID: id, Log: &replicaLog{q: q}, Targets: targets, Logger: logging.Discard(), LoadInterval: interval}
+			d.Run(ctx)
+			cancel()
+		}
+		assert.Equal(t, targets.orders[len(targets.orders)-1], uint64(2))
+		for i := 1; i < len(targets.times); i++ {
+			assert.Assert(t, targets.times[i].Sub(targets.times[i-1]) >= interval)
+		}
+	})
+}
