Replicated log: members found from seeds, declarations in the state

Cause: the platform tells a control VM three addresses and whether the whole system starts for the first time, but neither how many members there are nor where. The log knew its members from the settings only.

Change: with Options.Seeds a member's ID is its peer address and the log says who the members are. The seeds found the cluster together, only if all of them answer, are empty and MayFound is set; all others join through whoever names the leader. A member that is silent for ten election timeouts is taken out while the voters that remain can bear one more loss; it joins anew when it is back. The state keeps the newest declaration, a configuration that arrives whole under the operator's own version.

Ruled out: a founding by whoever is reached within a time, which two halves could do at once; a count of members in the settings, which the platform doesn't give.

--- a/api/gen/chicory/v1/chicoryv1connect/control.connect.go
+++ b/api/gen/chicory/v1/chicoryv1connect/control.connect.go
@@ -25,6 +25,8 @@
 	ControlServiceName = "chicory.v1.ControlService"
 	// JournalServiceName is the fully-qualified name of the JournalService service.
 	JournalServiceName = "chicory.v1.JournalService"
+	// FeedServiceName is the fully-qualified name of the FeedService service.
+	FeedServiceName = "chicory.v1.FeedService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -47,6 +49,8 @@
 	JournalServiceAppendProcedure = "/chicory.v1.JournalService/Append"
 	// JournalServiceFetchProcedure is the fully-qualified name of the JournalService's Fetch RPC.
 	JournalServiceFetchProcedure = "/chicory.v1.JournalService/Fetch"
+	// FeedServiceFollowProcedure is the fully-qualified name of the FeedService's Follow RPC.
+	FeedServiceFollowProcedure = "/chicory.v1.FeedService/Follow"
 )
 
 // ControlServiceClient is a client for the chicory.v1.ControlService service.
@@ -304,3 +308,75 @@
 func (UnimplementedJournalServiceHandler) Fetch(context.Context, *connect.Request[v1.JournalServiceFetchRequest]) (*connect.Response[v1.JournalServiceFetchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chicory.v1.JournalService.Fetch is not implemented"))
 }
+
+// FeedServiceClient is a client for the chicory.v1.FeedService service.
+type FeedServiceClient interface {
+	// Follow streams what changed, and a message without changes as a keepalive.
+	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
+}
+
+// NewFeedServiceClient constructs a client for the chicory.v1.FeedService service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewFeedServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) FeedServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	feedServiceMethods := v1.File_chicory_v1_control_proto.Services().ByName("FeedService").Methods()
+	return &feedServiceClient{
+		follow: connect.NewClient[v1.FollowRequest, v1.FollowResponse](
+			httpClient,
+			baseURL+FeedServiceFollowProcedure,
+			connect.WithSchema(feedServiceMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// feedServiceClient implements FeedServiceClient.
+type feedServiceClient struct {
+	follow *connect.Client[v1.FollowRequest, v1.FollowResponse]
+}
+
+// Follow calls chicory.v1.FeedService.Follow.
+func (c *feedServiceClient) Follow(ctx context.Context, req *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error) {
+	return c.follow.CallServerStream(ctx, req)
+}
+
+// FeedServiceHandler is an implementation of the chicory.v1.FeedService service.
+type FeedServiceHandler interface {
+	// Follow streams what changed, and a message without changes as a keepalive.
+	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
+}
+
+// NewFeedServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewFeedServiceHandler(svc FeedServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	feedServiceMethods := v1.File_chicory_v1_control_proto.Services().ByName("FeedService").Methods()
+	feedServiceFollowHandler := connect.NewServerStreamHandler(
+		FeedServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(feedServiceMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/chicory.v1.FeedService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case FeedServiceFollowProcedure:
+			feedServiceFollowHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedFeedServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedFeedServiceHandler struct{}
+
+func (UnimplementedFeedServiceHandler) Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("chicory.v1.FeedService.Follow is not implemented"))
+}
--- a/internal/process/consensus/election.go
+++ b/internal/process/consensus/election.go
@@ -32,6 +32,7 @@
 func (n *Node) checkTimeouts(now time.Time) {
 	n.mu.Lock()
 	c := n.campaign
+	n.followMembership()
 	switch {
 	case n.failed != nil:
 	case n.role == Leader && n.lostQuorum(now):
--- a/internal/process/consensus/handler.go
+++ b/internal/process/consensus/handler.go
@@ -15,10 +15,16 @@
 // Handler returns the service for the other control VMs, to be mounted on the
 // peer listener. Peers of another role are refused.
 func (n *Node) Handler() (path string, h http.Handler) {
-	path, h = chicoryv1connect.NewReplicaServiceHandler(service{n})
+	path, h = n.PlainHandler()
 	return path, peer.RequireRole(h, peer.RoleControl)
 }
 
+// PlainHandler is Handler without a check of the peer's role, for a listener that
+// only other control VMs can reach.
+func (n *Node) PlainHandler() (path string, h http.Handler) {
+	return chicoryv1connect.NewReplicaServiceHandler(service{n})
+}
+
 type service struct{ n *Node }
 
 func (s service) Join(ctx context.Context, req *connect.Request[chicoryv1.JoinRequest]) (*connect.Response[chicoryv1.JoinResponse], error) {
--- a/internal/process/consensus/join.go
+++ b/internal/process/consensus/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 const (
 	strayPeriods = 10 // silence of a learner that has a voter beside it
 	lonePeriods  = 4  // silence after which a member asks whether it still is one
+	// gonePeriods is the silence after which a member that the log alone names is
+	// taken for gone; it joins anew if it comes back.
+	gonePeriods = 10
 )
 
 // runJoiner asks the other members to be taken in for as long as this replica
@@ -40,42 +44,72 @@
 	return ok && served
 }
 
-// join asks every other member. If all are as empty as this replica, the one
+// join asks every peer. If all founders are as empty as this replica, the one
 // with the lowest ID founds the cluster of the incarnations that answered.
 // Otherwise a leader among them takes this replica in as a learner.
 func (n *Node) join() {
-	founders, ok := n.askAll()
+	founders, ok := n.founders(n.askAll())
 	if !ok || !n.isEmpty() {
 		return
 	}
-	slices.SortFunc(founders, func(a, b replica) int {
-		if a.id < b.id {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(founders, func(a, b replica) int { return strings.Compare(a.id, b.id) })
 	if founders[0] == n.self {
 		n.found(founders)
 	}
 }
 
-// askAll returns all members' replicas if each of them answered and is empty.
-func (n *Node) askAll() ([]replica, bool) {
+// askAll returns the answers of the peers by their IDs.
+func (n *Node) askAll() map[string]*chicoryv1.JoinResponse {
 	ctx, cancel := context.WithTimeout(n.ctx, n.options.ElectionTimeout)
 	defer cancel()
-	answers := make([]*chicoryv1.JoinResponse, len(n.peers))
+	var lock sync.Mutex // guards answers
+	answers := map[string]*chicoryv1.JoinResponse{}
 	var calls sync.WaitGroup
-	for i, p := range n.peers {
-		calls.Add(1)
-		go func() {
-			defer calls.Done()
+	for _, p := range n.peerTasks() {
+		calls.Go(func() {
 			req := &chicoryv1.JoinRequest{From: n.self.message()}
-			answers[i], _ = n.options.Transport.Join(ctx, p.member, req)
-		}()
+			answer, err := n.options.Transport.Join(ctx, p.member, req)
+			if err != nil {
+				return // asked again at the next round
+			}
+			n.learnMembers(answer)
+			lock.Lock()
+			defer lock.Unlock()
+			answers[p.member.ID] = answer
+		})
 	}
 	calls.Wait()
+	return answers
+}
+
+// learnMembers makes members that a peer names peers of this replica as well, so
+// that a replica that knows only seeds reaches the leader.
+func (n *Node) learnMembers(answer *chicoryv1.JoinResponse) {
+	if !n.options.findsMembers() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, id := range answer.GetMembers() {
+		if isPeerAddress(id) {
+			n.ensurePeer(Member{ID: id, Address: id})
+		}
+	}
+}
+
+// founders returns the replicas that found the cluster: all members of the
+// settings, or all seeds, this one among them. Each must have answered and be empty.
+func (n *Node) founders(answers map[string]*chicoryv1.JoinResponse) ([]replica, bool) {
+	ids := n.founderIDs()
+	if !slices.Contains(ids, n.options.ID) {
+		return nil, false
+	}
 	founders := []replica{n.self}
-	for _, a := range answers {
+	for _, id := range ids {
+		if id == n.options.ID {
+			continue
+		}
+		a := answers[id]
 		if a == nil || !a.GetEmpty() {
 			return nil, false
 		}
@@ -84,6 +118,20 @@
 	return founders, true
 }
 
+func (n *Node) founderIDs() []string {
+	if n.options.findsMembers() {
+		if !n.options.MayFound {
+			return nil
+		}
+		return slices.Compact(slices.Sorted(slices.Values(n.options.Seeds)))
+	}
+	var ids []string
+	for _, m := range n.options.Members {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
 func (n *Node) isEmpty() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -138,10 +186,40 @@
 	if _, known := members.find(from); n.role == Leader && !known && n.isConfigured(from.id) {
 		n.joining[from.id] = from
 	}
-	return &chicoryv1.JoinResponse{From: n.self.message(), Empty: n.emptyLocked()}, nil
+	return &chicoryv1.JoinResponse{
+		From:    n.self.message(),
+		Empty:   n.emptyLocked(),
+		Members: n.memberIDs(),
+	}, nil
 }
 
+// memberIDs lists the members of the log, the leader first. mu is held.
+func (n *Node) memberIDs() []string {
+	var ids []string
+	if n.leader.id != "" {
+		ids = append(ids, n.leader.id)
+	}
+	members, _ := n.log.current()
+	for _, m := range members {
+		if !slices.Contains(ids, m.replica.id) {
+			ids = append(ids, m.replica.id)
+		}
+	}
+	return ids
+}
+
+// isMember reports whether the log has a member of the ID. mu is held.
+func (n *Node) isMember(id string) bool {
+	members, _ := n.log.current()
+	_, ok := members.newestOf(id)
+	return ok
+}
+
+// isConfigured reports whether a replica of the ID may join.
 func (n *Node) isConfigured(id string) bool {
+	if n.options.findsMembers() {
+		return isPeerAddress(id)
+	}
 	return slices.ContainsFunc(n.options.Members, func(m Member) bool { return m.ID == id })
 }
 
@@ -169,6 +247,10 @@
 		n.proposeMembership(members.without(r), "removed", r)
 		return
 	}
+	if r, ok := n.goneMember(members, now); ok {
+		n.proposeMembership(members.without(r), "removed", r)
+		return
+	}
 	for _, r := range n.joining {
 		if _, known := members.find(r); !known {
 			n.proposeMembership(members.withLearner(r), "learner", r)
@@ -209,6 +291,41 @@
 	return replica{}, false
 }
 
+// goneMember returns a member that has long been silent, where the log alone says
+// who the members are: nobody else would ever take it out, and each one that stays
+// costs a loss that the others could bear. A voter is taken out only while the
+// voters that then remain can bear the loss of one more.
+func (n *Node) goneMember(members membership, now time.Time) (replica, bool) {
+	if !n.options.findsMembers() {
+		return replica{}, false
+	}
+	for _, m := range members {
+		silence := now.Sub(n.progressOf(m.replica, now).contact)
+		if m.replica == n.self || silence < gonePeriods*n.options.ElectionTimeout {
+			continue
+		}
+		if !m.voter || n.bearsLoss(members.without(m.replica), now) {
+			return m.replica, true
+		}
+	}
+	return replica{}, false
+}
+
+// bearsLoss reports whether the voters that answer now are more than a quorum.
+func (n *Node) bearsLoss(members membership, now time.Time) bool {
+	voters, answering := 0, 0
+	for _, m := range members {
+		if !m.voter {
+			continue
+		}
+		voters++
+		if m.replica == n.self || n.answers(m.replica, now) {
+			answering++
+		}
+	}
+	return answering > voters/2+1
+}
+
 func (n *Node) proposeMembership(m membership, change string, r replica) {
 	n.queue = append(n.queue, &proposal{entry: &chicoryv1.LogEntry{Membership: m.message()}})
 	n.writeWake.set()
--- a/internal/process/consensus/node.go
+++ b/internal/process/consensus/node.go
@@ -39,7 +39,6 @@
 	logger  *logging.Logger
 	self    replica
 	storage *storage
-	peers   []*peerTask
 	ctx     context.Context
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
@@ -49,7 +48,9 @@
 
 	io ioLock
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// peers has a task for each other member, seed and replica that asked to join.
+	peers  []*peerTask
 	random *rand.Rand
 	failed error // kind StorageFailed, or that the node was stopped
 
@@ -114,14 +115,12 @@
 }
 
 func (n *Node) startTasks() {
+	n.mu.Lock()
 	for _, m := range n.options.Members {
-		if m.ID != n.options.ID {
-			n.peers = append(n.peers, newPeerTask(n, m))
-		}
-	}
-	for _, p := range n.peers {
-		n.goTask(p.run)
+		n.ensurePeer(m)
 	}
+	n.followMembership()
+	n.mu.Unlock()
 	n.goTask(n.runWriter)
 	n.goTask(n.runApplier)
 	n.goTask(n.runClock)
--- a/internal/process/consensus/options.go
+++ b/internal/process/consensus/options.go
@@ -4,6 +4,7 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
@@ -46,11 +47,19 @@
 	Restore(snapshot []byte) error
 }
 
-// Options are the settings of a Node. ID, Members, DataFolder, Transport and
-// StateMachine are required.
+// Options are the settings of a Node. ID, DataFolder, Transport and StateMachine
+// are required, and either Members or Seeds.
 type Options struct {
-	ID           string
-	Members      []Member
+	ID      string
+	Members []Member
+	// Seeds are peer addresses at which other control VMs may be found, where the
+	// settings don't name the members. Then the ID of each member is its peer
+	// address, and the log says who the members are.
+	Seeds []string
+	// MayFound allows this replica to found the cluster together with the other
+	// seeds. It must be false once the cluster has been founded anywhere: a replica
+	// that lost its disk would found a second one.
+	MayFound     bool
 	DataFolder   string
 	Transport    Transport
 	StateMachine StateMachine
@@ -104,6 +113,9 @@
 	if o.DataFolder == "" || o.Transport == nil || o.StateMachine == nil {
 		return fault.New(fault.SettingsInvalid, "consensus: data folder, transport and state machine are required")
 	}
+	if len(o.Members) == 0 {
+		return o.checkSeeds()
+	}
 	seen := map[string]bool{}
 	for _, m := range o.Members {
 		if m.ID == "" || seen[m.ID] {
@@ -116,3 +128,25 @@
 	}
 	return nil
 }
+
+// findsMembers reports whether the log and not the settings says who the members are.
+func (o Options) findsMembers() bool {
+	return len(o.Members) == 0
+}
+
+func (o Options) checkSeeds() error {
+	if len(o.Seeds) == 0 {
+		return fault.New(fault.SettingsInvalid, "consensus: neither members nor seeds are given")
+	}
+	for _, address := range append([]string{o.ID}, o.Seeds...) {
+		if !isPeerAddress(address) {
+			return fault.New(fault.SettingsInvalid, "consensus: %q is not the IP:port of a peer", address)
+		}
+	}
+	return nil
+}
+
+func isPeerAddress(id string) bool {
+	_, err := netip.ParseAddrPort(id)
+	return err == nil
+}
--- a/internal/process/consensus/peertask.go
+++ b/internal/process/consensus/peertask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -27,7 +28,43 @@
 	return &peerTask{n: n, member: m, wake: newSignal()}
 }
 
-// wakePeers lets the peers look whether there is something to send.
+// ensurePeer starts the task of a member that has none. mu is held.
+func (n *Node) ensurePeer(m Member) {
+	known := slices.ContainsFunc(n.peers, func(p *peerTask) bool { return p.member.ID == m.ID })
+	if known || m.ID == n.options.ID {
+		return
+	}
+	p := newPeerTask(n, m)
+	n.peers = append(n.peers, p)
+	n.goTask(p.run)
+}
+
+// followMembership starts tasks for the seeds and for the members of the log. The
+// task of a member that was removed stays and sends nothing. mu is held.
+func (n *Node) followMembership() {
+	if !n.options.findsMembers() {
+		return
+	}
+	for _, address := range n.options.Seeds {
+		n.ensurePeer(Member{ID: address, Address: address})
+	}
+	members, _ := n.log.current()
+	for _, m := range members {
+		n.ensurePeer(Member{ID: m.replica.id, Address: m.replica.id})
+	}
+	for id := range n.joining {
+		n.ensurePeer(Member{ID: id, Address: id})
+	}
+}
+
+// peerTasks returns the tasks of this moment.
+func (n *Node) peerTasks() []*peerTask {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.peers)
+}
+
+// wakePeers lets the peers look whether there is something to send. mu is held.
 func (n *Node) wakePeers() {
 	for _, p := range n.peers {
 		p.wake.set()
@@ -61,7 +98,7 @@
 	c := n.campaign
 	isLeader := n.role == Leader
 	var vote *chicoryv1.VoteRequest
-	if c != nil && p.asked != c {
+	if c != nil && p.asked != c && n.isMember(p.member.ID) {
 		vote = n.voteRequest(c)
 	}
 	n.mu.Unlock()
--- a/internal/process/consensus/simulation_test.go
+++ b/internal/process/consensus/simulation_test.go
@@ -39,16 +39,19 @@
 type cluster struct {
 	ids     []string
 	members []Member
-	net     *network
-	disks   map[string]*disktest.Disk
-	spare   map[string]*disktest.Disk // disks that were replaced
-	states  map[string]*register
-	down    map[string]bool
-	single  *single
-	random  *rand.Rand
-	wipes   int
-	lines   lineBuffer // logged by the nodes
-	seed    uint64
+	// seeds, where given, take the place of members.
+	seeds    []string
+	mayFound bool
+	net      *network
+	disks    map[string]*disktest.Disk
+	spare    map[string]*disktest.Disk // disks that were replaced
+	states   map[string]*register
+	down     map[string]bool
+	single   *single
+	random   *rand.Rand
+	wipes    int
+	lines    lineBuffer // logged by the nodes
+	seed     uint64
 
 	mu      sync.Mutex // guards the fields below
 	history []porcupine.Operation
@@ -88,6 +91,8 @@
 	n, err := Start(Options{
 		ID:              id,
 		Members:         c.members,
+		Seeds:           c.seeds,
+		MayFound:        c.mayFound,
 		DataFolder:      "data",
 		Transport:       link{c.net, id},
 		StateMachine:    state,
--- a/internal/process/consensus/status.go
+++ b/internal/process/consensus/status.go
@@ -73,6 +73,9 @@
 func (n *Node) Leader() (Member, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.options.findsMembers() {
+		return Member{ID: n.leader.id, Address: n.leader.id}, n.leader.id != ""
+	}
 	for _, m := range n.options.Members {
 		if m.ID == n.leader.id {
 			return m, true
--- a/internal/process/state/read.go
+++ b/internal/process/state/read.go
@@ -18,6 +18,14 @@
 	return m.public, m.changed
 }
 
+// Declaration returns the newest declaration, which must not be changed, nil before
+// the first, and a channel that closes at the next one or at the next revision.
+func (m *Machine) Declaration() (*chicoryv1.Declaration, <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.declaration, m.changed
+}
+
 // View returns the configuration in force, indexed, with whole moves.
 func (m *Machine) View() *config.View {
 	m.mu.RLock()
--- a/internal/process/state/snapshot.go
+++ b/internal/process/state/snapshot.go
@@ -29,6 +29,7 @@
 		Fencing:           m.fencing,
 		LeaseHolder:       m.holder,
 		LeaseDurationMs:   m.leaseMs,
+		Declaration:       m.declaration,
 	}
 	for _, item := range sortedKeys(m.items) {
 		s.ItemRevisions = append(s.ItemRevisions, &chicoryv1.ItemRevision{Item: string(item), Revision: m.items[item]})
@@ -84,6 +85,7 @@
 	m.holder = s.GetLeaseHolder()
 	m.leaseMs = s.GetLeaseDurationMs()
 	m.leaseSeen = time.Now()
+	m.declaration = s.GetDeclaration()
 	close(m.changed)
 	m.changed = make(chan struct{})
 	return nil
--- a/internal/process/state/state.go
+++ b/internal/process/state/state.go
@@ -58,7 +58,9 @@
 	// leaseSeen is when the lease's newest renewal was applied here. It is the only
 	// field that differs between replicas.
 	leaseSeen time.Time
-	changed   chan struct{} // closed at the next revision
+	// declaration is the newest one that was committed, nil before the first.
+	declaration *chicoryv1.Declaration
+	changed     chan struct{} // closed at the next revision or declaration
 }
 
 // New returns the empty state.
@@ -101,10 +103,23 @@
 		m.applyFound(c.Found, now)
 	case *chicoryv1.Command_RouterLost:
 		m.calls.RouterLost(c.RouterLost.GetRouterId(), c.RouterLost.GetIncarnation(), now)
+	case *chicoryv1.Command_Declare:
+		m.applyDeclaration(c.Declare)
 	}
 	return Result{}
 }
 
+// applyDeclaration takes a declaration over if its version is higher than the one
+// held. Another document under the version held changes nothing.
+func (m *Machine) applyDeclaration(d *chicoryv1.Declaration) {
+	if m.declaration != nil && d.GetVersion() <= m.declaration.GetVersion() {
+		return
+	}
+	m.declaration = d
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 func (m *Machine) applyClaims(req *chicoryv1.ClaimRequest, now time.Time) Result {
 	var r Result
 	for _, c := range req.GetClaims() {
