Entry VM and keeper on the users' platform: the whole path, thin

Cause: the product served callers over Connect only, knew members and targets from its settings, and had no configuration that arrives whole.

Change: chicory-entry serves callers over HTTP/1.1 and passes requests on to HTTP/1.1 targets; chicory-keeper keeps declared configurations in the replicated log, reads the platform's list and feeds entry VMs. platform/ translates names. Gaps, watchdog and hedge delays moved to package pace, which generations, calls and exchanges share. Logs go to standard output through a sink that never blocks.

--- /dev/null
+++ b/internal/connection/feed/follower.go
@@ -0,0 +1,197 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+)
+
+const (
+	// feeds is the number of control VMs that are followed at once: one may be lost
+	// and another be cut off from the leader without a gap.
+	feeds = 3
+	// silence is how long a feed may say nothing before another one is followed.
+	silence = 3 * KeepaliveInterval
+	// outsideQuorum is how long a control VM without a leader is followed. Elections
+	// take up to a second.
+	outsideQuorum = 1500 * time.Millisecond
+	// retryPause is the time between two tries of one slot.
+	retryPause = 150 * time.Millisecond
+)
+
+// Sink takes what feeds tell. Its methods are called from several tasks.
+type Sink interface {
+	// Declaration gives a declaration; an older one than the one in force must be
+	// ignored.
+	Declaration(d *chicoryv1.Declaration, from string)
+	Targets(list *chicoryv1.TargetList, from string)
+	// Fresh says that the list that was given last by from is still the platform's.
+	Fresh(from string)
+	// Version returns the declared version in force.
+	Version() uint64
+}
+
+// FollowerOptions are what a Follower needs. All are required.
+type FollowerOptions struct {
+	// ID names the entry VM.
+	ID     string
+	Seeds  []string // peer addresses
+	Client *http.Client
+	Sink   Sink
+	Logger *logging.Logger
+}
+
+// Follower follows several control VMs at once.
+type Follower struct {
+	opts FollowerOptions
+
+	mu sync.Mutex // guards the fields below
+	// known are the addresses of control VMs: the seeds and those that feeds named.
+	known []string
+	// followed are those in use by a slot.
+	followed map[string]bool
+	// failed says when the last try of an address failed.
+	failed map[string]time.Time
+}
+
+// NewFollower returns a follower that doesn't follow yet.
+func NewFollower(opts FollowerOptions) *Follower {
+	return &Follower{
+		opts:     opts,
+		known:    slices.Clone(opts.Seeds),
+		followed: map[string]bool{},
+		failed:   map[string]time.Time{},
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var slots sync.WaitGroup
+	for range feeds {
+		slots.Go(func() { f.runSlot(ctx) })
+	}
+	slots.Wait()
+}
+
+// AddSeeds makes further addresses known, as after a reload.
+func (f *Follower) AddSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.learn(seeds)
+}
+
+// learn adds addresses. The caller holds mu.
+func (f *Follower) learn(addresses []string) {
+	for _, a := range addresses {
+		if !slices.Contains(f.known, a) {
+			f.known = append(f.known, a)
+		}
+	}
+}
+
+// runSlot follows one control VM after the other.
+func (f *Follower) runSlot(ctx context.Context) {
+	for ctx.Err() == nil {
+		if address, ok := f.take(); ok {
+			told, err := f.follow(ctx, address)
+			f.release(address)
+			if ctx.Err() == nil && told {
+				f.opts.Logger.Warn(logging.FeedLost, logging.Fields{"control": address, "reason": err})
+			}
+		}
+		pause.For(ctx, retryPause)
+	}
+}
+
+// take reserves the address that failed the longest ago, or never.
+func (f *Follower) take() (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var free []string
+	for _, a := range f.known {
+		if !f.followed[a] {
+			free = append(free, a)
+		}
+	}
+	if len(free) == 0 {
+		return "", false
+	}
+	rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
+	best := slices.MinFunc(free, func(a, b string) int { return f.failed[a].Compare(f.failed[b]) })
+	f.followed[best] = true
+	return best, true
+}
+
+func (f *Follower) release(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.followed, address)
+	f.failed[address] = time.Now()
+}
+
+var (
+	errSilentFeed    = errors.New("the feed is silent")
+	errOutsideQuorum = errors.New("the control VM hears no leader")
+)
+
+// follow reads one feed to its end. told reports whether it said anything.
+func (f *Follower) follow(ctx context.Context, address string) (told bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(silence, func() { cancel(errSilentFeed) })
+	defer watchdog.Stop()
+	client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(address))
+	stream, err := client.Follow(ctx, connect.NewRequest(&chicoryv1.FollowRequest{
+		EntryId: f.opts.ID, DeclaredVersion: f.opts.Sink.Version(),
+	}))
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+	defer func() { _ = stream.Close() }()
+	inQuorum := time.Now()
+	for stream.Receive() {
+		watchdog.Reset(silence)
+		if !told {
+			told = true
+			f.opts.Logger.Info(logging.FeedFound, logging.Fields{"control": address})
+		}
+		m := stream.Msg()
+		f.deliver(m, address)
+		if m.GetInQuorum() {
+			inQuorum = time.Now()
+		} else if time.Since(inQuorum) > outsideQuorum {
+			return told, errOutsideQuorum
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return told, cause
+	}
+	return told, errors.Trace(stream.Err())
+}
+
+func (f *Follower) deliver(m *chicoryv1.FollowResponse, from string) {
+	f.mu.Lock()
+	f.learn(m.GetControlAddresses())
+	f.mu.Unlock()
+	if m.GetDeclaration() != nil {
+		f.opts.Sink.Declaration(m.GetDeclaration(), from)
+	}
+	if m.GetTargets() != nil {
+		f.opts.Sink.Targets(m.GetTargets(), from)
+	}
+	if m.GetListIsFresh() {
+		f.opts.Sink.Fresh(from)
+	}
+}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -58,6 +58,10 @@
 	OffsetOutOfRange Kind = "offset_out_of_range"
 	// PromptTooLong: the prompt is above the limit of the route.
 	PromptTooLong Kind = "prompt_too_long"
+	// HeaderTooLarge: the request's headers are above the configuration's limit.
+	HeaderTooLarge Kind = "header_too_large"
+	// BodyTooLarge: the request's body is above the configuration's limit.
+	BodyTooLarge Kind = "body_too_large"
 	// EngineMisbehaved: the engine broke its protocol.
 	EngineMisbehaved Kind = "engine_misbehaved"
 	// Cancelled: the caller cancelled or went away.
@@ -150,6 +154,8 @@
 	{ResumeTokenExpired, connect.CodeFailedPrecondition, http.StatusBadRequest, unknown, RetryNever, 0},
 	{OffsetOutOfRange, connect.CodeOutOfRange, http.StatusBadRequest, unknown, RetryNever, 0},
 	{PromptTooLong, connect.CodeInvalidArgument, http.StatusBadRequest, notRun, RetryNever, 0},
+	{HeaderTooLarge, connect.CodeInvalidArgument, http.StatusRequestHeaderFieldsTooLarge, notRun, RetryNever, 0},
+	{BodyTooLarge, connect.CodeInvalidArgument, http.StatusRequestEntityTooLarge, notRun, RetryNever, 0},
 	{EngineMisbehaved, connect.CodeInternal, http.StatusInternalServerError, ran, RetryNever, 0},
 	{Cancelled, connect.CodeCanceled, statusClientClosedRequest, unknown, RetryNever, 0},
 	{Draining, connect.CodeUnavailable, http.StatusServiceUnavailable, notRun, RetryLater, retrySoon},
--- /dev/null
+++ b/internal/process/entry/process.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/front"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/monitor"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/exchange"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/retry"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
+)
+
+// Adapter is what an entry VM needs to know of its platform.
+type Adapter interface {
+	front.Codec
+	exchange.TargetProtocol
+	observe.TargetReader
+	Decoder
+}
+
+// Process is a running entry VM.
+type Process struct {
+	settings Settings
+	log      *logging.Logger
+	registry metrics.Registry
+	roster   *roster
+	follower *feed.Follower
+	pool     *http1.Pool
+	budgets  *budgets
+
+	front   *front.Front
+	ready   *monitor.Server
+	monitor *monitor.Server
+
+	ctx   context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+// Start follows the control VMs and serves callers.
+func Start(s Settings, adapter Adapter, log *logging.Logger) (*Process, error) {
+	registry := metrics.NewRegistry()
+	engines := placement.NewEngines(placement.Defaults(), string(s.AvailabilityZone))
+	p := &Process{
+		settings: s,
+		log:      log,
+		registry: registry,
+		roster:   newRoster(adapter, engines, log),
+		pool:     http1.NewPool(http1.Defaults(), registry),
+		budgets:  newBudgets(s.Retry, registry),
+	}
+	p.follower = feed.NewFollower(feed.FollowerOptions{
+		ID:     s.ID,
+		Seeds:  settings.WithPort(s.Seeds, s.PeerPort),
+		Client: peer.NewPlainClient(),
+		Sink:   p.roster,
+		Logger: log,
+	})
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	if err := p.listen(adapter, engines); err != nil {
+		p.cut()
+		return nil, errors.Trace(err)
+	}
+	p.tasks.Go(func() { p.follower.Run(p.ctx) })
+	p.tasks.Go(func() { p.roster.watchList(p.ctx, observe.NewTargetList(adapter, log)) })
+	log.Info(logging.ProcessStarted, logging.Fields{"caller_address": s.CallerAddress, "seeds": s.Seeds})
+	return p, nil
+}
+
+func (p *Process) listen(adapter Adapter, engines *placement.Engines) error {
+	loads := observe.NewTable(observe.Defaults())
+	server := exchange.New(exchange.Options{
+		Pool:     p.pool,
+		Protocol: adapter,
+		Picker: routing.NewPicker(routing.Options{
+			Holder:   p.roster.targets,
+			Zone:     string(p.settings.AvailabilityZone),
+			Loads:    loads,
+			Logger:   p.log,
+			Settings: routing.Defaults(),
+		}),
+		Loads:    loads,
+		Engines:  engines,
+		Budget:   p.budgets.of,
+		Logger:   p.log,
+		Registry: p.registry,
+		Settings: exchange.Defaults(),
+	})
+	var err error
+	if p.front, err = front.Listen(string(p.settings.CallerAddress), front.Options{
+		Codec: adapter, Server: server, Holder: p.roster.declared, Logger: p.log, Draw: rand.Uint64,
+	}); err != nil {
+		return errors.Trace(err)
+	}
+	if p.ready, err = monitor.Listen(string(p.settings.ReadyAddress), p.registry, p.roster.ready); err != nil {
+		return errors.Trace(err)
+	}
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.roster.ready)
+	return errors.Trace(err)
+}
+
+// Reload takes over what may change while the process runs: the seeds.
+func (p *Process) Reload(s Settings) {
+	p.follower.AddSeeds(settings.WithPort(s.Seeds, s.PeerPort))
+	p.log.Info(logging.SettingsReloaded, logging.Fields{"seeds": s.Seeds})
+}
+
+// Bounds of a shutdown.
+const (
+	// balancerDelay is how long new connections and requests are taken after readiness
+	// failed: the balancer asks each second and gives up after two misses.
+	balancerDelay = 2500 * time.Millisecond
+	// stopMargin is left of the grace when what is still open is cut.
+	stopMargin = 300 * time.Millisecond
+)
+
+// Stop shuts down in order: readiness fails and answers announce the close; once the
+// balancer must have seen it, further requests are refused as not run; every request
+// that was taken is finished while the grace lasts.
+func (p *Process) Stop() {
+	begin := time.Now()
+	p.log.Info(logging.ProcessDraining, nil)
+	p.ready.Drain()
+	p.front.Leave()
+	time.Sleep(min(balancerDelay, p.settings.StopGrace.Std()/2))
+	p.front.Refuse()
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(p.settings.StopGrace.Std()-stopMargin))
+	defer cancel()
+	if err := p.front.Shutdown(ctx); err != nil {
+		p.log.Warn(logging.ProcessDraining, logging.Fields{"reason": err})
+	}
+	p.cut()
+	p.tasks.Wait()
+	p.log.Info(logging.ProcessStopped, nil)
+}
+
+// cut ends all tasks and connections.
+func (p *Process) cut() {
+	p.stop()
+	p.pool.Close()
+	for _, m := range []*monitor.Server{p.ready, p.monitor} {
+		if m != nil {
+			_ = m.Close()
+		}
+	}
+}
+
+// budgets has the retry budget of each service.
+type budgets struct {
+	settings RetrySettings
+	registry metrics.Registry
+
+	mu        sync.Mutex // guards byService
+	byService map[string]*retry.Budget
+}
+
+func newBudgets(s RetrySettings, registry metrics.Registry) *budgets {
+	return &budgets{settings: s, registry: registry, byService: map[string]*retry.Budget{}}
+}
+
+// of returns the budget of a service.
+func (b *budgets) of(service string) request.RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.byService[service]
+	if budget == nil {
+		budget = retry.NewBudget(retry.Options{Settings: b.settings.budget(), Registry: b.registry})
+		b.byService[service] = budget
+	}
+	return budget
+}
--- /dev/null
+++ b/internal/process/entry/settings.go
@@ -0,0 +1,86 @@
+// Package entry is the entry VM of deployments whose operator declares whole
+// configurations: it serves callers over HTTP/1.1 and passes their requests on to
+// targets. It has no disk; what it knows comes from the control VMs' feeds.
+package entry
+
+import (
+	"time"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/retry"
+)
+
+// Settings are the settings of an entry VM.
+type Settings struct {
+	ID               string                    `yaml:"id" settings:"required"`
+	AvailabilityZone settings.AvailabilityZone `yaml:"availability_zone" settings:"required"`
+	// CallerAddress serves callers; ReadyAddress tells the balancer whether to send any.
+	CallerAddress settings.Address `yaml:"caller_address" settings:"required"`
+	ReadyAddress  settings.Address `yaml:"ready_address" settings:"required"`
+	// MonitorAddress serves health and metrics.
+	MonitorAddress settings.Address `yaml:"monitor_address" settings:"required"`
+	// PlatformAddress is where the list of targets is read if no control VM has it.
+	PlatformAddress settings.Address `yaml:"platform_address" settings:"required"`
+	// PeerPort is the port for own processes, the same on all VMs.
+	PeerPort int `yaml:"peer_port" settings:"required"`
+	// Seeds are operator addresses of control VMs.
+	Seeds []settings.Address `yaml:"seeds" settings:"required"`
+	// StopGrace is the time between the signal to stop and the kill.
+	StopGrace settings.Duration `yaml:"stop_grace"`
+	Retry     RetrySettings     `yaml:"retry"`
+}
+
+// RetrySettings bound further attempts of one service, over all entry VMs.
+type RetrySettings struct {
+	// Ratio is the number of further attempts for each request.
+	Ratio float64 `yaml:"ratio"`
+	// Extra is what may be added in each Window.
+	Extra  float64           `yaml:"extra"`
+	Window settings.Duration `yaml:"window"`
+}
+
+// Defaults returns the settings for what a file leaves out.
+func Defaults() Settings {
+	return Settings{
+		StopGrace: settings.Duration(8 * time.Second),
+		Retry:     RetrySettings{Ratio: 0.2, Extra: 50, Window: settings.Duration(10 * time.Second)},
+	}
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() (field, problem string) {
+	switch {
+	case s.PeerPort <= 0 || s.PeerPort > 65535:
+		return "peer_port", "is not a port"
+	case len(s.Seeds) == 0:
+		return "seeds", "at least one is needed"
+	case s.StopGrace <= 0:
+		return "stop_grace", "must be above 0"
+	case s.Retry.Ratio < 0 || s.Retry.Extra < 0:
+		return "retry", "must not be negative"
+	case s.Retry.Window <= 0:
+		return "retry.window", "must be above 0"
+	}
+	return "", ""
+}
+
+const (
+	// ratioMargin keeps the sum over entry VMs below the ratio: requests and their
+	// attempts may fall into different windows.
+	ratioMargin = 0.9
+	// extraShares is the number of parts that the extra attempts of a window are split
+	// into, one for each entry VM: more than deployments with such a bound have, as
+	// the number isn't known here.
+	extraShares = 20
+)
+
+// budget returns the settings of one service's budget at this entry VM.
+func (s RetrySettings) budget() retry.Settings {
+	b := retry.Defaults()
+	share := s.Extra / extraShares
+	b.Share = min(s.Ratio*ratioMargin, 1)
+	b.Burst = max(share/2, 1)
+	b.ResumeBurst = max(share/2, 1)
+	b.ResumeRate = max(share/2/s.Window.Std().Seconds(), 0.1)
+	return b
+}
--- /dev/null
+++ b/internal/process/keeper/process.go
@@ -0,0 +1,138 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/disk"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/monitor"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
+)
+
+const (
+	readHeaderTimeout = 3 * time.Second
+	shutdownTimeout   = time.Second
+)
+
+// Adapter is what a keeper needs to know of its platform.
+type Adapter interface {
+	observe.TargetReader
+	// Operators serves the operator's calls.
+	Operators(d *Declarations) http.Handler
+}
+
+// Process is a running keeper.
+type Process struct {
+	settings Settings
+	log      *logging.Logger
+	registry metrics.Registry
+	replica  *replica
+	list     *observe.TargetList
+
+	peers     *http.Server
+	operators *http.Server
+	monitor   *monitor.Server
+
+	ctx   context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+}
+
+// Start opens the data folder, looks for the other control VMs and serves.
+func Start(s Settings, adapter Adapter, log *logging.Logger) (*Process, error) {
+	return start(s, adapter, log, disk.OS{})
+}
+
+func start(s Settings, adapter Adapter, log *logging.Logger, fs disk.FS) (*Process, error) {
+	p := &Process{
+		settings: s,
+		log:      log,
+		registry: metrics.NewRegistry(),
+		list:     observe.NewTargetList(adapter, log),
+	}
+	p.replica = newReplica(s, fs, log)
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	if err := p.listen(adapter); err != nil {
+		p.Stop()
+		return nil, errors.Trace(err)
+	}
+	p.tasks.Go(func() { p.replica.run(p.ctx) })
+	p.tasks.Go(func() { p.list.Run(p.ctx, func() bool { return true }) })
+	log.Info(logging.ProcessStarted, logging.Fields{
+		"peer_address": p.replica.id, "operator_address": s.OperatorAddress, "may_found": s.MayFound, "seeds": s.Seeds,
+	})
+	return p, nil
+}
+
+func (p *Process) listen(adapter Adapter) error {
+	mux := http.NewServeMux()
+	mux.Handle("/"+chicoryv1connect.ReplicaServiceName+"/", p.replica)
+	path, feeds := chicoryv1connect.NewFeedServiceHandler(&feed.Server{Source: source{p}})
+	mux.Handle(path, feeds)
+	var err error
+	if p.peers, err = serve(p.replica.id, mux); err != nil {
+		return errors.Annotate(err, "peer port")
+	}
+	declarations := &Declarations{replica: p.replica, log: p.log, operatorPort: port(p.settings.OperatorAddress)}
+	if p.operators, err = serve(string(p.settings.OperatorAddress), adapter.Operators(declarations)); err != nil {
+		return errors.Annotate(err, "operator address")
+	}
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.ready)
+	return errors.Trace(err)
+}
+
+func serve(address string, h http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = s.Serve(ln) }() // ends with the server
+	return s, nil
+}
+
+func port(address settings.Address) string {
+	_, p, err := net.SplitHostPort(string(address))
+	if err != nil {
+		return "" // checked with the settings
+	}
+	return p
+}
+
+// ready reports whether this VM hears a leader.
+func (p *Process) ready() (bool, string) {
+	if _, inQuorum := p.replica.members(); !inQuorum {
+		return false, "no leader is known"
+	}
+	return true, ""
+}
+
+// Stop ends the process in order: no new requests, then the log. What was answered
+// is durable.
+func (p *Process) Stop() {
+	p.log.Info(logging.ProcessDraining, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if p.operators != nil {
+		_ = p.operators.Shutdown(ctx) // what is open after its time is cut
+	}
+	p.stop()
+	p.tasks.Wait()
+	if p.peers != nil {
+		_ = p.peers.Close()
+	}
+	if p.monitor != nil {
+		_ = p.monitor.Close()
+	}
+	p.log.Info(logging.ProcessStopped, nil)
+}
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -49,6 +50,22 @@
 	TargetLeaving        Event = "target_leaving"
 	ConnectionReplaced   Event = "connection_replaced"
 	RouterLost           Event = "router_lost"
+	AttemptEnded         Event = "attempt_ended"
+	StreamPlaced         Event = "stream_placed"
+	StreamResumed        Event = "stream_resumed"
+	RequestAnswered      Event = "request_answered"
+	RequestBroken        Event = "request_broken"
+	EngineLost           Event = "engine_lost"
+	DeclarationAccepted  Event = "declaration_accepted"
+	DeclarationRefused   Event = "declaration_refused"
+	DeclarationApplied   Event = "declaration_applied"
+	TargetListChanged    Event = "target_list_changed"
+	TargetListLost       Event = "target_list_lost"
+	TargetListFound      Event = "target_list_found"
+	FeedLost             Event = "feed_lost"
+	FeedFound            Event = "feed_found"
+	SettingsReloaded     Event = "settings_reloaded"
+	LinesLeftOut         Event = "lines_left_out"
 )
 
 // Fields are the pairs of one line beside the event.
@@ -58,6 +75,7 @@
 type Logger struct {
 	entry    *logrus.Entry
 	observer func(Event, Fields)
+	limit    *limit // nil means no bound
 }
 
 // Observe calls f with every event that l writes from now on. It must be called
@@ -66,12 +84,22 @@
 	l.observer = f
 }
 
-// write gives one event to the observer and returns the line to write.
-func (l *Logger) write(event Event, fields Fields) *logrus.Entry {
+// write gives one event to the observer and writes its line, unless too many were
+// written lately.
+func (l *Logger) write(level logrus.Level, event Event, fields Fields) {
 	if l.observer != nil {
 		l.observer(event, fields)
 	}
-	return l.entry.WithField("event", string(event)).WithFields(fields)
+	if l.limit != nil {
+		ok, leftOut := l.limit.allow(time.Now(), level <= logrus.WarnLevel)
+		if !ok {
+			return
+		}
+		if leftOut > 0 {
+			l.entry.WithField("event", string(LinesLeftOut)).WithField("lines", leftOut).Warn()
+		}
+	}
+	l.entry.WithField("event", string(event)).WithFields(fields).Log(level)
 }
 
 // New returns a logger that writes to w and adds the process's role and
@@ -88,6 +116,14 @@
 	return &Logger{entry: l.WithFields(Fields{"role": role, "id": id})}
 }
 
+// NewBounded is New for a process that serves requests: the number of lines is
+// bounded, and what is left out is counted in a line of its own.
+func NewBounded(w io.Writer, role, id string) *Logger {
+	l := New(w, role, id)
+	l.limit = newLimit(time.Now())
+	return l
+}
+
 // Discard returns a logger that writes nothing.
 func Discard() *Logger {
 	return New(io.Discard, "none", "none")
@@ -95,15 +131,15 @@
 
 // Info writes one line for an ordinary event.
 func (l *Logger) Info(event Event, fields Fields) {
-	l.write(event, fields).Info()
+	l.write(logrus.InfoLevel, event, fields)
 }
 
 // Warn writes one line for an event that an operator should know of.
 func (l *Logger) Warn(event Event, fields Fields) {
-	l.write(event, fields).Warn()
+	l.write(logrus.WarnLevel, event, fields)
 }
 
 // Error writes one line for an event that an operator must act on.
 func (l *Logger) Error(event Event, fields Fields) {
-	l.write(event, fields).Error()
+	l.write(logrus.ErrorLevel, event, fields)
 }
--- a/internal/process/run/run.go
+++ b/internal/process/run/run.go
@@ -45,6 +45,9 @@
 	Stop func()
 	// Failed receives the reason when the process can't go on. It may be nil.
 	Failed <-chan error
+	// Reload takes over settings that changed while the process runs. It may be nil,
+	// when nothing can change.
+	Reload func(s any)
 }
 
 // Main runs the server until SIGTERM or SIGINT and returns the exit status.
@@ -67,7 +70,7 @@
 		fmt.Printf("%s: settings are valid\n", path)
 		return ExitOK
 	}
-	return s.serve(set)
+	return s.serve(path, set)
 }
 
 // parse reads the flags and the environment and returns the settings' path.
@@ -98,22 +101,44 @@
 	return strings.ToUpper(strings.ReplaceAll(s.Name, "-", "_"))
 }
 
-func (s Server) serve(set any) int {
-	log := logging.New(os.Stderr, s.Role, s.ID(set))
+func (s Server) serve(path string, set any) int {
+	sink := logging.NewSink(os.Stdout)
+	defer sink.Close()
+	log := logging.NewBounded(sink, s.Role, s.ID(set))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	process, err := s.Start(set, log)
 	if err != nil {
 		log.Error(logging.ProcessStopped, logging.Fields{"reason": err})
 		return ExitError
 	}
-	select {
-	case <-signals:
-		process.Stop()
-		return ExitOK
-	case err := <-process.Failed:
-		process.Stop()
-		log.Error(logging.ProcessStopped, logging.Fields{"reason": err})
-		return ExitError
+	for {
+		select {
+		case <-signals:
+			process.Stop()
+			return ExitOK
+		case <-reloads:
+			s.reload(path, process, log)
+		case err := <-process.Failed:
+			process.Stop()
+			log.Error(logging.ProcessStopped, logging.Fields{"reason": err})
+			return ExitError
+		}
+	}
+}
+
+// reload reads the settings again. An error in them leaves those in force.
+func (s Server) reload(path string, process Running, log *logging.Logger) {
+	set := s.Settings()
+	if err := settings.Load(path, set); err != nil {
+		log.Error(logging.SettingsRejected, logging.Fields{"reason": err})
+		return
+	}
+	if process.Reload == nil {
+		log.Info(logging.SettingsReloaded, logging.Fields{"changed": "nothing, this process takes new settings at a start"})
+		return
 	}
+	process.Reload(set)
 }
--- a/internal/process/settings/values.go
+++ b/internal/process/settings/values.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"net"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +27,24 @@
 	return nil
 }
 
+// WithPort returns the address of another listener of the same VM.
+func (a Address) WithPort(port int) string {
+	host, _, err := net.SplitHostPort(string(a))
+	if err != nil {
+		host = string(a)
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+// WithPort returns the addresses of other listeners of the same VMs.
+func WithPort(addresses []Address, port int) []string {
+	var out []string
+	for _, a := range addresses {
+		out = append(out, a.WithPort(port))
+	}
+	return out
+}
+
 // Duration is a time such as 250ms or 2s. Negative times are refused.
 type Duration time.Duration
 
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -17,6 +17,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
@@ -113,7 +114,7 @@
 // Service serves calls. It is safe for concurrent use.
 type Service struct {
 	opts      Options
-	latencies *latencies
+	latencies *pace.Latencies
 	flights   flights
 	// uncommitted counts outcomes that wait for the ledger.
 	uncommitted atomic.Int64
@@ -134,7 +135,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Service{
 		opts:      opts,
-		latencies: newLatencies(),
+		latencies: pace.NewLatencies(),
 		flights:   flights{byKey: map[flightKey]*flight{}},
 		ctx:       ctx,
 		stop:      stop,
--- a/internal/request/call/idempotent.go
+++ b/internal/request/call/idempotent.go
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.opts.Budget.OnRequest()
-	hedge := s.latencies.hedgeDelay(c.req.GetRoute())
+	hedge := s.latencies.HedgeDelay(c.req.GetRoute())
 	r := &race{
 		s:       s,
 		c:       c,
@@ -135,7 +135,7 @@
 		case a := <-r.results:
 			r.running--
 			if a.ending == answered {
-				r.s.latencies.observe(r.c.req.GetRoute(), a.latency)
+				r.s.latencies.Observe(r.c.req.GetRoute(), a.latency)
 				return r.c.response(a), nil
 			}
 			if a.mayHaveRun() {
--- a/internal/request/call/idempotent_test.go
+++ b/internal/request/call/idempotent_test.go
@@ -12,6 +12,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
@@ -30,7 +31,7 @@
 		defer c.close()
 		r := c.router("r1", "1")
 		c.desks[0].setFault(frozen)
-		assert.Equal(t, ask(t, r), firstHedgeDelay+deskTime)
+		assert.Equal(t, ask(t, r), pace.FirstHedgeDelay+deskTime)
 		assert.DeepEqual(t, r.picker.endings(), []request.Result{request.ResultSuccess, request.ResultAbandoned})
 		c.desks[0].setFault(healthy)
 		r.close(t)
@@ -42,7 +43,7 @@
 		c := newCell(2)
 		defer c.close()
 		r := c.router("r1", "1")
-		for range latencyRefresh {
+		for range pace.LatencyRefresh {
 			assert.Equal(t, ask(t, r), deskTime)
 		}
 		c.desks[0].setFault(frozen)
--- a/internal/request/generation/accept.go
+++ b/internal/request/generation/accept.go
@@ -106,7 +106,7 @@
 	case a.firstToken == 0:
 		a.firstToken = now.Sub(a.begun)
 	case a.probes == 0 || a.slow:
-		a.gaps.add(now.Sub(r.lastToken) / time.Duration(fresh))
+		a.gaps.Add(now.Sub(r.lastToken) / time.Duration(fresh))
 	}
 	r.lastToken = now
 	a.probes = 0
--- a/internal/request/generation/follow.go
+++ b/internal/request/generation/follow.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 )
 
 // loss tells why a stream ended before its generation did.
@@ -53,8 +54,8 @@
 func (r *run) follow(ctx context.Context, src source) (loss, error) {
 	streamCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(cancel, src.bound)
-	defer watch.pause()
+	watch := pace.NewWatchdog(cancel, src.bound)
+	defer watch.Pause()
 	r.attempt.alive = false
 	stream, err := src.open(streamCtx)
 	if err != nil {
@@ -65,12 +66,12 @@
 		_ = stream.Close()
 	}()
 	for stream.Receive() {
-		watch.pause()
+		watch.Pause()
 		v, err := r.take(stream.chunk())
 		if err != nil || v.loss != lossNone || v.ended {
 			return v.loss, err
 		}
-		watch.expect(r.silentIn())
+		watch.Expect(r.silentIn())
 	}
 	if err := stream.Err(); err != nil {
 		return r.lossOf(ctx, streamCtx, err)
@@ -93,7 +94,7 @@
 	if expected == 0 {
 		expected = time.Duration(r.route.GetExpectedGapMs()) * time.Millisecond
 	}
-	bound := min(a.gaps.silenceBound(s, expected)<<a.probes, s.MaxSilence.Std())
+	bound := min(a.gaps.SilenceBound(s.silence(), expected)<<a.probes, s.MaxSilence.Std())
 	if a.probes > 0 {
 		return bound
 	}
@@ -106,7 +107,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return lossNone, fault.New(fault.Cancelled, "%v", context.Cause(ctx))
-	case context.Cause(streamCtx) == errSilent:
+	case context.Cause(streamCtx) == pace.ErrSilent:
 		return lossSilent, nil
 	case connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeCanceled:
 		return lossCancelled, nil
--- a/internal/request/generation/run.go
+++ b/internal/request/generation/run.go
@@ -8,6 +8,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 )
 
 // attempt is one run of an engine for a generation.
@@ -23,7 +24,7 @@
 	begun time.Time
 	// firstToken is the time to the first token; 0 until then.
 	firstToken time.Duration
-	gaps       gaps
+	gaps       pace.Gaps
 	crossed    bool
 	// probes counts silences and cuts in a row without a new token.
 	probes int
@@ -182,8 +183,8 @@
 // place makes a new attempt with a number above step at a target.
 func (r *run) place(p request.Placement, step uint32) {
 	address := p.Target.GetAddress()
-	if r.attempt.gaps.count > 0 {
-		r.expectedGap = r.attempt.gaps.mean
+	if r.attempt.gaps.Count() > 0 {
+		r.expectedGap = r.attempt.gaps.Mean()
 	}
 	r.attempt = attempt{
 		number:  step | r.nonce,
@@ -271,6 +272,6 @@
 		Crossed:          a.crossed,
 		Resumed:          l != lossNone,
 		FirstToken:       a.firstToken,
-		MeanGap:          a.gaps.overall(),
+		MeanGap:          a.gaps.Overall(),
 	})
 }
--- a/internal/request/generation/service.go
+++ b/internal/request/generation/service.go
@@ -59,7 +59,6 @@
 
 // Reasons for which a run is ended from outside.
 var (
-	errSilent    = errors.New("engine is silent")
 	errTakenOver = errors.New("caller came back on another connection")
 	errCancelled = errors.New("caller cancelled")
 )
--- a/internal/request/generation/settings.go
+++ b/internal/request/generation/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 )
 
 // Settings bound generations. Defaults are in DefaultSettings.
@@ -83,3 +84,14 @@
 	}
 	return "", ""
 }
+
+// silence returns the bounds on a learned silence.
+func (s *Settings) silence() pace.Bounds {
+	return pace.Bounds{Fixed: s.FixedSilence.Std(), Min: s.MinSilence.Std(), Max: s.MaxSilence.Std()}
+}
+
+// firstTokenBound returns how long an engine may take to the first token of an
+// attempt whose prompt and prefix have the given length.
+func (s *Settings) firstTokenBound(inputBytes int) time.Duration {
+	return s.FirstToken.Std() + s.FirstTokenPerKiB.Std()*time.Duration(inputBytes)/1024
+}
--- a/internal/request/call/latency.go
+++ b/internal/request/pace/latencies.go
@@ -1,4 +1,4 @@
-package call
+package pace
 
 import (
 	"slices"
@@ -8,20 +8,24 @@
 
 // The hedge delay is the 95th percentile of the latest latencies of a route.
 const (
-	latencySamples  = 128
-	latencyPercent  = 95
-	latencyRefresh  = 16 // samples between two computations
-	firstHedgeDelay = 50 * time.Millisecond
-	minHedgeDelay   = 2 * time.Millisecond
-	maxHedgeDelay   = time.Second
+	latencySamples = 128
+	latencyPercent = 95
+	minHedgeDelay  = 2 * time.Millisecond
+	maxHedgeDelay  = time.Second
 )
 
-// latencies learns the latency of idempotent calls by route.
-type latencies struct {
+// Latencies learns the latency of idempotent calls by route.
+type Latencies struct {
 	mu      sync.Mutex // guards byRoute and what it holds
 	byRoute map[string]*routeLatency
 }
 
+// LatencyRefresh is the number of samples between two computations of the delay.
+const LatencyRefresh = 16
+
+// FirstHedgeDelay is the delay of a route of which nothing is known yet.
+const FirstHedgeDelay = 50 * time.Millisecond
+
 // routeLatency is a ring of the latest samples.
 type routeLatency struct {
 	ring  [latencySamples]time.Duration
@@ -29,22 +33,23 @@
 	delay time.Duration
 }
 
-func newLatencies() *latencies {
-	return &latencies{byRoute: map[string]*routeLatency{}}
+// NewLatencies returns a table that has learned nothing.
+func NewLatencies() *Latencies {
+	return &Latencies{byRoute: map[string]*routeLatency{}}
 }
 
-// hedgeDelay returns the time after which an attempt is late.
-func (l *latencies) hedgeDelay(route string) time.Duration {
+// HedgeDelay returns the time after which an attempt is late.
+func (l *Latencies) HedgeDelay(route string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.byRoute[route]; r != nil && r.delay > 0 {
 		return r.delay
 	}
-	return firstHedgeDelay
+	return FirstHedgeDelay
 }
 
-// observe adds the latency of an answered attempt.
-func (l *latencies) observe(route string, latency time.Duration) {
+// Observe adds the latency of an answered attempt.
+func (l *Latencies) Observe(route string, latency time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.byRoute[route]
@@ -54,7 +59,7 @@
 	}
 	r.ring[r.count%latencySamples] = latency
 	r.count++
-	if r.count%latencyRefresh == 0 {
+	if r.count%LatencyRefresh == 0 {
 		r.refresh()
 	}
 }
--- a/internal/request/generation/silence_test.go
+++ b/internal/request/pace/pace_test.go
@@ -1,4 +1,4 @@
-package generation
+package pace
 
 import (
 	"context"
@@ -10,29 +10,29 @@
 )
 
 func TestSilenceBoundFollowsTheStream(t *testing.T) {
-	s := DefaultSettings()
-	var g gaps
-	assert.Equal(t, g.silenceBound(&s, 0), s.MaxSilence.Std())
-	assert.Equal(t, g.silenceBound(&s, 37*time.Millisecond), 296*time.Millisecond)
+	b := Bounds{Min: 150 * time.Millisecond, Max: time.Second}
+	var g Gaps
+	assert.Equal(t, g.SilenceBound(b, 0), b.Max)
+	assert.Equal(t, g.SilenceBound(b, 37*time.Millisecond), 296*time.Millisecond)
 	for range 50 {
-		g.add(37 * time.Millisecond)
+		g.Add(37 * time.Millisecond)
 	}
-	assert.Equal(t, g.silenceBound(&s, 0), s.MinSilence.Std())
+	assert.Equal(t, g.SilenceBound(b, 0), b.Min)
 	for range 50 {
-		g.add(200 * time.Millisecond)
+		g.Add(200 * time.Millisecond)
 	}
-	even := g.silenceBound(&s, 0)
-	assert.Assert(t, even >= 700*time.Millisecond && even <= s.MaxSilence.Std(), "%v", even)
+	even := g.SilenceBound(b, 0)
+	assert.Assert(t, even >= 700*time.Millisecond && even <= b.Max, "%v", even)
 	for range 50 {
-		g.add(5 * time.Second)
+		g.Add(5 * time.Second)
 	}
-	assert.Equal(t, g.silenceBound(&s, 0), s.MaxSilence.Std())
+	assert.Equal(t, g.SilenceBound(b, 0), b.Max)
 }
 
 func TestWatchdogGivesALateRouterAnotherBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancelCause(context.Background())
-		w := newWatchdog(cancel, time.Second)
+		w := NewWatchdog(cancel, time.Second)
 		time.Sleep(500 * time.Millisecond)
 		w.due = time.Now().Add(-10 * time.Second) // as after a pause of the process
 		w.fire()
@@ -41,20 +41,20 @@
 		assert.NilError(t, ctx.Err())
 		time.Sleep(2 * time.Millisecond)
 		synctest.Wait()
-		assert.Equal(t, context.Cause(ctx), errSilent)
+		assert.Equal(t, context.Cause(ctx), ErrSilent)
 	})
 }
 
 func TestWatchdogPauses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancelCause(context.Background())
-		w := newWatchdog(cancel, time.Second)
-		w.pause()
+		w := NewWatchdog(cancel, time.Second)
+		w.Pause()
 		time.Sleep(time.Minute)
 		assert.NilError(t, ctx.Err())
-		w.expect(time.Second)
+		w.Expect(time.Second)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.Equal(t, context.Cause(ctx), errSilent)
+		assert.Equal(t, context.Cause(ctx), ErrSilent)
 	})
 }
--- a/internal/request/generation/watchdog.go
+++ b/internal/request/pace/watchdog.go
@@ -1,18 +1,23 @@
-package generation
+package pace
 
 import (
 	"context"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
+// ErrSilent is the cause of a stream's end after a silence.
+var ErrSilent = errors.New("the target is silent")
+
 // maxLateness is how late a timer of a router that gets its processor time fires.
 const maxLateness = 50 * time.Millisecond
 
-// watchdog cancels a stream that is silent beyond its bound. A router that was
+// Watchdog cancels a stream that is silent beyond its bound. A router that was
 // paused or is short of processor time finds its own timers late; what the engine
 // sent meanwhile may wait to be read, so the stream gets its bound once more.
-type watchdog struct {
+type Watchdog struct {
 	cancel context.CancelCauseFunc
 
 	mu    sync.Mutex // guards the fields below
@@ -22,9 +27,9 @@
 	due time.Time
 }
 
-// newWatchdog starts to watch with a first bound.
-func newWatchdog(cancel context.CancelCauseFunc, bound time.Duration) *watchdog {
-	w := &watchdog{cancel: cancel, bound: bound}
+// NewWatchdog starts to watch with a first bound.
+func NewWatchdog(cancel context.CancelCauseFunc, bound time.Duration) *Watchdog {
+	w := &Watchdog{cancel: cancel, bound: bound}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.due = time.Now().Add(bound)
@@ -32,8 +37,8 @@
 	return w
 }
 
-// expect sets how long the stream may be silent from now on.
-func (w *watchdog) expect(bound time.Duration) {
+// Expect sets how long the stream may be silent from now on.
+func (w *Watchdog) Expect(bound time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.bound = bound
@@ -41,15 +46,15 @@
 	w.timer.Reset(bound)
 }
 
-// pause stops watching until the next expect.
-func (w *watchdog) pause() {
+// Pause stops watching until the next Expect.
+func (w *Watchdog) Pause() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.due = time.Time{}
 	w.timer.Stop()
 }
 
-func (w *watchdog) fire() {
+func (w *Watchdog) fire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.due.IsZero() {
@@ -62,6 +67,6 @@
 		w.due = time.Now().Add(w.bound)
 		w.timer.Reset(w.bound)
 	default:
-		w.cancel(errSilent)
+		w.cancel(ErrSilent)
 	}
 }
