--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -165,8 +165,10 @@
 	address := run.Target.GetAddress()
 	switch {
 	case end.ending == notRun && from != nil:
-		// The copy is gone; the engine itself is well.
+		// The copy is gone; the engine itself is well, and the one that was to keep the
+		// next copy has none either.
 		st.refused++
+		st.backup = nil
 		return false, nil
 	case end.ending == notRun:
 		st.refused++
