Streams: engines are asked before they are given up, budgets follow the number of entry VMs

Ruled out: a longer fixed bound, which finds a silent engine too late.

Change: feeds tell the number of entry VMs and the budget is split by it; an engine without a first event is asked for its report and waited for while it has the request queued; prompts have a home engine by a hash, so that a caller that comes back finds its prompt read; engines of a zone that just lost one come later; requests wait a while for a process that starts; the first election after a start takes a fifth of the timeout.

--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -41,6 +42,8 @@
 	Fresh(from string)
 	// Version returns the declared version in force.
 	Version() uint64
+	// Entries gives an estimate of the number of entry VMs, this one included.
+	Entries(n int)
 }
 
 // FollowerOptions are what a Follower needs. All are required.
@@ -64,15 +67,18 @@
 	followed map[string]bool
 	// failed says when the last try of an address failed.
 	failed map[string]time.Time
+	// followers is the number of entry VMs that follow each one that is followed here.
+	followers map[string]int
 }
 
 // NewFollower returns a follower that doesn't follow yet.
 func NewFollower(opts FollowerOptions) *Follower {
 	return &Follower{
-		opts:     opts,
-		known:    slices.Clone(opts.Seeds),
-		followed: map[string]bool{},
-		failed:   map[string]time.Time{},
+		opts:      opts,
+		known:     slices.Clone(opts.Seeds),
+		followed:  map[string]bool{},
+		failed:    map[string]time.Time{},
+		followers: map[string]int{},
 	}
 }
 
@@ -138,6 +144,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.followed, address)
+	delete(f.followers, address)
 	f.failed[address] = time.Now()
 }
 
@@ -182,9 +189,7 @@
 }
 
 func (f *Follower) deliver(m *chicoryv1.FollowResponse, from string) {
-	f.mu.Lock()
-	f.learn(m.GetControlAddresses())
-	f.mu.Unlock()
+	f.opts.Sink.Entries(f.note(m, from))
 	if m.GetDeclaration() != nil {
 		f.opts.Sink.Declaration(m.GetDeclaration(), from)
 	}
@@ -195,3 +200,20 @@
 		f.opts.Sink.Fresh(from)
 	}
 }
+
+// note takes in what a control VM says of the others, and returns an estimate of the
+// number of entry VMs: each follows a few control VMs drawn at random, so the mean of
+// their followers grows with it.
+func (f *Follower) note(m *chicoryv1.FollowResponse, from string) (entries int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.learn(m.GetControlAddresses())
+	f.followers[from] = int(m.GetFollowers())
+	sum := 0
+	for _, n := range f.followers {
+		sum += n
+	}
+	mean := float64(sum) / float64(len(f.followers))
+	members := max(len(m.GetControlAddresses()), 1)
+	return max(int(math.Ceil(mean*float64(members)/float64(min(feeds, members)))), 1)
+}
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,15 +34,20 @@
 // Server offers the feed of one source.
 type Server struct {
 	Source Source
+
+	followers atomic.Int32
 }
 
 // Follow implements the feed service. It ends with ctx or when a send fails.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[chicoryv1.FollowRequest], stream *connect.ServerStream[chicoryv1.FollowResponse]) error {
+	s.followers.Add(1)
+	defer s.followers.Add(-1)
 	keepalive := time.NewTicker(KeepaliveInterval)
 	defer keepalive.Stop()
 	f := following{version: req.Msg.GetDeclaredVersion()}
 	for {
 		message, changed, listChanged := f.next(s.Source)
+		message.Followers = uint32(s.followers.Load())
 		if err := stream.Send(message); err != nil {
 			return err
 		}
--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -51,7 +51,9 @@
 	Codec  Codec
 	Server Server
 	Holder *declared.Holder
-	Logger *logging.Logger
+	// Started is closed once requests can be served.
+	Started <-chan struct{}
+	Logger  *logging.Logger
 	// Draw gives uniform numbers.
 	Draw func() uint64
 }
@@ -109,6 +111,7 @@
 		return
 	}
 	req.Arrived = arrived
+	f.awaitStart(r.Context(), req)
 	a, err := f.admit(r, req)
 	if err != nil {
 		f.refuse(w, r, req.ID, err)
@@ -127,6 +130,36 @@
 	}
 }
 
+const (
+	// startWait bounds the wait of a request that comes before the process knows its
+	// configuration and targets, as after a restart: control VMs usually tell them
+	// within a second.
+	startWait = 2 * time.Second
+	// startShare bounds it by the caller's own wait, most of which is left for the
+	// request, or for a try elsewhere.
+	startShare = 3
+)
+
+// awaitStart waits a while for the process to know what it needs to serve.
+func (f *Front) awaitStart(ctx context.Context, req *exchange.Request) {
+	select {
+	case <-f.opts.Started:
+		return
+	default:
+	}
+	limit := startWait
+	if req.Wait > 0 {
+		limit = min(limit, req.Wait/startShare)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-f.opts.Started:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, id string, err error) {
 	e := fault.Of(err)
 	f.opts.Logger.Warn(logging.RequestRefused, logging.Fields{
--- a/internal/process/consensus/status.go
+++ b/internal/process/consensus/status.go
@@ -107,11 +107,23 @@
 	n.changed = make(chan struct{})
 }
 
+// resetElectionDeadline draws the time at which this replica campaigns unless it
+// hears a leader. A replica that has heard none since its start campaigns sooner: it
+// asks in advance, which disturbs no leader that the others hear, and after a
+// restart of all of them nobody has to wait for a leader's silence. mu is held.
 func (n *Node) resetElectionDeadline(now time.Time) {
-	spread := n.random.Int64N(int64(n.options.ElectionTimeout))
-	n.electionDeadline = now.Add(n.options.ElectionTimeout + time.Duration(spread))
+	least := n.options.ElectionTimeout
+	if n.leaderContact.IsZero() && n.role != Leader {
+		least /= firstElectionParts
+	}
+	spread := n.random.Int64N(int64(least))
+	n.electionDeadline = now.Add(least + time.Duration(spread))
 }
 
+// firstElectionParts divides the election timeout until a leader was heard: a fifth
+// still leaves several round trips within a region.
+const firstElectionParts = 5
+
 func (n *Node) errNotLeader() error {
 	if n.leader.id == "" {
 		return fault.New(fault.NotLeader, "%s is not the leader; no leader is known", n.self.id)
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -17,10 +17,8 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/monitor"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
-	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/exchange"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
-	"github.com/chicoryswitch/chicoryswitch/internal/request/retry"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
 )
 
@@ -28,6 +26,7 @@
 type Adapter interface {
 	front.Codec
 	exchange.TargetProtocol
+	exchange.EngineProber
 	observe.TargetReader
 	Decoder
 }
@@ -59,10 +58,10 @@
 		settings: s,
 		log:      log,
 		registry: registry,
-		roster:   newRoster(adapter, engines, log),
 		pool:     http1.NewPool(http1.Defaults(), registry),
 		budgets:  newBudgets(s.Retry, registry),
 	}
+	p.roster = newRoster(adapter, engines, p.budgets.share, log)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
 		Seeds:  settings.WithPort(s.Seeds, s.PeerPort),
@@ -86,6 +85,7 @@
 	server := exchange.New(exchange.Options{
 		Pool:     p.pool,
 		Protocol: adapter,
+		Prober:   adapter,
 		Picker: routing.NewPicker(routing.Options{
 			Holder:   p.roster.targets,
 			Zone:     string(p.settings.AvailabilityZone),
@@ -102,7 +102,7 @@
 	})
 	var err error
 	if p.front, err = front.Listen(string(p.settings.CallerAddress), front.Options{
-		Codec: adapter, Server: server, Holder: p.roster.declared, Logger: p.log, Draw: rand.Uint64,
+		Codec: adapter, Server: server, Holder: p.roster.declared, Started: p.roster.started, Logger: p.log, Draw: rand.Uint64,
 	}); err != nil {
 		return errors.Trace(err)
 	}
@@ -158,28 +158,3 @@
 		}
 	}
 }
-
-// budgets has the retry budget of each service.
-type budgets struct {
-	settings RetrySettings
-	registry metrics.Registry
-
-	mu        sync.Mutex // guards byService
-	byService map[string]*retry.Budget
-}
-
-func newBudgets(s RetrySettings, registry metrics.Registry) *budgets {
-	return &budgets{settings: s, registry: registry, byService: map[string]*retry.Budget{}}
-}
-
-// of returns the budget of a service.
-func (b *budgets) of(service string) request.RetryBudget {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	budget := b.byService[service]
-	if budget == nil {
-		budget = retry.NewBudget(retry.Options{Settings: b.settings.budget(), Registry: b.registry})
-		b.byService[service] = budget
-	}
-	return budget
-}
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -33,7 +33,11 @@
 	declared *declared.Holder
 	targets  *config.Holder
 	engines  *placement.Engines
-	logger   *logging.Logger
+	// share is told the number of entry VMs.
+	share  func(entries int)
+	logger *logging.Logger
+	// started is closed when a configuration and a list are in force.
+	started chan struct{}
 
 	mu       sync.Mutex // guards the fields below
 	list     *chicoryv1.TargetList
@@ -46,12 +50,14 @@
 	gone    map[start]time.Time
 }
 
-func newRoster(decoder Decoder, engines *placement.Engines, logger *logging.Logger) *roster {
+func newRoster(decoder Decoder, engines *placement.Engines, share func(entries int), logger *logging.Logger) *roster {
 	return &roster{
 		decoder:  decoder,
 		declared: &declared.Holder{},
 		targets:  &config.Holder{},
 		engines:  engines,
+		share:    share,
+		started:  make(chan struct{}),
 		logger:   logger,
 		leaving:  map[start]bool{},
 		present:  map[start]bool{},
@@ -82,6 +88,9 @@
 // Version implements feed.Sink.
 func (r *roster) Version() uint64 { return r.declared.Version() }
 
+// Entries implements feed.Sink.
+func (r *roster) Entries(n int) { r.share(n) }
+
 // Targets implements feed.Sink.
 func (r *roster) Targets(list *chicoryv1.TargetList, from string) {
 	r.mu.Lock()
@@ -149,6 +158,9 @@
 	if view == nil || r.list == nil {
 		return
 	}
+	if r.revision == 0 {
+		defer close(r.started)
+	}
 	r.revision++
 	next := &chicoryv1.Configuration{Revision: r.revision}
 	for _, s := range view.Configuration().Services {
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -68,19 +68,25 @@
 	// ratioMargin keeps the sum over entry VMs below the ratio: requests and their
 	// attempts may fall into different windows.
 	ratioMargin = 0.9
-	// extraShares is the number of parts that the extra attempts of a window are split
-	// into, one for each entry VM: more than deployments with such a bound have, as
-	// the number isn't known here.
-	extraShares = 20
+	// extraMargin is left for errors of the estimated number of entry VMs.
+	extraMargin = 0.8
+	// saved is the part of the extra attempts that may be made at once; the rest comes
+	// evenly over the window.
+	saved = 0.5
+	// unknownEntries stands for the number of entry VMs until it was estimated.
+	unknownEntries = 20
+	// resumePart is the part of the extra attempts that only resumes may take.
+	resumePart = 0.5
 )
 
-// budget returns the settings of one service's budget at this entry VM.
-func (s RetrySettings) budget() retry.Settings {
+// budget returns the settings of one service's budget at one of the entry VMs. Over
+// any window it allows no more than this VM's share.
+func (s RetrySettings) budget(entries int) retry.Settings {
 	b := retry.Defaults()
-	share := s.Extra / extraShares
+	share := s.Extra * extraMargin / float64(entries)
 	b.Share = min(s.Ratio*ratioMargin, 1)
-	b.Burst = max(share/2, 1)
-	b.ResumeBurst = max(share/2, 1)
-	b.ResumeRate = max(share/2/s.Window.Std().Seconds(), 0.1)
+	b.Burst = max(share*saved*(1-resumePart), 1)
+	b.ResumeBurst = max(share*saved*resumePart, 1)
+	b.ResumeRate = max(share*(1-saved)/s.Window.Std().Seconds(), 0.1)
 	return b
 }
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -48,6 +48,9 @@
 	LastEvent int
 	// Size is what a generation takes; zero when the caller doesn't say.
 	Size placement.Size
+	// Prompt names the prompt of a generation, the same for the same prompt; empty when
+	// the caller doesn't say.
+	Prompt string
 }
 
 // Admitted is a request with what the configuration in force says of it.
@@ -103,6 +106,22 @@
 	DecodeReply(status int, h http.Header) Reply
 }
 
+// EngineReport is what an engine says of itself when it is asked.
+type EngineReport struct {
+	// Running and Waiting are its requests.
+	Running, Waiting int
+	// Holds: the request that was asked about is among those that it works on.
+	Holds bool
+}
+
+// EngineProber asks engines whether they are alive. Platforms charge for that, so it
+// is asked only where nothing else tells.
+type EngineProber interface {
+	// Report asks the engine at address (IP:port) about the request with the id. It
+	// fails when the engine doesn't answer until ctx ends.
+	Report(ctx context.Context, address, id string) (EngineReport, error)
+}
+
 // Settings bound requests.
 type Settings struct {
 	// MaxAnswerBytes bounds an answer that is not a stream, which is kept whole before
@@ -111,10 +130,15 @@
 	// MaxRefusals is how many targets may refuse a request, or not be reached, before
 	// it is refused.
 	MaxRefusals int
-	// FirstEvent bounds the time to the first event of a stream without a prompt, and
-	// PromptRate, in tokens a second, adds to it for a prompt.
-	FirstEvent time.Duration
-	PromptRate float64
+	// FirstEvent is the time to the first event of a stream without a prompt after
+	// which the engine is asked whether it is alive; PromptRate, in tokens a second,
+	// adds to it for a prompt. An engine that works on the request is asked again after
+	// ProbeInterval, and not waited for any longer after MaxProbes.
+	FirstEvent    time.Duration
+	PromptRate    float64
+	ProbeInterval time.Duration
+	ProbeTimeout  time.Duration
+	MaxProbes     int
 	// SilenceShare gives the bounds of the learned silence as shares of the longest
 	// pause that the route allows.
 	MinSilenceShare, MaxSilenceShare float64
@@ -131,7 +155,10 @@
 		MaxRefusals:     6,       // the targets of one zone
 		FirstEvent:      600 * time.Millisecond,
 		PromptRate:      2500, // half of what an idle engine reads
-		MinSilenceShare: 0.4,  // leaves more than half of the pause for the other engine's first event
+		ProbeInterval:   time.Second,
+		ProbeTimeout:    250 * time.Millisecond, // some 100 round trips within a region
+		MaxProbes:       8,                      // with the interval, above the time of several prompts in a row
+		MinSilenceShare: 0.4,                    // leaves more than half of the pause for the other engine's first event
 		MaxSilenceShare: 0.6,
 		DefaultEventGap: time.Second,
 		DefaultSize:     placement.Size{Prompt: 1000, Output: 500},
@@ -142,6 +169,7 @@
 type Options struct {
 	Pool     *http1.Pool
 	Protocol TargetProtocol
+	Prober   EngineProber
 	// Picker chooses the targets of calls.
 	Picker request.Picker
 	Loads  *observe.Table
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -32,6 +32,8 @@
 	// passed counts events that were passed on.
 	passed int
 	gaps   pace.Gaps
+	// placedAt is when the request went to the present engine.
+	placedAt time.Time
 
 	// backup is the engine that keeps a copy of the run's memory, nil if none does.
 	backup *chicoryv1.ListedTarget
@@ -75,9 +77,11 @@
 			return run, from, nil
 		}
 	}
-	run, err := st.s.opts.Engines.Place(placement.Want{Service: st.a.Service.Name, Size: st.size, Exclude: st.tried})
+	want := placement.Want{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.Prompt, Exclude: st.tried}
+	run, err := st.s.opts.Engines.Place(want)
 	if err != nil && len(st.tried) > 0 {
-		run, err = st.s.opts.Engines.Place(placement.Want{Service: st.a.Service.Name, Size: st.size})
+		want.Exclude = nil
+		run, err = st.s.opts.Engines.Place(want)
 	}
 	return run, nil, err
 }
@@ -125,6 +129,7 @@
 	defer run.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	st.placedAt = time.Now()
 	d := Dispatch{Instance: run.Target.GetInstance(), LastEvent: st.last}
 	if from != nil {
 		d.ContinueFrom = from.GetAddress()
@@ -173,6 +178,9 @@
 	case end.ending == notRun:
 		st.refused++
 		st.backup = nil
+		if end.status == http.StatusMisdirectedRequest {
+			run.MarkStale()
+		}
 		st.tried = append(st.tried, address)
 		return false, nil
 	case end.ending == answered:
@@ -185,6 +193,9 @@
 		st.backup = nil
 	default:
 		st.sent++
+		if end.events == 0 {
+			st.backup = nil // the copy begins with the first event
+		}
 	}
 	st.tried = append(st.tried, address)
 	if ctx.Err() == nil || errors.Is(cause, pace.ErrSilent) {
@@ -196,8 +207,9 @@
 
 // run sends the request to the engine and passes its events on.
 func (st *stream) run(ctx context.Context, cancel context.CancelCauseFunc, run *placement.Run, d Dispatch) runEnd {
-	watch := pace.NewWatchdog(cancel, st.firstEventBound(run, d))
+	watch := pace.NewWatchdog(cancel, st.firstEventLimit(d))
 	defer watch.Pause()
+	go st.probe(ctx, cancel, run, d)
 	x, err := st.s.opts.Pool.Send(ctx, run.Target.GetAddress(), st.s.target(st.a, d))
 	if err != nil {
 		if http1.IsNotSent(err) {
@@ -216,7 +228,7 @@
 	if !reply.Signed || answer.Status != http.StatusOK {
 		return st.refusal(answer, reply)
 	}
-	return st.follow(answer, run, watch)
+	return st.follow(answer, reply, run, watch)
 }
 
 // followLoss gives the engine up when another run found it lost before this one
@@ -249,7 +261,7 @@
 }
 
 // follow passes the events on until the stream ends.
-func (st *stream) follow(answer *http1.Answer, run *placement.Run, watch *pace.Watchdog) runEnd {
+func (st *stream) follow(answer *http1.Answer, reply Reply, run *placement.Run, watch *pace.Watchdog) runEnd {
 	events := newEventReader(answer)
 	end := runEnd{ending: lost, status: answer.Status}
 	before := time.Now()
@@ -268,6 +280,7 @@
 		now := time.Now()
 		if end.events == 0 {
 			run.PromptRead()
+			st.logBegun(run, reply, now)
 		} else {
 			st.gaps.Add(now.Sub(before))
 		}
@@ -333,8 +346,9 @@
 	return true
 }
 
-// firstEventBound is how long the engine may take to its first event.
-func (st *stream) firstEventBound(_ *placement.Run, d Dispatch) time.Duration {
+// firstEventBound is the time without an event after which the engine is asked
+// whether it is alive.
+func (st *stream) firstEventBound(d Dispatch) time.Duration {
 	s := st.s.opts.Settings
 	if d.ContinueFrom != "" {
 		return s.FirstEvent
@@ -342,6 +356,39 @@
 	return s.FirstEvent + time.Duration(float64(st.size.Prompt)/s.PromptRate*float64(time.Second))
 }
 
+// firstEventLimit is the longest wait for the first event, however alive the engine is.
+func (st *stream) firstEventLimit(d Dispatch) time.Duration {
+	s := st.s.opts.Settings
+	if d.ContinueFrom != "" {
+		return s.FirstEvent
+	}
+	return st.firstEventBound(d) + time.Duration(s.MaxProbes)*s.ProbeInterval
+}
+
+// probe asks the engine whether it works on the request while no event comes, and
+// gives it up if it doesn't.
+func (st *stream) probe(ctx context.Context, cancel context.CancelCauseFunc, run *placement.Run, d Dispatch) {
+	s := st.s.opts.Settings
+	for wait := st.firstEventBound(d); pause.For(ctx, wait) && !run.HasBegun(); wait = s.ProbeInterval {
+		probeCtx, stop := context.WithTimeout(ctx, s.ProbeTimeout)
+		report, err := st.s.opts.Prober.Report(probeCtx, run.Target.GetAddress(), st.a.ID)
+		stop()
+		if ctx.Err() != nil || run.HasBegun() {
+			return
+		}
+		alive := err == nil && (report.Holds || report.Waiting > 0)
+		st.s.opts.Logger.Info(logging.EngineProbed, logging.Fields{
+			"request": st.a.ID, "target": run.Target.GetAddress(), "alive": alive, "reason": err,
+			"holds": report.Holds, "running": report.Running, "waiting": report.Waiting,
+			"ms": time.Since(st.placedAt).Milliseconds(),
+		})
+		if !alive {
+			cancel(pace.ErrSilent)
+			return
+		}
+	}
+}
+
 // bounds limits the learned silence by what the route's callers accept.
 func (st *stream) bounds() pace.Bounds {
 	s := st.s.opts.Settings
@@ -368,6 +415,14 @@
 	})
 }
 
+func (st *stream) logBegun(run *placement.Run, reply Reply, now time.Time) {
+	st.s.opts.Logger.Info(logging.StreamBegun, logging.Fields{
+		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
+		"prompt_tokens": st.size.Prompt, "running": reply.Running, "waiting": reply.Waiting,
+		"ms": now.Sub(st.placedAt).Milliseconds(), "last_event": st.last,
+	})
+}
+
 func (st *stream) logEnded(run *placement.Run, from *chicoryv1.ListedTarget, end runEnd, cause error) {
 	fields := logging.Fields{
 		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -35,10 +36,21 @@
 	// ZoneWeight is the share of memory by which an engine of another availability
 	// zone must be freer to be preferred, for the bytes between zones.
 	ZoneWeight float64
+	// AffinityWeight is the share of memory by which other engines must be freer than
+	// the one that a prompt belongs to. A caller that comes back, through whatever entry
+	// VM, finds its prompt there.
+	AffinityWeight float64
 	// LostPause is how long an engine that was lost gets no work; each further loss
 	// in a row doubles it, up to MaxLostPause.
 	LostPause    time.Duration
 	MaxLostPause time.Duration
+	// StalePause is how long an engine gets no work after it was found to be another
+	// start than the list says. A newer list ends it.
+	StalePause time.Duration
+	// ZoneLossWeight is the share of memory by which other engines of a zone must be
+	// freer for ZoneLossTime after one there was lost: losses of a zone come together.
+	ZoneLossWeight float64
+	ZoneLossTime   time.Duration
 	// LoadLifetime is the age at which a stated load is no longer used.
 	LoadLifetime time.Duration
 	// DefaultMemory is the memory of an engine that states none, in tokens.
@@ -48,12 +60,15 @@
 // Defaults returns the settings for a deployment in one region.
 func Defaults() Settings {
 	return Settings{
-		PromptWeight:  2,                      // reading takes about twice as long as the generation of as many bytes
-		ZoneWeight:    0.05,                   // half of a usual run's share of an engine
-		LostPause:     500 * time.Millisecond, // restarts of engines take about a second
-		MaxLostPause:  2 * time.Second,        // the list names a dead engine for some seconds
-		LoadLifetime:  2 * time.Second,        // runs last some seconds
-		DefaultMemory: 32 << 10,
+		PromptWeight:   2,                      // reading takes about twice as long as the generation of as many bytes
+		ZoneWeight:     0.05,                   // half of a usual run's share of an engine
+		LostPause:      500 * time.Millisecond, // restarts of engines take about a second
+		MaxLostPause:   2 * time.Second,        // the list names a dead engine for some seconds
+		StalePause:     3 * time.Second,        // the list lags by a second or two
+		ZoneLossWeight: 0.5,                    // some five runs
+		ZoneLossTime:   2 * time.Second,        // restarts of engines take about a second, the list lags by another
+		LoadLifetime:   2 * time.Second,        // runs last some seconds
+		DefaultMemory:  32 << 10,
 	}
 }
 
@@ -65,6 +80,8 @@
 	mu        sync.Mutex // guards the fields below and all engines
 	byAddress map[string]*engine
 	byService map[string][]*engine
+	// zoneLosses has the time of the last loss of an engine by availability zone.
+	zoneLosses map[string]time.Time
 	// meanTokens is a moving average of the size of runs.
 	meanTokens float64
 }
@@ -82,6 +99,8 @@
 	losses   int
 	// avoidUntil is the end of the pause after a loss.
 	avoidUntil time.Time
+	// aliveAt is when the engine last sent something.
+	aliveAt time.Time
 	// lost is closed when a run finds this start of the engine lost.
 	lost chan struct{}
 }
@@ -93,6 +112,7 @@
 		zone:       zone,
 		byAddress:  map[string]*engine{},
 		byService:  map[string][]*engine{},
+		zoneLosses: map[string]time.Time{},
 		meanTokens: float64(s.DefaultMemory) / 16,
 	}
 }
@@ -124,6 +144,8 @@
 type Want struct {
 	Service string
 	Size    Size
+	// Prompt names the prompt; an engine that has read it needn't read it again.
+	Prompt string
 	// Exclude names addresses that were tried.
 	Exclude []string
 }
@@ -196,8 +218,7 @@
 // choose returns the engine with the lowest score, outside of the zone awayFrom if
 // that is given. Engines that were lost lately come last. The caller holds mu.
 func (e *Engines) choose(w Want, awayFrom string, now time.Time) *engine {
-	var best *engine
-	lowest := 0.0
+	var eligible []*engine
 	for _, x := range e.byService[w.Service] {
 		if x.target.GetLeaving() || slices.Contains(w.Exclude, x.target.GetAddress()) {
 			continue
@@ -205,7 +226,16 @@
 		if awayFrom != "" && (x.target.GetAvailabilityZone() == awayFrom || now.Before(x.avoidUntil)) {
 			continue
 		}
+		eligible = append(eligible, x)
+	}
+	home := homeOf(w.Prompt, eligible, now)
+	var best *engine
+	lowest := 0.0
+	for _, x := range eligible {
 		score := e.score(x, awayFrom == "", now) + rand.Float64()*tieSpread
+		if x == home {
+			score -= e.settings.AffinityWeight
+		}
 		if best == nil || score < lowest {
 			best, lowest = x, score
 		}
@@ -213,6 +243,29 @@
 	return best
 }
 
+// homeOf returns the engine that a prompt belongs to: the one with the highest hash
+// of both. Entry VMs that know the same engines agree on it without telling each
+// other, and only the prompts of an engine that is lost move.
+func homeOf(prompt string, engines []*engine, now time.Time) *engine {
+	if prompt == "" {
+		return nil
+	}
+	var home *engine
+	highest := uint64(0)
+	for _, x := range engines {
+		if now.Before(x.avoidUntil) {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(prompt))                // never fails
+		_, _ = h.Write([]byte(x.target.GetAddress())) // never fails
+		if sum := h.Sum64(); home == nil || sum > highest {
+			home, highest = x, sum
+		}
+	}
+	return home
+}
+
 const (
 	// tieSpread lets entry VMs that see the same choose differently between engines
 	// that are about equal.
@@ -235,6 +288,10 @@
 	if now.Before(x.avoidUntil) {
 		score += lostPenalty
 	}
+	lostAt := e.zoneLosses[x.target.GetAvailabilityZone()]
+	if now.Sub(lostAt) < e.settings.ZoneLossTime && x.aliveAt.Before(lostAt) {
+		score += e.settings.ZoneLossWeight
+	}
 	return score
 }
 
@@ -242,8 +299,10 @@
 func (r *Run) Stated(running int) {
 	r.engines.mu.Lock()
 	defer r.engines.mu.Unlock()
+	now := time.Now()
 	r.engine.others = max(running-r.engine.runs, 0)
-	r.engine.statedAt = time.Now()
+	r.engine.statedAt = now
+	r.engine.aliveAt = now
 }
 
 // HasBegun reports whether the engine has sent an event.
@@ -279,10 +338,18 @@
 	pause := min(e.settings.LostPause<<min(x.losses, maxDoublings), e.settings.MaxLostPause)
 	x.avoidUntil = now.Add(pause)
 	x.losses++
+	e.zoneLosses[x.target.GetAvailabilityZone()] = now
 	close(x.lost)
 	x.lost = make(chan struct{})
 }
 
+// MarkStale notes that the engine at the address is another start than the list says.
+func (r *Run) MarkStale() {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	r.engine.avoidUntil = time.Now().Add(r.engines.settings.StalePause)
+}
+
 // maxDoublings keeps the pause from overflowing.
 const maxDoublings = 10
 
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -83,6 +83,15 @@
 	return b
 }
 
+// Adjust takes new settings over, as when this process's share of a bound changes.
+func (b *Budget) Adjust(s Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settings = s
+	b.account = min(b.account, s.Burst)
+	b.pace = min(b.pace, s.ResumeBurst)
+}
+
 // OnRequest implements request.RetryBudget.
 func (b *Budget) OnRequest() {
 	b.mu.Lock()
