Entry VMs share loads and places of prompts through the leader

Change: each entry VM tells the leader every 100 ms, where it changed, the memory and unread prompts that it has at engines and which engine has read which prompt; the leader's feed passes the sum of the others and the new places on. An engine that has read a prompt is preferred for it. One slot of each follower keeps to the leader.

--- a/api/gen/chicory/v1/chicoryv1connect/control.connect.go
+++ b/api/gen/chicory/v1/chicoryv1connect/control.connect.go
@@ -51,6 +51,8 @@
 	JournalServiceFetchProcedure = "/chicory.v1.JournalService/Fetch"
 	// FeedServiceFollowProcedure is the fully-qualified name of the FeedService's Follow RPC.
 	FeedServiceFollowProcedure = "/chicory.v1.FeedService/Follow"
+	// FeedServiceShareProcedure is the fully-qualified name of the FeedService's Share RPC.
+	FeedServiceShareProcedure = "/chicory.v1.FeedService/Share"
 )
 
 // ControlServiceClient is a client for the chicory.v1.ControlService service.
@@ -313,6 +315,9 @@
 type FeedServiceClient interface {
 	// Follow streams what changed, and a message without changes as a keepalive.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
+	// Share tells the leading control VM what an entry VM has at its engines. The
+	// leader passes it on to all that follow it; nothing of it is kept on a disk.
+	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
 // NewFeedServiceClient constructs a client for the chicory.v1.FeedService service. By default, it
@@ -332,12 +337,19 @@
 			connect.WithSchema(feedServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		share: connect.NewClient[v1.ShareRequest, v1.ShareResponse](
+			httpClient,
+			baseURL+FeedServiceShareProcedure,
+			connect.WithSchema(feedServiceMethods.ByName("Share")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // feedServiceClient implements FeedServiceClient.
 type feedServiceClient struct {
 	follow *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	share  *connect.Client[v1.ShareRequest, v1.ShareResponse]
 }
 
 // Follow calls chicory.v1.FeedService.Follow.
@@ -345,10 +357,18 @@
 	return c.follow.CallServerStream(ctx, req)
 }
 
+// Share calls chicory.v1.FeedService.Share.
+func (c *feedServiceClient) Share(ctx context.Context, req *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
+	return c.share.CallUnary(ctx, req)
+}
+
 // FeedServiceHandler is an implementation of the chicory.v1.FeedService service.
 type FeedServiceHandler interface {
 	// Follow streams what changed, and a message without changes as a keepalive.
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
+	// Share tells the leading control VM what an entry VM has at its engines. The
+	// leader passes it on to all that follow it; nothing of it is kept on a disk.
+	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
 // NewFeedServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -364,10 +384,18 @@
 		connect.WithSchema(feedServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	feedServiceShareHandler := connect.NewUnaryHandler(
+		FeedServiceShareProcedure,
+		svc.Share,
+		connect.WithSchema(feedServiceMethods.ByName("Share")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/chicory.v1.FeedService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FeedServiceFollowProcedure:
 			feedServiceFollowHandler.ServeHTTP(w, r)
+		case FeedServiceShareProcedure:
+			feedServiceShareHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -380,3 +408,7 @@
 func (UnimplementedFeedServiceHandler) Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("chicory.v1.FeedService.Follow is not implemented"))
 }
+
+func (UnimplementedFeedServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chicory.v1.FeedService.Share is not implemented"))
+}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -44,6 +44,11 @@
 	Version() uint64
 	// Entries gives an estimate of the number of entry VMs, this one included.
 	Entries(n int)
+	// Shared gives what the other entry VMs share through the leader.
+	Shared(loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace)
+	// Share returns what this entry VM shares: all of its loads, and the places since
+	// the last call, or the latest ones if anew says that the receiver knows none.
+	Share(anew bool) (loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace)
 }
 
 // FollowerOptions are what a Follower needs. All are required.
@@ -67,6 +72,8 @@
 	followed map[string]bool
 	// failed says when the last try of an address failed.
 	failed map[string]time.Time
+	// leader is the peer address of the leading control VM, empty if none is known.
+	leader string
 	// followers is the number of entry VMs that follow each one that is followed here.
 	followers map[string]int
 }
@@ -85,9 +92,10 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var slots sync.WaitGroup
-	for range feeds {
-		slots.Go(func() { f.runSlot(ctx) })
+	for i := range feeds {
+		slots.Go(func() { f.runSlot(ctx, i == 0) })
 	}
+	slots.Go(func() { f.share(ctx) })
 	slots.Wait()
 }
 
@@ -107,11 +115,11 @@
 	}
 }
 
-// runSlot follows one control VM after the other.
-func (f *Follower) runSlot(ctx context.Context) {
+// runSlot follows one control VM after the other. One slot keeps to the leader.
+func (f *Follower) runSlot(ctx context.Context, keepsToLeader bool) {
 	for ctx.Err() == nil {
 		if address, ok := f.take(); ok {
-			told, err := f.follow(ctx, address)
+			told, err := f.follow(ctx, address, keepsToLeader)
 			f.release(address)
 			if ctx.Err() == nil && told {
 				f.opts.Logger.Warn(logging.FeedLost, logging.Fields{"control": address, "reason": err})
@@ -121,7 +129,7 @@
 	}
 }
 
-// take reserves the address that failed the longest ago, or never.
+// take reserves the leader's address, or the one that failed the longest ago, or never.
 func (f *Follower) take() (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -134,6 +142,10 @@
 	if len(free) == 0 {
 		return "", false
 	}
+	if slices.Contains(free, f.leader) && time.Since(f.failed[f.leader]) > silence {
+		f.followed[f.leader] = true
+		return f.leader, true
+	}
 	rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
 	best := slices.MinFunc(free, func(a, b string) int { return f.failed[a].Compare(f.failed[b]) })
 	f.followed[best] = true
@@ -151,10 +163,11 @@
 var (
 	errSilentFeed    = errors.New("the feed is silent")
 	errOutsideQuorum = errors.New("the control VM hears no leader")
+	errNotLeader     = errors.New("another control VM leads")
 )
 
 // follow reads one feed to its end. told reports whether it said anything.
-func (f *Follower) follow(ctx context.Context, address string) (told bool, err error) {
+func (f *Follower) follow(ctx context.Context, address string, keepsToLeader bool) (told bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilentFeed) })
@@ -176,6 +189,9 @@
 		}
 		m := stream.Msg()
 		f.deliver(m, address)
+		if keepsToLeader && f.mustChange(address) {
+			return false, errNotLeader
+		}
 		if m.GetInQuorum() {
 			inQuorum = time.Now()
 		} else if time.Since(inQuorum) > outsideQuorum {
@@ -199,6 +215,9 @@
 	if m.GetListIsFresh() {
 		f.opts.Sink.Fresh(from)
 	}
+	if m.GetLeads() {
+		f.opts.Sink.Shared(m.GetLoads(), m.GetPlaces())
+	}
 }
 
 // note takes in what a control VM says of the others, and returns an estimate of the
@@ -208,6 +227,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.learn(m.GetControlAddresses())
+	if m.GetLeader() != "" {
+		f.leader = m.GetLeader()
+	}
 	f.followers[from] = int(m.GetFollowers())
 	sum := 0
 	for _, n := range f.followers {
@@ -217,3 +239,44 @@
 	members := max(len(m.GetControlAddresses()), 1)
 	return max(int(math.Ceil(mean*float64(members)/float64(min(feeds, members)))), 1)
 }
+
+// mustChange reports whether the slot at address leaves the leader unfollowed.
+func (f *Follower) mustChange(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader != "" && f.leader != address && !f.followed[f.leader] && time.Since(f.failed[f.leader]) > silence
+}
+
+const (
+	// shareTimeout bounds one sharing; what it would have told is soon told again.
+	shareTimeout = 300 * time.Millisecond
+	// shareAtLeast is the longest time between two sharings, so that loads count on.
+	shareAtLeast = loadLifetime / 3
+)
+
+// share tells the leader what this entry VM has at its engines, until ctx ends.
+func (f *Follower) share(ctx context.Context) {
+	told, last := "", time.Time{}
+	for pause.For(ctx, ShareInterval) {
+		f.mu.Lock()
+		leader := f.leader
+		f.mu.Unlock()
+		if leader == "" {
+			continue
+		}
+		loads, places := f.opts.Sink.Share(leader != told)
+		if len(loads) == 0 && len(places) == 0 && time.Since(last) < shareAtLeast {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
+		client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(leader))
+		_, err := client.Share(callCtx, connect.NewRequest(&chicoryv1.ShareRequest{
+			EntryId: f.opts.ID, Loads: loads, Places: places,
+		}))
+		cancel()
+		told, last = leader, time.Now()
+		if err != nil {
+			told = "" // the feed tells of the loss; everything is shared anew
+		}
+	}
+}
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -2,6 +2,10 @@
 // and the platform's list of targets. Every control VM offers the feed, whether it
 // leads or not, and an entry VM follows several at once, so that the loss of one
 // delays nothing.
+//
+// The leader's feed also passes on what entry VMs share with each other: the load
+// that they have put on engines, and where prompts were read. It is lost with the
+// leader, and shared anew with the next one.
 package feed
 
 import (
@@ -14,10 +18,15 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 )
 
-// KeepaliveInterval is the longest time between two messages of a feed. A follower
-// that hears nothing for three of them goes elsewhere, well within the second or
-// two that a change may take.
-const KeepaliveInterval = 300 * time.Millisecond
+const (
+	// KeepaliveInterval is the longest time between two messages of a feed. A follower
+	// that hears nothing for three of them goes elsewhere, well within the second or
+	// two that a change may take.
+	KeepaliveInterval = 300 * time.Millisecond
+	// ShareInterval is the time between two messages with shared loads. A prompt takes
+	// an engine several times as long.
+	ShareInterval = 100 * time.Millisecond
+)
 
 // Source is what a feed tells. Each channel closes at the next change.
 type Source interface {
@@ -26,35 +35,47 @@
 	// Targets returns the newest list, nil before the first one, and whether it was
 	// read lately.
 	Targets() (list *chicoryv1.TargetList, fresh bool, changed <-chan struct{})
-	// Members returns the peer addresses of the control VMs, and whether this one
-	// hears a leader.
-	Members() (addresses []string, inQuorum bool)
+	// Members returns the peer addresses of the control VMs and of the leader, empty if
+	// none is heard, and whether this one leads.
+	Members() (addresses []string, leader string, leads bool)
 }
 
 // Server offers the feed of one source.
 type Server struct {
-	Source Source
-
+	source    Source
+	board     *Board
 	followers atomic.Int32
 }
 
+// NewServer returns a server of source.
+func NewServer(source Source) *Server {
+	return &Server{source: source, board: NewBoard()}
+}
+
+// Share implements the feed service.
+func (s *Server) Share(_ context.Context, req *connect.Request[chicoryv1.ShareRequest]) (*connect.Response[chicoryv1.ShareResponse], error) {
+	s.board.Put(req.Msg, time.Now())
+	return connect.NewResponse(&chicoryv1.ShareResponse{}), nil
+}
+
 // Follow implements the feed service. It ends with ctx or when a send fails.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[chicoryv1.FollowRequest], stream *connect.ServerStream[chicoryv1.FollowResponse]) error {
 	s.followers.Add(1)
 	defer s.followers.Add(-1)
-	keepalive := time.NewTicker(KeepaliveInterval)
-	defer keepalive.Stop()
-	f := following{version: req.Msg.GetDeclaredVersion()}
+	f := &following{s: s, entry: req.Msg.GetEntryId(), version: req.Msg.GetDeclaredVersion()}
+	tick := time.NewTicker(ShareInterval)
+	defer tick.Stop()
 	for {
-		message, changed, listChanged := f.next(s.Source)
-		message.Followers = uint32(s.followers.Load())
-		if err := stream.Send(message); err != nil {
-			return err
+		message, changed, listChanged := f.next()
+		if message != nil {
+			if err := stream.Send(message); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-changed:
 		case <-listChanged:
-		case <-keepalive.C:
+		case <-tick.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -63,24 +84,53 @@
 
 // following is what one follower has been told.
 type following struct {
+	s       *Server
+	entry   string
 	version uint64
 	list    *chicoryv1.TargetList
+	board   uint64
+	place   uint64
+	sentAt  time.Time
 }
 
-// next returns the next message and what to wait for after it.
-func (f *following) next(source Source) (m *chicoryv1.FollowResponse, changed, listChanged <-chan struct{}) {
+// next returns the next message, nil if there is nothing to tell yet, and what to
+// wait for after it.
+func (f *following) next() (m *chicoryv1.FollowResponse, changed, listChanged <-chan struct{}) {
 	m = &chicoryv1.FollowResponse{}
-	declaration, changed := source.Declaration()
+	declaration, changed := f.s.source.Declaration()
 	if declaration.GetVersion() > f.version {
 		f.version = declaration.GetVersion()
 		m.Declaration = declaration
 	}
-	list, fresh, listChanged := source.Targets()
+	list, fresh, listChanged := f.s.source.Targets()
 	if list != f.list {
 		f.list = list
 		m.Targets = list
 	}
 	m.ListIsFresh = fresh
-	m.ControlAddresses, m.InQuorum = source.Members()
+	m.ControlAddresses, m.Leader, m.Leads = f.s.source.Members()
+	m.InQuorum = m.GetLeader() != ""
+	m.Followers = uint32(f.s.followers.Load())
+	now := time.Now()
+	shared := f.addShared(m, now)
+	if m.Declaration == nil && m.Targets == nil && !shared && now.Sub(f.sentAt) < KeepaliveInterval {
+		return nil, changed, listChanged
+	}
+	f.sentAt = now
 	return m, changed, listChanged
 }
+
+// addShared adds what entry VMs share, if this control VM leads and it changed.
+func (f *following) addShared(m *chicoryv1.FollowResponse, now time.Time) bool {
+	if !m.GetLeads() {
+		return false
+	}
+	version := f.s.board.Version()
+	m.Loads = f.s.board.Loads(f.entry, now)
+	if version == f.board {
+		return false
+	}
+	f.board = version
+	m.Places, f.place = f.s.board.PlacesSince(f.place)
+	return true
+}
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -91,6 +91,16 @@
 // Entries implements feed.Sink.
 func (r *roster) Entries(n int) { r.share(n) }
 
+// Shared implements feed.Sink.
+func (r *roster) Shared(loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace) {
+	r.engines.SetOthers(loads, places)
+}
+
+// Share implements feed.Sink.
+func (r *roster) Share(anew bool) (loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace) {
+	return r.engines.Own(anew)
+}
+
 // Targets implements feed.Sink.
 func (r *roster) Targets(list *chicoryv1.TargetList, from string) {
 	r.mu.Lock()
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -77,7 +77,7 @@
 func (p *Process) listen(adapter Adapter) error {
 	mux := http.NewServeMux()
 	mux.Handle("/"+chicoryv1connect.ReplicaServiceName+"/", p.replica)
-	path, feeds := chicoryv1connect.NewFeedServiceHandler(&feed.Server{Source: source{p}})
+	path, feeds := chicoryv1connect.NewFeedServiceHandler(feed.NewServer(source{p}))
 	mux.Handle(path, feeds)
 	var err error
 	if p.peers, err = serve(p.replica.id, mux); err != nil {
@@ -111,7 +111,7 @@
 
 // ready reports whether this VM hears a leader.
 func (p *Process) ready() (bool, string) {
-	if _, inQuorum := p.replica.members(); !inQuorum {
+	if _, leader, _ := p.replica.members(); leader == "" {
 		return false, "no leader is known"
 	}
 	return true, ""
--- a/internal/process/keeper/replica.go
+++ b/internal/process/keeper/replica.go
@@ -165,15 +165,16 @@
 	return r.newest, r.changed
 }
 
-// members returns the peer addresses of the members, and whether a leader is heard.
-func (r *replica) members() (addresses []string, inQuorum bool) {
+// members returns the peer addresses of the members and of the leader, empty if none
+// is heard, and whether this VM leads.
+func (r *replica) members() (addresses []string, leader string, leads bool) {
 	node, _, err := r.current()
 	if err != nil {
-		return nil, false
+		return nil, "", false
 	}
 	s := node.Status()
 	for _, m := range s.Members {
 		addresses = append(addresses, m.ID)
 	}
-	return addresses, s.LeaderID != ""
+	return addresses, s.LeaderID, s.Role == consensus.Leader
 }
--- a/internal/process/keeper/source.go
+++ b/internal/process/keeper/source.go
@@ -15,6 +15,6 @@
 	return s.p.list.Targets()
 }
 
-func (s source) Members() (addresses []string, inQuorum bool) {
+func (s source) Members() (addresses []string, leader string, leads bool) {
 	return s.p.replica.members()
 }
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -40,6 +40,8 @@
 	// the one that a prompt belongs to. A caller that comes back, through whatever entry
 	// VM, finds its prompt there.
 	AffinityWeight float64
+	// ReadWeight is the same for an engine that is known to have read the prompt.
+	ReadWeight float64
 	// LostPause is how long an engine that was lost gets no work; each further loss
 	// in a row doubles it, up to MaxLostPause.
 	LostPause    time.Duration
@@ -84,6 +86,9 @@
 	zoneLosses map[string]time.Time
 	// meanTokens is a moving average of the size of runs.
 	meanTokens float64
+	// sharedAt is when the other entry VMs' loads were told last.
+	sharedAt time.Time
+	places   places
 }
 
 // engine is one address of the list. It is guarded by Engines.mu.
@@ -96,7 +101,9 @@
 	// others is the number of runs of other entry VMs as of statedAt.
 	others   int
 	statedAt time.Time
-	losses   int
+	// shared is what other entry VMs have there, as they tell.
+	shared *chicoryv1.EngineLoad
+	losses int
 	// avoidUntil is the end of the pause after a loss.
 	avoidUntil time.Time
 	// aliveAt is when the engine last sent something.
@@ -113,6 +120,7 @@
 		byAddress:  map[string]*engine{},
 		byService:  map[string][]*engine{},
 		zoneLosses: map[string]time.Time{},
+		places:     newPlaces(),
 		meanTokens: float64(s.DefaultMemory) / 16,
 	}
 }
@@ -160,6 +168,7 @@
 	engine  *engine
 	size    Size
 	unread  int
+	prompt  string
 	begun   bool
 	ended   bool
 }
@@ -168,11 +177,18 @@
 func (e *Engines) Place(w Want) (*Run, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	x := e.choose(w, "", time.Now())
+	now := time.Now()
+	x := e.choose(w, "", now)
 	if x == nil {
 		return nil, fault.New(fault.NoTarget, "service %s has no engine that can take the request", w.Service)
 	}
-	return e.begin(x, w.Size, w.Size.Prompt), nil
+	unread := w.Size.Prompt
+	if e.places.has(w.Prompt, x.target, now) {
+		unread = 0
+	}
+	r := e.begin(x, w.Size, unread)
+	r.prompt = w.Prompt
+	return r, nil
 }
 
 // Continue places a run at the engine that keeps a backup of it, of which unread
@@ -228,12 +244,15 @@
 		}
 		eligible = append(eligible, x)
 	}
-	home := homeOf(w.Prompt, eligible, now)
+	home := e.homeOf(w.Prompt, eligible, now)
 	var best *engine
 	lowest := 0.0
 	for _, x := range eligible {
 		score := e.score(x, awayFrom == "", now) + rand.Float64()*tieSpread
-		if x == home {
+		switch {
+		case e.places.has(w.Prompt, x.target, now):
+			score -= e.settings.ReadWeight
+		case x == home:
 			score -= e.settings.AffinityWeight
 		}
 		if best == nil || score < lowest {
@@ -246,7 +265,7 @@
 // homeOf returns the engine that a prompt belongs to: the one with the highest hash
 // of both. Entry VMs that know the same engines agree on it without telling each
 // other, and only the prompts of an engine that is lost move.
-func homeOf(prompt string, engines []*engine, now time.Time) *engine {
+func (e *Engines) homeOf(prompt string, engines []*engine, now time.Time) *engine {
 	if prompt == "" {
 		return nil
 	}
@@ -278,7 +297,10 @@
 // beside that.
 func (e *Engines) score(x *engine, nearer bool, now time.Time) float64 {
 	tokens := float64(x.tokens+x.backups) + e.settings.PromptWeight*float64(x.prompts)
-	if now.Sub(x.statedAt) < e.settings.LoadLifetime {
+	switch {
+	case now.Sub(e.sharedAt) < e.settings.LoadLifetime:
+		tokens += float64(x.shared.GetTokens()) + e.settings.PromptWeight*float64(x.shared.GetUnread())
+	case now.Sub(x.statedAt) < e.settings.LoadLifetime:
 		tokens += float64(x.others) * e.meanTokens
 	}
 	score := tokens / float64(x.memory)
@@ -295,6 +317,41 @@
 	return score
 }
 
+// SetOthers takes in what the other entry VMs have at engines, and where prompts were
+// read.
+func (e *Engines) SetOthers(loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.sharedAt = now
+	for _, x := range e.byAddress {
+		x.shared = nil
+	}
+	for _, l := range loads {
+		if x := e.byAddress[l.GetAddress()]; x != nil {
+			x.shared = l
+		}
+	}
+	for _, p := range places {
+		e.places.add(p, now)
+	}
+}
+
+// Own returns what this entry VM has at engines, and the places since the last call,
+// or all of its latest ones.
+func (e *Engines) Own(all bool) (loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, x := range e.byAddress {
+		if x.tokens+x.backups+x.prompts > 0 {
+			loads = append(loads, &chicoryv1.EngineLoad{
+				Address: address, Tokens: uint32(x.tokens + x.backups), Unread: uint32(max(x.prompts, 0)),
+			})
+		}
+	}
+	return loads, e.places.takeOwn(all)
+}
+
 // Stated takes in the number of runs that the engine stated in an answer.
 func (r *Run) Stated(running int) {
 	r.engines.mu.Lock()
@@ -316,6 +373,9 @@
 func (r *Run) PromptRead() {
 	r.engines.mu.Lock()
 	defer r.engines.mu.Unlock()
+	if !r.begun && r.prompt != "" {
+		r.engines.places.addOwn(r.prompt, r.Target, time.Now())
+	}
 	r.begun = true
 	r.engine.prompts -= r.unread
 	r.unread = 0
