A leaving entry VM refuses streams at once; resumed runs have their place known

Cause: a stream that is taken after the signal to stop would be cut at the end of the grace; a run that went on at another engine was still looked for at the first.

--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -84,7 +84,12 @@
 	return f, nil
 }
 
-// Leave lets callers know with each answer that the connection closes.
+// leavingWait is when a caller may come back after this VM refused because it leaves:
+// other entry VMs serve.
+const leavingWait = 20 * time.Millisecond
+
+// Leave lets callers know with each answer that the connection closes, and refuses
+// streams, which would be cut at the end of the grace.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
 // Refuse answers further requests with the kind Draining.
@@ -186,8 +191,8 @@
 	if err := readBody(r, req, limits.BodyBytes); err != nil {
 		return nil, err
 	}
-	if f.refusing.Load() {
-		return nil, fault.New(fault.Draining, "the entry VM is shutting down")
+	if f.refusing.Load() || f.leaving.Load() && a.Route.Stream {
+		return nil, fault.New(fault.Draining, "the entry VM is shutting down").WithRetryAfter(leavingWait)
 	}
 	return a, nil
 }
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -73,7 +73,7 @@
 func (st *stream) place() (*placement.Run, *chicoryv1.ListedTarget, error) {
 	if from := st.backup; from != nil {
 		st.backup = nil
-		if run := st.s.opts.Engines.Continue(from, st.size, 0); run != nil {
+		if run := st.s.opts.Engines.Continue(from, st.a.Prompt, st.size); run != nil {
 			return run, from, nil
 		}
 	}
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -191,16 +191,18 @@
 	return r, nil
 }
 
-// Continue places a run at the engine that keeps a backup of it, of which unread
-// prompt tokens are missing. It returns nil if the engine left or was lost.
-func (e *Engines) Continue(backup *chicoryv1.ListedTarget, size Size, unread int) *Run {
+// Continue places a run at the engine that keeps a backup of it. It returns nil if the
+// engine left or was lost.
+func (e *Engines) Continue(backup *chicoryv1.ListedTarget, prompt string, size Size) *Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x := e.byAddress[backup.GetAddress()]
 	if x == nil || x.target.GetInstance() != backup.GetInstance() || time.Now().Before(x.avoidUntil) {
 		return nil
 	}
-	return e.begin(x, size, unread)
+	r := e.begin(x, size, 0)
+	r.prompt = prompt
+	return r
 }
 
 func (e *Engines) begin(x *engine, size Size, unread int) *Run {
