Stale engines count as a loss of their zone

Cause: after a zone's engines started anew, a request was refused by each of them in turn, six in all, before the list told of it.

--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -152,7 +152,7 @@
 func Defaults() Settings {
 	return Settings{
 		MaxAnswerBytes:  8 << 20, // twice the largest body that routes take
-		MaxRefusals:     6,       // the targets of one zone
+		MaxRefusals:     12,      // twice the targets of one zone, each of which costs a round trip
 		FirstEvent:      600 * time.Millisecond,
 		PromptRate:      2500, // half of what an idle engine reads
 		ProbeInterval:   time.Second,
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -409,7 +409,9 @@
 func (r *Run) MarkStale() {
 	r.engines.mu.Lock()
 	defer r.engines.mu.Unlock()
-	r.engine.avoidUntil = time.Now().Add(r.engines.settings.StalePause)
+	now := time.Now()
+	r.engine.avoidUntil = now.Add(r.engines.settings.StalePause)
+	r.engines.zoneLosses[r.engine.target.GetAvailabilityZone()] = now
 }
 
 // maxDoublings keeps the pause from overflowing.
