Prompts have a home engine: the weights were never set

Cause: the defaults lacked the two weights, so that neither the home nor a known place of a prompt counted.

--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -64,6 +64,8 @@
 	return Settings{
 		PromptWeight:   2,                      // reading takes about twice as long as the generation of as many bytes
 		ZoneWeight:     0.05,                   // half of a usual run's share of an engine
+		AffinityWeight: 0.15,                   // above one run, below one prompt that waits to be read
+		ReadWeight:     0.6,                    // two prompts that wait to be read
 		LostPause:      500 * time.Millisecond, // restarts of engines take about a second
 		MaxLostPause:   2 * time.Second,        // the list names a dead engine for some seconds
 		StalePause:     3 * time.Second,        // the list lags by a second or two
