One retry bound that entry VMs share

The number of entry VMs was estimated too high, since every one follows the leader.

Change: entry VMs tell each other through the leader what they sent to each service within the window; while the sum is below six tenths of the bound any of them may spend, otherwise each keeps to its own account. The leader counts entry VMs.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -29,6 +29,7 @@
 
 type sharedLoads struct {
 	loads []*chicoryv1.EngineLoad
+	uses  []*chicoryv1.ServiceUse
 	at    time.Time
 }
 
@@ -42,7 +43,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.version++
-	b.byEntry[r.GetEntryId()] = sharedLoads{loads: r.GetLoads(), at: now}
+	b.byEntry[r.GetEntryId()] = sharedLoads{loads: r.GetLoads(), uses: r.GetUses(), at: now}
 	b.places = append(b.places, r.GetPlaces()...)
 	if over := len(b.places) - placesKept; over > 0 {
 		b.places = append([]*chicoryv1.PromptPlace(nil), b.places[over:]...)
@@ -50,32 +51,59 @@
 	}
 }
 
-// Loads returns the sum of the loads of all entry VMs but one, by engine.
-func (b *Board) Loads(except string, now time.Time) []*chicoryv1.EngineLoad {
+// Others is the sum of what all entry VMs but one share.
+type Others struct {
+	Loads []*chicoryv1.EngineLoad
+	Uses  []*chicoryv1.ServiceUse
+	// Entries counts the entry VMs, the one left out included.
+	Entries int
+}
+
+// Others sums up what all entry VMs but one share.
+func (b *Board) Others(except string, now time.Time) Others {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sum := map[string]*chicoryv1.EngineLoad{}
-	var out []*chicoryv1.EngineLoad
+	sum := sums{loads: map[string]*chicoryv1.EngineLoad{}, uses: map[string]*chicoryv1.ServiceUse{}}
 	for entry, shared := range b.byEntry {
-		if now.Sub(shared.at) > loadLifetime {
+		switch {
+		case now.Sub(shared.at) > loadLifetime:
 			delete(b.byEntry, entry)
-			continue
+		case entry != except:
+			sum.add(shared)
 		}
-		if entry == except {
-			continue
+	}
+	sum.out.Entries = len(b.byEntry)
+	return sum.out
+}
+
+// sums adds up by engine and by service.
+type sums struct {
+	loads map[string]*chicoryv1.EngineLoad
+	uses  map[string]*chicoryv1.ServiceUse
+	out   Others
+}
+
+func (s *sums) add(shared sharedLoads) {
+	for _, l := range shared.loads {
+		total := s.loads[l.GetAddress()]
+		if total == nil {
+			total = &chicoryv1.EngineLoad{Address: l.GetAddress()}
+			s.loads[l.GetAddress()] = total
+			s.out.Loads = append(s.out.Loads, total)
 		}
-		for _, l := range shared.loads {
-			total := sum[l.GetAddress()]
-			if total == nil {
-				total = &chicoryv1.EngineLoad{Address: l.GetAddress()}
-				sum[l.GetAddress()] = total
-				out = append(out, total)
-			}
-			total.Tokens += l.GetTokens()
-			total.Unread += l.GetUnread()
+		total.Tokens += l.GetTokens()
+		total.Unread += l.GetUnread()
+	}
+	for _, u := range shared.uses {
+		total := s.uses[u.GetService()]
+		if total == nil {
+			total = &chicoryv1.ServiceUse{Service: u.GetService()}
+			s.uses[u.GetService()] = total
+			s.out.Uses = append(s.out.Uses, total)
 		}
+		total.Requests += u.GetRequests()
+		total.FurtherAttempts += u.GetFurtherAttempts()
 	}
-	return out
 }
 
 // Version returns a number that grows with each change.
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -42,13 +41,11 @@
 	Fresh(from string)
 	// Version returns the declared version in force.
 	Version() uint64
-	// Entries gives an estimate of the number of entry VMs, this one included.
-	Entries(n int)
 	// Shared gives what the other entry VMs share through the leader.
-	Shared(loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace)
-	// Share returns what this entry VM shares: all of its loads, and the places since
-	// the last call, or the latest ones if anew says that the receiver knows none.
-	Share(anew bool) (loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace)
+	Shared(o Others, places []*chicoryv1.PromptPlace)
+	// Share returns what this entry VM shares: all of its loads and uses, and the places
+	// since the last call, or the latest ones if anew says that the receiver knows none.
+	Share(anew bool) *chicoryv1.ShareRequest
 }
 
 // FollowerOptions are what a Follower needs. All are required.
@@ -74,18 +71,15 @@
 	failed map[string]time.Time
 	// leader is the peer address of the leading control VM, empty if none is known.
 	leader string
-	// followers is the number of entry VMs that follow each one that is followed here.
-	followers map[string]int
 }
 
 // NewFollower returns a follower that doesn't follow yet.
 func NewFollower(opts FollowerOptions) *Follower {
 	return &Follower{
-		opts:      opts,
-		known:     slices.Clone(opts.Seeds),
-		followed:  map[string]bool{},
-		failed:    map[string]time.Time{},
-		followers: map[string]int{},
+		opts:     opts,
+		known:    slices.Clone(opts.Seeds),
+		followed: map[string]bool{},
+		failed:   map[string]time.Time{},
 	}
 }
 
@@ -156,7 +150,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.followed, address)
-	delete(f.followers, address)
 	f.failed[address] = time.Now()
 }
 
@@ -205,7 +198,7 @@
 }
 
 func (f *Follower) deliver(m *chicoryv1.FollowResponse, from string) {
-	f.opts.Sink.Entries(f.note(m, from))
+	f.note(m)
 	if m.GetDeclaration() != nil {
 		f.opts.Sink.Declaration(m.GetDeclaration(), from)
 	}
@@ -216,28 +209,18 @@
 		f.opts.Sink.Fresh(from)
 	}
 	if m.GetLeads() {
-		f.opts.Sink.Shared(m.GetLoads(), m.GetPlaces())
+		f.opts.Sink.Shared(Others{Loads: m.GetLoads(), Uses: m.GetUses(), Entries: int(m.GetEntries())}, m.GetPlaces())
 	}
 }
 
-// note takes in what a control VM says of the others, and returns an estimate of the
-// number of entry VMs: each follows a few control VMs drawn at random, so the mean of
-// their followers grows with it.
-func (f *Follower) note(m *chicoryv1.FollowResponse, from string) (entries int) {
+// note takes in what a control VM says of the others.
+func (f *Follower) note(m *chicoryv1.FollowResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.learn(m.GetControlAddresses())
 	if m.GetLeader() != "" {
 		f.leader = m.GetLeader()
 	}
-	f.followers[from] = int(m.GetFollowers())
-	sum := 0
-	for _, n := range f.followers {
-		sum += n
-	}
-	mean := float64(sum) / float64(len(f.followers))
-	members := max(len(m.GetControlAddresses()), 1)
-	return max(int(math.Ceil(mean*float64(members)/float64(min(feeds, members)))), 1)
 }
 
 // mustChange reports whether the slot at address leaves the leader unfollowed.
@@ -264,15 +247,14 @@
 		if leader == "" {
 			continue
 		}
-		loads, places := f.opts.Sink.Share(leader != told)
-		if len(loads) == 0 && len(places) == 0 && time.Since(last) < shareAtLeast {
+		request := f.opts.Sink.Share(leader != told)
+		if len(request.GetLoads()) == 0 && len(request.GetPlaces()) == 0 && time.Since(last) < shareAtLeast {
 			continue
 		}
+		request.EntryId = f.opts.ID
 		callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
 		client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(leader))
-		_, err := client.Share(callCtx, connect.NewRequest(&chicoryv1.ShareRequest{
-			EntryId: f.opts.ID, Loads: loads, Places: places,
-		}))
+		_, err := client.Share(callCtx, connect.NewRequest(request))
 		cancel()
 		told, last = leader, time.Now()
 		if err != nil {
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -42,9 +41,8 @@
 
 // Server offers the feed of one source.
 type Server struct {
-	source    Source
-	board     *Board
-	followers atomic.Int32
+	source Source
+	board  *Board
 }
 
 // NewServer returns a server of source.
@@ -60,8 +58,6 @@
 
 // Follow implements the feed service. It ends with ctx or when a send fails.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[chicoryv1.FollowRequest], stream *connect.ServerStream[chicoryv1.FollowResponse]) error {
-	s.followers.Add(1)
-	defer s.followers.Add(-1)
 	f := &following{s: s, entry: req.Msg.GetEntryId(), version: req.Msg.GetDeclaredVersion()}
 	tick := time.NewTicker(ShareInterval)
 	defer tick.Stop()
@@ -110,7 +106,6 @@
 	m.ListIsFresh = fresh
 	m.ControlAddresses, m.Leader, m.Leads = f.s.source.Members()
 	m.InQuorum = m.GetLeader() != ""
-	m.Followers = uint32(f.s.followers.Load())
 	now := time.Now()
 	shared := f.addShared(m, now)
 	if m.Declaration == nil && m.Targets == nil && !shared && now.Sub(f.sentAt) < KeepaliveInterval {
@@ -126,7 +121,8 @@
 		return false
 	}
 	version := f.s.board.Version()
-	m.Loads = f.s.board.Loads(f.entry, now)
+	others := f.s.board.Others(f.entry, now)
+	m.Loads, m.Uses, m.Entries = others.Loads, others.Uses, uint32(others.Entries)
 	if version == f.board {
 		return false
 	}
--- a/internal/process/entry/budgets.go
+++ b/internal/process/entry/budgets.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/retry"
 )
@@ -16,11 +17,11 @@
 
 	mu        sync.Mutex // guards the fields below
 	entries   int
-	byService map[string]*retry.Budget
+	byService map[string]*retry.Shared
 }
 
 func newBudgets(s RetrySettings, registry metrics.Registry) *budgets {
-	return &budgets{settings: s, registry: registry, entries: unknownEntries, byService: map[string]*retry.Budget{}}
+	return &budgets{settings: s, registry: registry, entries: unknownEntries, byService: map[string]*retry.Shared{}}
 }
 
 // of returns the budget of a service.
@@ -29,17 +30,41 @@
 	defer b.mu.Unlock()
 	budget := b.byService[service]
 	if budget == nil {
-		budget = retry.NewBudget(retry.Options{Settings: b.settings.budget(b.entries), Registry: b.registry})
+		own := retry.NewBudget(retry.Options{Settings: b.settings.budget(b.entries), Registry: b.registry})
+		budget = retry.NewShared(b.settings.bound(), own)
 		b.byService[service] = budget
 	}
 	return budget
 }
 
-// share splits the bounds anew over the number of entry VMs.
-func (b *budgets) share(entries int) {
+// uses returns what this entry VM sent to each service.
+func (b *budgets) uses() []*chicoryv1.ServiceUse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if entries == b.entries {
+	var out []*chicoryv1.ServiceUse
+	for service, budget := range b.byService {
+		if u := budget.Own(); u != (retry.Use{}) {
+			out = append(out, &chicoryv1.ServiceUse{
+				Service: service, Requests: uint32(u.Requests), FurtherAttempts: uint32(u.Further),
+			})
+		}
+	}
+	return out
+}
+
+// setOthers takes in what the other entry VMs sent to each service, and splits the
+// bounds anew over the number of entry VMs.
+func (b *budgets) setOthers(uses []*chicoryv1.ServiceUse, entries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	byService := map[string]retry.Use{}
+	for _, u := range uses {
+		byService[u.GetService()] = retry.Use{Requests: int(u.GetRequests()), Further: int(u.GetFurtherAttempts())}
+	}
+	for service, budget := range b.byService {
+		budget.SetOthers(byService[service])
+	}
+	if entries == b.entries || entries == 0 {
 		return
 	}
 	b.entries = entries
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -61,7 +61,7 @@
 		pool:     http1.NewPool(http1.Defaults(), registry),
 		budgets:  newBudgets(s.Retry, registry),
 	}
-	p.roster = newRoster(adapter, engines, p.budgets.share, log)
+	p.roster = newRoster(adapter, engines, p.budgets, log)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
 		Seeds:  settings.WithPort(s.Seeds, s.PeerPort),
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -6,6 +6,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
@@ -33,9 +34,8 @@
 	declared *declared.Holder
 	targets  *config.Holder
 	engines  *placement.Engines
-	// share is told the number of entry VMs.
-	share  func(entries int)
-	logger *logging.Logger
+	budgets  *budgets
+	logger   *logging.Logger
 	// started is closed when a configuration and a list are in force.
 	started chan struct{}
 
@@ -50,13 +50,13 @@
 	gone    map[start]time.Time
 }
 
-func newRoster(decoder Decoder, engines *placement.Engines, share func(entries int), logger *logging.Logger) *roster {
+func newRoster(decoder Decoder, engines *placement.Engines, budgets *budgets, logger *logging.Logger) *roster {
 	return &roster{
 		decoder:  decoder,
 		declared: &declared.Holder{},
 		targets:  &config.Holder{},
 		engines:  engines,
-		share:    share,
+		budgets:  budgets,
 		started:  make(chan struct{}),
 		logger:   logger,
 		leaving:  map[start]bool{},
@@ -88,17 +88,16 @@
 // Version implements feed.Sink.
 func (r *roster) Version() uint64 { return r.declared.Version() }
 
-// Entries implements feed.Sink.
-func (r *roster) Entries(n int) { r.share(n) }
-
 // Shared implements feed.Sink.
-func (r *roster) Shared(loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace) {
-	r.engines.SetOthers(loads, places)
+func (r *roster) Shared(o feed.Others, places []*chicoryv1.PromptPlace) {
+	r.engines.SetOthers(o.Loads, places)
+	r.budgets.setOthers(o.Uses, o.Entries)
 }
 
 // Share implements feed.Sink.
-func (r *roster) Share(anew bool) (loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace) {
-	return r.engines.Own(anew)
+func (r *roster) Share(anew bool) *chicoryv1.ShareRequest {
+	loads, places := r.engines.Own(anew)
+	return &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.budgets.uses()}
 }
 
 // Targets implements feed.Sink.
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -79,6 +79,11 @@
 	resumePart = 0.5
 )
 
+// bound returns the bound over all entry VMs.
+func (s RetrySettings) bound() retry.Bound {
+	return retry.Bound{Ratio: s.Ratio * ratioMargin, Extra: s.Extra * extraMargin, Window: s.Window.Std()}
+}
+
 // budget returns the settings of one service's budget at one of the entry VMs. Over
 // any window it allows no more than this VM's share.
 func (s RetrySettings) budget(entries int) retry.Settings {
