Tests of exchanges and target connections; latency histograms without a task of their own

The timers of the metrics package start a task that ticks for ever, which no test in virtual time outlives; histograms hold the same figures.

--- /dev/null
+++ b/internal/connection/http1/http1_test.go
@@ -0,0 +1,270 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
+)
+
+const limit = 1 << 20
+
+// target serves each connection with a script over loopback.
+type target struct {
+	address string
+	opened  chan struct{}
+}
+
+func startTarget(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) *target {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	x := &target{address: ln.Addr().String(), opened: make(chan struct{}, 100)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			x.opened <- struct{}{}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return x
+}
+
+// answerEach answers every request on a connection with the text.
+func answerEach(text string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func newPool() *http1.Pool { return http1.NewPool(http1.Defaults(), metrics.NewRegistry()) }
+
+func get(ctx context.Context, p *http1.Pool, address string) (string, error) {
+	x, err := p.Send(ctx, address, &http1.Request{Method: "GET", URI: "/x", Host: "h"})
+	if err != nil {
+		return "", err
+	}
+	a, err := x.Read()
+	if err != nil {
+		return "", err
+	}
+	b, err := a.ReadAll(limit)
+	if err != nil {
+		a.Abandon()
+		return "", err
+	}
+	a.Finish()
+	return string(b), nil
+}
+
+func TestConnectionIsUsedAgainOnlyAfterAWholeAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer      string
+		connections int
+	}{
+		"whole":              {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1},
+		"chunked":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1},
+		"interim first":      {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1},
+		"bytes after":        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", 2},
+		"announces a close":  {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 2},
+		"kept for too short": {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := startTarget(t, answerEach(c.answer))
+			p := newPool()
+			defer p.Close()
+			for range 2 {
+				body, err := get(t.Context(), p, x.address)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "ok")
+			}
+			assert.Equal(t, len(x.opened), c.connections)
+		})
+	}
+}
+
+func TestBodyWithoutLengthEndsWithTheConnection(t *testing.T) {
+	x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall of it")
+	})
+	body, err := get(t.Context(), newPool(), x.address)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "all of it")
+}
+
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"short body":   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+		"short chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"short head":   "HTTP/1.1 200 OK\r\nContent-",
+		"no answer":    "",
+		"not HTTP":     "\x00\x01\x02\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = http.ReadRequest(r)
+				_, _ = io.WriteString(c, text)
+			})
+			_, err := get(t.Context(), newPool(), x.address)
+			assert.Assert(t, err != nil && !http1.IsNotSent(err), "the target may have run it: %v", err)
+		})
+	}
+}
+
+func TestResetBodyWithoutLengthIsNotWhole(t *testing.T) {
+	x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nsome")
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := get(t.Context(), newPool(), x.address)
+	assert.Assert(t, err != nil)
+}
+
+func TestRefusedConnectionSaysThatNothingWasSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	_, err = get(t.Context(), newPool(), address)
+	assert.Assert(t, http1.IsNotSent(err))
+	assert.ErrorContains(t, err, address)
+}
+
+// TestClosedIdleConnectionIsNotUsed closes the connection after each answer without
+// saying so: the next request must not meet it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	p := newPool()
+	for range 5 {
+		_, err := get(t.Context(), p, x.address)
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestLateSecondAnswerIsNotTakenForTheNextOne sends a second answer while the
+// connection is idle.
+func TestLateSecondAnswerIsNotTakenForTheNextOne(t *testing.T) {
+	x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		_, _ = http.ReadRequest(r)
+	})
+	p := newPool()
+	for range 3 {
+		body, err := get(t.Context(), p, x.address)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+		time.Sleep(40 * time.Millisecond)
+	}
+}
+
+// TestEarlyAnswerLeavesNoOtherBytesWhereTheBodyIsDue answers before a long body was
+// read: the rest of the body comes, or the connection ends, but no other request.
+func TestEarlyAnswerLeavesNoOtherBytesWhereTheBodyIsDue(t *testing.T) {
+	rest := make(chan int, 10)
+	x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
+		time.Sleep(50 * time.Millisecond)
+		b, _ := io.ReadAll(req.Body)
+		rest <- strings.Count(string(b), "x")
+		assert.Check(t, !strings.Contains(string(b), "GET /"))
+	})
+	p := newPool()
+	body := []byte(strings.Repeat("x", 4<<20))
+	ex, err := p.Send(t.Context(), x.address, &http1.Request{Method: "POST", URI: "/x", Host: "h", Body: body, HasBody: true})
+	assert.NilError(t, err)
+	a, err := ex.Read()
+	assert.NilError(t, err)
+	_, err = a.ReadAll(limit)
+	assert.NilError(t, err)
+	a.Finish()
+	_, err = get(t.Context(), p, x.address)
+	assert.NilError(t, err)
+	assert.Equal(t, len(x.opened), 2, "the second request has a connection of its own")
+	<-rest
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan error, 1)
+	x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, err := r.ReadByte()
+		closed <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	_, err := get(ctx, newPool(), x.address)
+	assert.Assert(t, err != nil && !http1.IsNotSent(err))
+	assert.Assert(t, <-closed != nil, "a target that is still at work sees the end")
+}
+
+func TestDropClosesIdleConnections(t *testing.T) {
+	x := startTarget(t, answerEach("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	p := newPool()
+	for range 2 {
+		_, err := get(t.Context(), p, x.address)
+		assert.NilError(t, err)
+		p.Drop(x.address)
+	}
+	assert.Equal(t, len(x.opened), 2)
+}
+
+// FuzzAnswer feeds arbitrary bytes as an answer: it must end, and what is given back
+// as whole must not be longer than what came.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(far))
+				_, _ = far.Write(answer)
+				_ = far.Close()
+			}()
+			return near, nil
+		}
+		p := http1.NewPoolOn(dial, http1.Defaults(), metrics.NewRegistry())
+		body, err := get(t.Context(), p, "target")
+		assert.Assert(t, err != nil || len(body) <= len(answer))
+	})
+}
--- a/internal/connection/http1/pool.go
+++ b/internal/connection/http1/pool.go
@@ -42,7 +42,7 @@
 // Pool keeps idle connections by target address. It is safe for concurrent use.
 type Pool struct {
 	settings Settings
-	dialer   net.Dialer
+	dial     Dial
 	dialed   metrics.Counter
 	reused   metrics.Counter
 
@@ -50,11 +50,19 @@
 	idle map[string][]*conn
 }
 
+// Dial opens a connection to a target.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewPool returns an empty pool that counts in registry.
 func NewPool(s Settings, registry metrics.Registry) *Pool {
+	return NewPoolOn((&net.Dialer{Timeout: s.DialTimeout}).DialContext, s, registry)
+}
+
+// NewPoolOn is NewPool with another way to open connections.
+func NewPoolOn(dial Dial, s Settings, registry metrics.Registry) *Pool {
 	return &Pool{
 		settings: s,
-		dialer:   net.Dialer{Timeout: s.DialTimeout},
+		dial:     dial,
 		dialed:   metrics.GetOrRegisterCounter("target.connections.dialed", registry),
 		reused:   metrics.GetOrRegisterCounter("target.connections.reused", registry),
 		idle:     map[string][]*conn{},
@@ -70,7 +78,7 @@
 		}
 		c.close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -190,9 +190,9 @@
 }
 
 type serviceMetrics struct {
-	calls, streams          metrics.Timer
-	firstEvent              metrics.Timer
-	retried, resumed, broke metrics.Counter
+	// Latencies in milliseconds.
+	calls, streams, firstEvent metrics.Histogram
+	retried, resumed, broke    metrics.Counter
 }
 
 // New returns a service.
@@ -202,9 +202,9 @@
 		opts: opts,
 		pace: pace.NewLatencies(),
 		metrics: serviceMetrics{
-			calls:      metrics.GetOrRegisterTimer("request.call.seconds", r),
-			streams:    metrics.GetOrRegisterTimer("request.stream.seconds", r),
-			firstEvent: metrics.GetOrRegisterTimer("request.stream.first_event.seconds", r),
+			calls:      latencyHistogram("request.call.ms", r),
+			streams:    latencyHistogram("request.stream.ms", r),
+			firstEvent: latencyHistogram("request.stream.first_event.ms", r),
 			retried:    metrics.GetOrRegisterCounter("request.retried", r),
 			resumed:    metrics.GetOrRegisterCounter("request.stream.resumed", r),
 			broke:      metrics.GetOrRegisterCounter("request.stream.broken_off", r),
@@ -212,6 +212,19 @@
 	}
 }
 
+const (
+	// sampleSize and sampleAlpha give percentiles within a few percent, weighted to the
+	// last five minutes.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+func latencyHistogram(name string, r metrics.Registry) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
+func since(h metrics.Histogram, begin time.Time) { h.Update(time.Since(begin).Milliseconds()) }
+
 // BrokenOff says that the answer had begun and can't be completed: the caller's
 // connection must end without the answer's end.
 type BrokenOff struct{ Reason string }
@@ -226,10 +239,10 @@
 	defer cancel()
 	s.opts.Budget(a.Service.Name).OnRequest()
 	if a.Route.Stream {
-		defer s.metrics.streams.UpdateSince(a.Arrived)
+		defer since(s.metrics.streams, a.Arrived)
 		return s.serveStream(ctx, w, a)
 	}
-	defer s.metrics.calls.UpdateSince(a.Arrived)
+	defer since(s.metrics.calls, a.Arrived)
 	if a.Route.Repetition == declared.Once {
 		return s.serveOnce(ctx, w, a)
 	}
--- /dev/null
+++ b/internal/request/exchange/harness_test.go
@@ -0,0 +1,293 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
+)
+
+// words is a small target protocol.
+type words struct{}
+
+func (words) EncodeDispatch(r *Request, d Dispatch) http.Header {
+	h := http.Header{}
+	h.Set("Id", r.ID)
+	h.Set("Instance", d.Instance)
+	h.Set("Left", strconv.FormatInt(d.TimeLeft.Milliseconds(), 10))
+	if d.LastEvent > 0 {
+		h.Set("Last-Event", strconv.Itoa(d.LastEvent))
+	}
+	if d.BackupTo != "" {
+		h.Set("Backup", d.BackupTo)
+	}
+	if d.ContinueFrom != "" {
+		h.Set("From", d.ContinueFrom)
+	}
+	return h
+}
+
+func (words) DecodeReply(_ int, h http.Header) Reply {
+	return Reply{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// world has targets in memory. Each serves one request a connection with its script.
+type world struct {
+	mu      sync.Mutex // guards the fields below
+	targets map[string]func(c net.Conn, r *http.Request)
+	// ran counts the requests that targets began to work on.
+	ran int
+	// reports answers probes by address; a missing one doesn't answer.
+	reports map[string]EngineReport
+}
+
+func newWorld() *world {
+	return &world{targets: map[string]func(net.Conn, *http.Request){}, reports: map[string]EngineReport{}}
+}
+
+func (w *world) set(address string, script func(c net.Conn, r *http.Request)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.targets[address] = script
+}
+
+// runs returns the number of requests that targets began to work on.
+func (w *world) runs() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ran
+}
+
+// inBubble runs f in virtual time and lets the targets finish.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f(t)
+		time.Sleep(time.Minute)
+	})
+}
+
+func (w *world) noteRun() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ran++
+}
+
+func (w *world) dial(_ context.Context, _, address string) (net.Conn, error) {
+	w.mu.Lock()
+	script := w.targets[address]
+	w.mu.Unlock()
+	if script == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(far))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		script(far, r)
+	}()
+	return near, nil
+}
+
+func (w *world) Report(ctx context.Context, address, _ string) (EngineReport, error) {
+	w.mu.Lock()
+	report, ok := w.reports[address]
+	w.mu.Unlock()
+	if !ok {
+		<-ctx.Done()
+		return EngineReport{}, ctx.Err()
+	}
+	return report, nil
+}
+
+// firstFree picks the targets in their order.
+type firstFree []string
+
+func (f firstFree) Pick(w request.Work, exclude []string) (request.Placement, error) {
+	for _, address := range f {
+		if !strings.Contains(strings.Join(exclude, " "), address) {
+			return request.Placement{
+				Target: &chicoryv1.Target{Address: address, Instance: "i-" + address},
+				Done:   func(request.Result, time.Duration) {},
+			}, nil
+		}
+	}
+	return request.Placement{}, fault.New(fault.NoTarget, "no target of service %s", w.Route.GetService())
+}
+
+// plenty allows every further attempt.
+type plenty struct{}
+
+func (plenty) OnRequest()                                    {}
+func (plenty) Allow(request.RetryKind) (bool, time.Duration) { return true, 0 }
+
+// none allows no further attempt.
+type none struct{}
+
+func (none) OnRequest()                                    {}
+func (none) Allow(request.RetryKind) (bool, time.Duration) { return false, time.Second }
+
+// service returns a service over the world's targets, which are engines as well: the
+// first half in zone a, the others in zone b.
+func (w *world) service(budget request.RetryBudget, addresses ...string) (*Service, *placement.Engines) {
+	engines := placement.NewEngines(placement.Defaults(), "a")
+	var listed []*chicoryv1.ListedTarget
+	for i, address := range addresses {
+		zone := "a"
+		if i >= (len(addresses)+1)/2 {
+			zone = "b"
+		}
+		listed = append(listed, &chicoryv1.ListedTarget{
+			Address: address, Instance: "i-" + address, Service: "s", AvailabilityZone: zone,
+		})
+	}
+	engines.Update(listed, func(string) int { return 50_000 })
+	return New(Options{
+		Pool:     http1.NewPoolOn(w.dial, http1.Defaults(), metrics.NewRegistry()),
+		Protocol: words{},
+		Prober:   w,
+		Picker:   firstFree(addresses),
+		Loads:    observe.NewTable(observe.Defaults()),
+		Engines:  engines,
+		Budget:   func(string) request.RetryBudget { return budget },
+		Logger:   logging.Discard(),
+		Registry: metrics.NewRegistry(),
+		Settings: Defaults(),
+	}), engines
+}
+
+// admitted returns a request of a route with the kind of repetition.
+func admitted(repetition declared.Repetition, stream bool) *Admitted {
+	now := time.Now()
+	return &Admitted{
+		Request: &Request{ID: "r1", Arrived: now, Method: "POST", URI: "/x/", Host: "h", Body: []byte("body"), HasBody: true,
+			Size: placement.Size{Prompt: 2500, Output: 500}, Prompt: "p1"},
+		Route: &declared.Route{
+			Name: "route", Repetition: repetition, Stream: stream, MaxAttempts: 4,
+			LatencyObjective: 200 * time.Millisecond, MaxEventGap: 700 * time.Millisecond,
+		},
+		Service:  &declared.Service{Name: "s", Engine: &declared.Engine{KeepsBackups: true}},
+		Deadline: now.Add(10 * time.Second),
+	}
+}
+
+// answer writes a whole answer.
+func answer(c net.Conn, status int, headers, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+}
+
+const signedBy = "Id: r1\r\nSigned: yes\r\n"
+
+// Scripts of targets for calls.
+func (w *world) answers(status int, body string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, _ *http.Request) {
+		w.noteRun()
+		answer(c, status, signedBy, body)
+	}
+}
+
+func refuses(c net.Conn, _ *http.Request) { answer(c, 503, "Not-Run: yes\r\n", "") }
+
+func isAnother(c net.Conn, _ *http.Request) { answer(c, 421, "", "") }
+
+func (w *world) breaksOff(c net.Conn, _ *http.Request) {
+	w.noteRun()
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedBy+"Content-Length: 100\r\n\r\nhalf")
+}
+
+func (w *world) isSilent(c net.Conn, _ *http.Request) {
+	w.noteRun()
+	_, _ = c.Read(make([]byte, 1)) // until the caller closes
+}
+
+func (w *world) answersAnother(c net.Conn, _ *http.Request) {
+	w.noteRun()
+	answer(c, 200, "Id: other\r\nSigned: yes\r\n", "theirs")
+}
+
+// engine is a stand-in of a model engine that makes events at a pace.
+type engine struct {
+	w *world
+	// first is the time to the first event, gap the time between events.
+	first, gap time.Duration
+	// total is the number of events of a whole stream.
+	total int
+	// dieAfter is the number of events after which its connection ends; 0 means never.
+	dieAfter int
+	// silent: it says nothing more instead of ending the connection.
+	silent bool
+	// copies are the runs whose memory it keeps.
+	copies map[string]bool
+}
+
+func (e *engine) serve(c net.Conn, r *http.Request) {
+	if r.Header.Get("From") != "" && !e.copies[r.Header.Get("Id")] {
+		refuses(c, r)
+		return
+	}
+	e.w.noteRun()
+	next, _ := strconv.Atoi(r.Header.Get("Last-Event"))
+	if r.Header.Get("From") == "" {
+		time.Sleep(e.first)
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedBy+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for made := 0; next < e.total; made++ {
+		if e.dieAfter > 0 && made == e.dieAfter {
+			if e.silent {
+				_, _ = c.Read(make([]byte, 1))
+			} else {
+				_, _ = io.WriteString(c, "9\r\nid: 99\nda") // within an event
+			}
+			return
+		}
+		time.Sleep(e.gap)
+		next++
+		event := fmt.Sprintf("id: %d\ndata: token %d\n\n", next, next)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+}
+
+// eventsOf returns the text of a whole stream.
+func eventsOf(total int) string {
+	var b strings.Builder
+	for i := 1; i <= total; i++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func kindOf(t *testing.T, err error) fault.Kind {
+	t.Helper()
+	var e *fault.Error
+	if !errors.As(err, &e) {
+		t.Fatalf("%v is no refusal", err)
+	}
+	return e.Kind
+}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -330,7 +330,7 @@
 		return
 	}
 	st.begun = true
-	st.s.metrics.firstEvent.UpdateSince(st.a.Arrived)
+	since(st.s.metrics.firstEvent, st.a.Arrived)
 	answer.Header.Del("Content-Length")
 	copyHeader(st.w.Header(), answer.Header)
 	st.w.WriteHeader(answer.Status)
