--- a/internal/process/entry/budgets.go
+++ b/internal/process/entry/budgets.go
@@ -30,7 +30,7 @@
 	defer b.mu.Unlock()
 	budget := b.byService[service]
 	if budget == nil {
-		own := retry.NewBudget(retry.Options{Settings: b.settings.budget(b.entries), Registry: b.registry})
+		own := retry.NewBudget(retry.Options{Settings: b.settings.bound().Own(b.entries), Registry: b.registry})
 		budget = retry.NewShared(b.settings.bound(), own)
 		b.byService[service] = budget
 	}
@@ -62,13 +62,13 @@
 		byService[u.GetService()] = retry.Use{Requests: int(u.GetRequests()), Further: int(u.GetFurtherAttempts())}
 	}
 	for service, budget := range b.byService {
-		budget.SetOthers(byService[service])
+		budget.SetOthers(byService[service], entries)
 	}
 	if entries == b.entries || entries == 0 {
 		return
 	}
 	b.entries = entries
 	for _, budget := range b.byService {
-		budget.Adjust(b.settings.budget(entries))
+		budget.Adjust(b.settings.bound().Own(entries))
 	}
 }
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -65,33 +65,14 @@
 }
 
 const (
-	// ratioMargin keeps the sum over entry VMs below the ratio: requests and their
+	// boundMargin keeps the sum over entry VMs below the stated bound: requests and their
 	// attempts may fall into different windows.
-	ratioMargin = 0.9
-	// extraMargin is left for errors of the estimated number of entry VMs.
-	extraMargin = 0.8
-	// saved is the part of the extra attempts that may be made at once; the rest comes
-	// evenly over the window.
-	saved = 0.5
-	// unknownEntries stands for the number of entry VMs until it was estimated.
+	boundMargin = 0.95
+	// unknownEntries stands for the number of entry VMs until it is told.
 	unknownEntries = 20
-	// resumePart is the part of the extra attempts that only resumes may take.
-	resumePart = 0.5
 )
 
 // bound returns the bound over all entry VMs.
 func (s RetrySettings) bound() retry.Bound {
-	return retry.Bound{Ratio: s.Ratio * ratioMargin, Extra: s.Extra * extraMargin, Window: s.Window.Std()}
-}
-
-// budget returns the settings of one service's budget at one of the entry VMs. Over
-// any window it allows no more than this VM's share.
-func (s RetrySettings) budget(entries int) retry.Settings {
-	b := retry.Defaults()
-	share := s.Extra * extraMargin / float64(entries)
-	b.Share = min(s.Ratio*ratioMargin, 1)
-	b.Burst = max(share*saved*(1-resumePart), 1)
-	b.ResumeBurst = max(share*saved*resumePart, 1)
-	b.ResumeRate = max(share*(1-saved)/s.Window.Std().Seconds(), 0.1)
-	return b
+	return retry.Bound{Ratio: s.Ratio * boundMargin, Extra: s.Extra * boundMargin, Window: s.Window.Std()}
 }
--- a/internal/request/retry/shared.go
+++ b/internal/request/retry/shared.go
@@ -21,13 +21,41 @@
 	Window       time.Duration
 }
 
+const (
+	// ownPart is the part of the bound that entry VMs spend by their own accounts, each
+	// its share of it.
+	ownPart = 0.3
+	// saved is the part of an own account that may be spent at once; the rest comes
+	// evenly over the window.
+	saved = 0.5
+	// resumePart is the part that only resumes may take.
+	resumePart = 0.5
+	// leastRate keeps resumes from waiting for good, in attempts a second.
+	leastRate = 0.1
+)
+
+// Own returns the settings of the account of one of the entry VMs. Over any window
+// all accounts together allow ownPart of the bound, but each at least one attempt.
+func (b Bound) Own(entries int) Settings {
+	share := b.Extra * ownPart / float64(max(entries, 1))
+	s := Defaults()
+	s.Share = min(b.Ratio*ownPart, 1)
+	s.Burst = max(share*saved*(1-resumePart), 1)
+	s.ResumeBurst = max(share*saved*resumePart, 1)
+	s.ResumeRate = max(share*(1-saved)/b.Window.Seconds(), leastRate)
+	return s
+}
+
 const (
 	// sharedPart is the part of the bound that is spent by the common count. The rest is
-	// left for what other entry VMs spend before they hear of each other, and is spent
-	// by each one's own account.
-	sharedPart = 0.6
+	// left for what entry VMs spend before they hear of each other, and for each one's
+	// own account.
+	sharedPart = 0.5
 	// hedgePart is the same for hedges, which help least.
-	hedgePart = 0.3
+	hedgePart = 0.25
+	// unheard is the number of rounds of sharing in which what the others spend isn't
+	// known yet: it is told in one and passed on in the next.
+	unheard = 2
 	// othersLifetime is the age at which the others' use is no longer counted on.
 	othersLifetime = 1500 * time.Millisecond
 	// slices divides the window for counting.
@@ -46,6 +74,9 @@
 	slice    int64 // number of the newest slice
 	others   Use
 	othersAt time.Time
+	entries  int
+	// spent is what was spent by the common count since the others' use was told.
+	spent float64
 }
 
 // NewShared returns a budget that keeps to own where the others' use isn't known.
@@ -60,11 +91,13 @@
 	return s.used(time.Now())
 }
 
-// SetOthers takes in what the other entry VMs sent within the window.
-func (s *Shared) SetOthers(u Use) {
+// SetOthers takes in what the other entry VMs sent within the window, and how many
+// entry VMs there are, this one included.
+func (s *Shared) SetOthers(u Use, entries int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.others, s.othersAt = u, time.Now()
+	s.others, s.othersAt, s.entries = u, time.Now(), max(entries, 1)
+	s.spent = 0
 }
 
 // Adjust gives this entry VM's own account new settings.
@@ -105,9 +138,12 @@
 	}
 	own := s.used(now)
 	limit := s.bound.Ratio*float64(own.Requests+s.others.Requests) + s.bound.Extra
-	if float64(own.Further+s.others.Further)+1 > part*limit {
+	left := part*limit - float64(own.Further+s.others.Further)
+	// All entry VMs may be at it: what each spends in a round is a part of what is left.
+	if left < 1 || s.spent >= max(left/float64(unheard*s.entries), 1) {
 		return false
 	}
+	s.spent++
 	s.current(now).Further++
 	return true
 }
