Places of prompts outlive a loss of everything

Change: control VMs that don't lead take places from the leader's feed, and all save them on their disks each half second.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -44,7 +44,22 @@
 	defer b.mu.Unlock()
 	b.version++
 	b.byEntry[r.GetEntryId()] = sharedLoads{loads: r.GetLoads(), uses: r.GetUses(), at: now}
-	b.places = append(b.places, r.GetPlaces()...)
+	b.addPlaces(r.GetPlaces())
+}
+
+// AddPlaces takes in places that were not shared by an entry VM directly.
+func (b *Board) AddPlaces(places []*chicoryv1.PromptPlace) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(places) > 0 {
+		b.version++
+		b.addPlaces(places)
+	}
+}
+
+// addPlaces drops the oldest places when there are too many. The caller holds mu.
+func (b *Board) addPlaces(places []*chicoryv1.PromptPlace) {
+	b.places = append(b.places, places...)
 	if over := len(b.places) - placesKept; over > 0 {
 		b.places = append([]*chicoryv1.PromptPlace(nil), b.places[over:]...)
 		b.firstPlace += uint64(over)
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// feeds is the number of control VMs that are followed at once: one may be lost
-	// and another be cut off from the leader without a gap.
-	feeds = 3
+	// defaultFeeds is the number of control VMs that are followed at once: one may be
+	// lost and another be cut off from the leader without a gap.
+	defaultFeeds = 3
 	// silence is how long a feed may say nothing before another one is followed.
 	silence = 3 * KeepaliveInterval
 	// outsideQuorum is how long a control VM without a leader is followed. Elections
@@ -45,6 +45,7 @@
 	Shared(o Others, places []*chicoryv1.PromptPlace)
 	// Share returns what this entry VM shares: all of its loads and uses, and the places
 	// since the last call, or the latest ones if anew says that the receiver knows none.
+	// It returns nil if there is nothing to share.
 	Share(anew bool) *chicoryv1.ShareRequest
 }
 
@@ -56,6 +57,11 @@
 	Client *http.Client
 	Sink   Sink
 	Logger *logging.Logger
+	// Self is the peer address of this process, which is not followed; empty for entry VMs.
+	Self string
+	// Feeds is the number of control VMs that are followed at once; 0 means the default.
+	// The first of them is the leader, once it is known.
+	Feeds int
 }
 
 // Follower follows several control VMs at once.
@@ -75,6 +81,9 @@
 
 // NewFollower returns a follower that doesn't follow yet.
 func NewFollower(opts FollowerOptions) *Follower {
+	if opts.Feeds == 0 {
+		opts.Feeds = defaultFeeds
+	}
 	return &Follower{
 		opts:     opts,
 		known:    slices.Clone(opts.Seeds),
@@ -86,7 +95,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var slots sync.WaitGroup
-	for i := range feeds {
+	for i := range f.opts.Feeds {
 		slots.Go(func() { f.runSlot(ctx, i == 0) })
 	}
 	slots.Go(func() { f.share(ctx) })
@@ -129,7 +138,7 @@
 	defer f.mu.Unlock()
 	var free []string
 	for _, a := range f.known {
-		if !f.followed[a] {
+		if !f.followed[a] && a != f.opts.Self {
 			free = append(free, a)
 		}
 	}
@@ -227,7 +236,7 @@
 func (f *Follower) mustChange(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leader != "" && f.leader != address && !f.followed[f.leader] && time.Since(f.failed[f.leader]) > silence
+	return f.leader != "" && f.leader != f.opts.Self && f.leader != address && !f.followed[f.leader] && time.Since(f.failed[f.leader]) > silence
 }
 
 const (
@@ -248,7 +257,7 @@
 			continue
 		}
 		request := f.opts.Sink.Share(leader != told)
-		if len(request.GetLoads()) == 0 && len(request.GetPlaces()) == 0 && time.Since(last) < shareAtLeast {
+		if request == nil || len(request.GetLoads()) == 0 && len(request.GetPlaces()) == 0 && time.Since(last) < shareAtLeast {
 			continue
 		}
 		request.EntryId = f.opts.ID
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -45,9 +45,9 @@
 	board  *Board
 }
 
-// NewServer returns a server of source.
-func NewServer(source Source) *Server {
-	return &Server{source: source, board: NewBoard()}
+// NewServer returns a server of source and of what is shared on board.
+func NewServer(source Source, board *Board) *Server {
+	return &Server{source: source, board: board}
 }
 
 // Share implements the feed service.
--- /dev/null
+++ b/internal/process/keeper/places.go
@@ -0,0 +1,91 @@
+package keeper
+
+import (
+	"context"
+	"path/filepath"
+	"time"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+)
+
+// placesInterval is the time between two savings. A prompt is of use for some seconds
+// after its run broke off.
+const placesInterval = 500 * time.Millisecond
+
+// placesFolder is beside the log, so that a failure of one doesn't touch the other.
+const placesFolder = "places"
+
+// placesKeeper keeps what the leader's board knows of places on this VM's disk too, so
+// that callers find their prompts after everything was lost at once.
+type placesKeeper struct {
+	board *feed.Board
+	file  feed.PlacesFile
+	log   *logging.Logger
+}
+
+func (p *Process) newPlacesKeeper(board *feed.Board) *placesKeeper {
+	return &placesKeeper{
+		board: board,
+		file:  feed.PlacesFile{FS: p.replica.options.FS, Folder: filepath.Join(p.settings.DataFolder, placesFolder)},
+		log:   p.log,
+	}
+}
+
+// load puts the saved places on the board.
+func (k *placesKeeper) load() {
+	if err := k.file.FS.MkdirAll(k.file.Folder); err != nil {
+		k.log.Warn(logging.PlacesLost, logging.Fields{"reason": err})
+		return
+	}
+	places, err := k.file.Load()
+	if err != nil {
+		k.log.Warn(logging.PlacesLost, logging.Fields{"reason": err})
+		return
+	}
+	k.board.AddPlaces(places)
+}
+
+// run saves the places whenever there are new ones, until ctx ends.
+func (k *placesKeeper) run(ctx context.Context) {
+	_, saved := k.board.PlacesSince(0)
+	failed := false
+	for pause.For(ctx, placesInterval) {
+		places, after := k.board.PlacesSince(0)
+		if after == saved {
+			continue
+		}
+		err := k.file.Save(places)
+		if err != nil && !failed {
+			k.log.Warn(logging.PlacesLost, logging.Fields{"reason": err, "places": len(places)})
+		}
+		if failed = err != nil; !failed {
+			saved = after
+		}
+	}
+}
+
+// The methods of feed.Sink: a control VM that doesn't lead takes the places from the
+// leader's feed and nothing else.
+
+// Shared implements feed.Sink.
+func (k *placesKeeper) Shared(_ feed.Others, places []*chicoryv1.PromptPlace) {
+	k.board.AddPlaces(places)
+}
+
+// Declaration implements feed.Sink; the log has it.
+func (k *placesKeeper) Declaration(*chicoryv1.Declaration, string) {}
+
+// Targets implements feed.Sink; this VM reads the list.
+func (k *placesKeeper) Targets(*chicoryv1.TargetList, string) {}
+
+// Fresh implements feed.Sink.
+func (k *placesKeeper) Fresh(string) {}
+
+// Version implements feed.Sink: no declaration is wanted.
+func (k *placesKeeper) Version() uint64 { return ^uint64(0) }
+
+// Share implements feed.Sink: a control VM has no engines.
+func (k *placesKeeper) Share(bool) *chicoryv1.ShareRequest { return nil }
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -13,6 +13,7 @@
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/disk"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/monitor"
@@ -38,6 +39,7 @@
 	registry metrics.Registry
 	replica  *replica
 	list     *observe.TargetList
+	board    *feed.Board
 
 	peers     *http.Server
 	operators *http.Server
@@ -59,6 +61,7 @@
 		log:      log,
 		registry: metrics.NewRegistry(),
 		list:     observe.NewTargetList(adapter, log),
+		board:    feed.NewBoard(),
 	}
 	p.replica = newReplica(s, fs, log)
 	p.ctx, p.stop = context.WithCancel(context.Background())
@@ -67,6 +70,7 @@
 		return nil, errors.Trace(err)
 	}
 	p.tasks.Go(func() { p.replica.run(p.ctx) })
+	p.tasks.Go(p.keepPlaces)
 	p.tasks.Go(func() { p.list.Run(p.ctx, func() bool { return true }) })
 	log.Info(logging.ProcessStarted, logging.Fields{
 		"peer_address": p.replica.id, "operator_address": s.OperatorAddress, "may_found": s.MayFound, "seeds": s.Seeds,
@@ -74,10 +78,27 @@
 	return p, nil
 }
 
+// keepPlaces follows the leader for the places of prompts and saves them.
+func (p *Process) keepPlaces() {
+	places := p.newPlacesKeeper(p.board)
+	places.load()
+	follower := feed.NewFollower(feed.FollowerOptions{
+		ID:     p.settings.ID,
+		Seeds:  settings.WithPort(p.settings.Seeds, p.settings.PeerPort),
+		Client: peer.NewPlainClient(),
+		Sink:   places,
+		Logger: logging.Discard(), // the log of the replica tells of lost peers
+		Self:   p.replica.id,
+		Feeds:  1,
+	})
+	p.tasks.Go(func() { follower.Run(p.ctx) })
+	places.run(p.ctx)
+}
+
 func (p *Process) listen(adapter Adapter) error {
 	mux := http.NewServeMux()
 	mux.Handle("/"+chicoryv1connect.ReplicaServiceName+"/", p.replica)
-	path, feeds := chicoryv1connect.NewFeedServiceHandler(feed.NewServer(source{p}))
+	path, feeds := chicoryv1connect.NewFeedServiceHandler(feed.NewServer(source{p}, p.board))
 	mux.Handle(path, feeds)
 	var err error
 	if p.peers, err = serve(p.replica.id, mux); err != nil {
