--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -42,7 +42,9 @@
 	// Version returns the declared version in force.
 	Version() uint64
 	// Shared gives what the other entry VMs share through the leader.
-	Shared(o Others, places []*chicoryv1.PromptPlace)
+	Shared(o Others)
+	// Places gives places of prompts that any control VM knows.
+	Places(places []*chicoryv1.PromptPlace)
 	// Share returns what this entry VM shares: all of its loads and uses, and the places
 	// since the last call, or the latest ones if anew says that the receiver knows none.
 	// It returns nil if there is nothing to share.
@@ -208,6 +210,10 @@
 
 func (f *Follower) deliver(m *chicoryv1.FollowResponse, from string) {
 	f.note(m)
+	if len(m.GetPlaces()) > 0 {
+		// Before the declaration, with which requests begin.
+		f.opts.Sink.Places(m.GetPlaces())
+	}
 	if m.GetDeclaration() != nil {
 		f.opts.Sink.Declaration(m.GetDeclaration(), from)
 	}
@@ -218,7 +224,7 @@
 		f.opts.Sink.Fresh(from)
 	}
 	if m.GetLeads() {
-		f.opts.Sink.Shared(Others{Loads: m.GetLoads(), Uses: m.GetUses(), Entries: int(m.GetEntries())}, m.GetPlaces())
+		f.opts.Sink.Shared(Others{Loads: m.GetLoads(), Uses: m.GetUses(), Entries: int(m.GetEntries())})
 	}
 }
 
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -115,18 +115,18 @@
 	return m, changed, listChanged
 }
 
-// addShared adds what entry VMs share, if this control VM leads and it changed.
+// addShared adds what entry VMs share, if it changed: places from every control VM,
+// since all keep them, and loads and uses from the leader, which alone is told all.
 func (f *following) addShared(m *chicoryv1.FollowResponse, now time.Time) bool {
-	if !m.GetLeads() {
-		return false
-	}
 	version := f.s.board.Version()
-	others := f.s.board.Others(f.entry, now)
-	m.Loads, m.Uses, m.Entries = others.Loads, others.Uses, uint32(others.Entries)
+	if m.GetLeads() {
+		others := f.s.board.Others(f.entry, now)
+		m.Loads, m.Uses, m.Entries = others.Loads, others.Uses, uint32(others.Entries)
+	}
 	if version == f.board {
 		return false
 	}
 	f.board = version
 	m.Places, f.place = f.s.board.PlacesSince(f.place)
-	return true
+	return m.GetLeads() || len(m.GetPlaces()) > 0
 }
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -89,11 +89,14 @@
 func (r *roster) Version() uint64 { return r.declared.Version() }
 
 // Shared implements feed.Sink.
-func (r *roster) Shared(o feed.Others, places []*chicoryv1.PromptPlace) {
-	r.engines.SetOthers(o.Loads, places)
+func (r *roster) Shared(o feed.Others) {
+	r.engines.SetOthers(o.Loads)
 	r.budgets.setOthers(o.Uses, o.Entries)
 }
 
+// Places implements feed.Sink.
+func (r *roster) Places(places []*chicoryv1.PromptPlace) { r.engines.AddPlaces(places) }
+
 // Share implements feed.Sink.
 func (r *roster) Share(anew bool) *chicoryv1.ShareRequest {
 	loads, places := r.engines.Own(anew)
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -70,10 +70,11 @@
 // The methods of feed.Sink: a control VM that doesn't lead takes the places from the
 // leader's feed and nothing else.
 
-// Shared implements feed.Sink.
-func (k *placesKeeper) Shared(_ feed.Others, places []*chicoryv1.PromptPlace) {
-	k.board.AddPlaces(places)
-}
+// Places implements feed.Sink.
+func (k *placesKeeper) Places(places []*chicoryv1.PromptPlace) { k.board.AddPlaces(places) }
+
+// Shared implements feed.Sink; only entry VMs use it.
+func (k *placesKeeper) Shared(feed.Others) {}
 
 // Declaration implements feed.Sink; the log has it.
 func (k *placesKeeper) Declaration(*chicoryv1.Declaration, string) {}
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -321,13 +321,21 @@
 	return score
 }
 
-// SetOthers takes in what the other entry VMs have at engines, and where prompts were
-// read.
-func (e *Engines) SetOthers(loads []*chicoryv1.EngineLoad, places []*chicoryv1.PromptPlace) {
+// AddPlaces takes in where prompts were read.
+func (e *Engines) AddPlaces(places []*chicoryv1.PromptPlace) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.sharedAt = now
+	for _, p := range places {
+		e.places.add(p, now)
+	}
+}
+
+// SetOthers takes in what the other entry VMs have at engines.
+func (e *Engines) SetOthers(loads []*chicoryv1.EngineLoad) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sharedAt = time.Now()
 	for _, x := range e.byAddress {
 		x.shared = nil
 	}
@@ -336,9 +344,6 @@
 			x.shared = l
 		}
 	}
-	for _, p := range places {
-		e.places.add(p, now)
-	}
 }
 
 // Own returns what this entry VM has at engines, and the places since the last call,
--- a/internal/request/placement/engines_test.go
+++ b/internal/request/placement/engines_test.go
@@ -105,7 +105,8 @@
 		r := placed(t, first, prompt)
 		r.PromptRead()
 		loads, places := first.Own(false)
-		second.SetOthers(loads, places)
+		second.SetOthers(loads)
+		second.AddPlaces(places)
 		back := placed(t, second, prompt)
 		assert.Equal(t, back.Target.GetAddress(), r.Target.GetAddress())
 		back.End()
@@ -146,7 +147,7 @@
 	at := map[string]int{}
 	for i := range 36 {
 		e := entries[i%len(entries)]
-		e.SetOthers(sumBut(entries, e), nil)
+		e.SetOthers(sumBut(entries, e))
 		at[placed(t, e, "").Target.GetAddress()]++
 	}
 	for address, n := range at {
