Every control VM takes changes and reads itself and asks the leader

Change: followers pass changes and reads on to the leader and answer themselves; what is committed here already is confirmed without asking. A member that hears no leader for one election timeout asks whether it still is one; a silent one is taken out after ten seconds in place of five, above the freezes and cuts that end.

--- a/api/gen/chicory/v1/chicoryv1connect/control.connect.go
+++ b/api/gen/chicory/v1/chicoryv1connect/control.connect.go
@@ -27,6 +27,8 @@
 	JournalServiceName = "chicory.v1.JournalService"
 	// FeedServiceName is the fully-qualified name of the FeedService service.
 	FeedServiceName = "chicory.v1.FeedService"
+	// DeclarationServiceName is the fully-qualified name of the DeclarationService service.
+	DeclarationServiceName = "chicory.v1.DeclarationService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -53,6 +55,12 @@
 	FeedServiceFollowProcedure = "/chicory.v1.FeedService/Follow"
 	// FeedServiceShareProcedure is the fully-qualified name of the FeedService's Share RPC.
 	FeedServiceShareProcedure = "/chicory.v1.FeedService/Share"
+	// DeclarationServiceDeclareProcedure is the fully-qualified name of the DeclarationService's
+	// Declare RPC.
+	DeclarationServiceDeclareProcedure = "/chicory.v1.DeclarationService/Declare"
+	// DeclarationServiceNewestProcedure is the fully-qualified name of the DeclarationService's Newest
+	// RPC.
+	DeclarationServiceNewestProcedure = "/chicory.v1.DeclarationService/Newest"
 )
 
 // ControlServiceClient is a client for the chicory.v1.ControlService service.
@@ -412,3 +420,103 @@
 func (UnimplementedFeedServiceHandler) Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chicory.v1.FeedService.Share is not implemented"))
 }
+
+// DeclarationServiceClient is a client for the chicory.v1.DeclarationService service.
+type DeclarationServiceClient interface {
+	// Declare commits a declaration that was found valid.
+	Declare(context.Context, *connect.Request[v1.DeclareRequest]) (*connect.Response[v1.DeclareResponse], error)
+	// Newest reads the newest declaration; none that was confirmed before is newer.
+	Newest(context.Context, *connect.Request[v1.NewestRequest]) (*connect.Response[v1.NewestResponse], error)
+}
+
+// NewDeclarationServiceClient constructs a client for the chicory.v1.DeclarationService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewDeclarationServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) DeclarationServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	declarationServiceMethods := v1.File_chicory_v1_control_proto.Services().ByName("DeclarationService").Methods()
+	return &declarationServiceClient{
+		declare: connect.NewClient[v1.DeclareRequest, v1.DeclareResponse](
+			httpClient,
+			baseURL+DeclarationServiceDeclareProcedure,
+			connect.WithSchema(declarationServiceMethods.ByName("Declare")),
+			connect.WithClientOptions(opts...),
+		),
+		newest: connect.NewClient[v1.NewestRequest, v1.NewestResponse](
+			httpClient,
+			baseURL+DeclarationServiceNewestProcedure,
+			connect.WithSchema(declarationServiceMethods.ByName("Newest")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// declarationServiceClient implements DeclarationServiceClient.
+type declarationServiceClient struct {
+	declare *connect.Client[v1.DeclareRequest, v1.DeclareResponse]
+	newest  *connect.Client[v1.NewestRequest, v1.NewestResponse]
+}
+
+// Declare calls chicory.v1.DeclarationService.Declare.
+func (c *declarationServiceClient) Declare(ctx context.Context, req *connect.Request[v1.DeclareRequest]) (*connect.Response[v1.DeclareResponse], error) {
+	return c.declare.CallUnary(ctx, req)
+}
+
+// Newest calls chicory.v1.DeclarationService.Newest.
+func (c *declarationServiceClient) Newest(ctx context.Context, req *connect.Request[v1.NewestRequest]) (*connect.Response[v1.NewestResponse], error) {
+	return c.newest.CallUnary(ctx, req)
+}
+
+// DeclarationServiceHandler is an implementation of the chicory.v1.DeclarationService service.
+type DeclarationServiceHandler interface {
+	// Declare commits a declaration that was found valid.
+	Declare(context.Context, *connect.Request[v1.DeclareRequest]) (*connect.Response[v1.DeclareResponse], error)
+	// Newest reads the newest declaration; none that was confirmed before is newer.
+	Newest(context.Context, *connect.Request[v1.NewestRequest]) (*connect.Response[v1.NewestResponse], error)
+}
+
+// NewDeclarationServiceHandler builds an HTTP handler from the service implementation. It returns
+// the path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewDeclarationServiceHandler(svc DeclarationServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	declarationServiceMethods := v1.File_chicory_v1_control_proto.Services().ByName("DeclarationService").Methods()
+	declarationServiceDeclareHandler := connect.NewUnaryHandler(
+		DeclarationServiceDeclareProcedure,
+		svc.Declare,
+		connect.WithSchema(declarationServiceMethods.ByName("Declare")),
+		connect.WithHandlerOptions(opts...),
+	)
+	declarationServiceNewestHandler := connect.NewUnaryHandler(
+		DeclarationServiceNewestProcedure,
+		svc.Newest,
+		connect.WithSchema(declarationServiceMethods.ByName("Newest")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/chicory.v1.DeclarationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case DeclarationServiceDeclareProcedure:
+			declarationServiceDeclareHandler.ServeHTTP(w, r)
+		case DeclarationServiceNewestProcedure:
+			declarationServiceNewestHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedDeclarationServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedDeclarationServiceHandler struct{}
+
+func (UnimplementedDeclarationServiceHandler) Declare(context.Context, *connect.Request[v1.DeclareRequest]) (*connect.Response[v1.DeclareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chicory.v1.DeclarationService.Declare is not implemented"))
+}
+
+func (UnimplementedDeclarationServiceHandler) Newest(context.Context, *connect.Request[v1.NewestRequest]) (*connect.Response[v1.NewestResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("chicory.v1.DeclarationService.Newest is not implemented"))
+}
--- a/internal/process/consensus/join.go
+++ b/internal/process/consensus/join.go
@@ -18,7 +18,7 @@
 	lonePeriods  = 4  // silence after which a member asks whether it still is one
 	// gonePeriods is the silence after which a member that the log alone names is
 	// taken for gone; it joins anew if it comes back.
-	gonePeriods = 10
+	gonePeriods = 20
 )
 
 // runJoiner asks the other members to be taken in for as long as this replica
@@ -40,7 +40,12 @@
 	defer n.mu.Unlock()
 	members, _ := n.log.current()
 	_, ok := members.find(n.self)
-	served := n.role == Leader || time.Since(n.leaderContact) < lonePeriods*n.options.ElectionTimeout
+	patience := lonePeriods * n.options.ElectionTimeout
+	if n.options.findsMembers() {
+		// A member that was taken out while it was silent comes back at once.
+		patience = n.options.ElectionTimeout
+	}
+	served := n.role == Leader || time.Since(n.leaderContact) < patience
 	return ok && served
 }
 
--- a/internal/process/keeper/keeper_test.go
+++ b/internal/process/keeper/keeper_test.go
@@ -30,7 +30,7 @@
 		cancel()
 		<-done
 	})
-	return r, &Declarations{replica: r, log: logging.Discard(), operatorPort: "9000"}
+	return r, newDeclarations(r, logging.Discard())
 }
 
 func await(t *testing.T, f func() error) {
@@ -52,7 +52,7 @@
 	newest, err := d.Newest(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, string(newest.GetDocument()), "five")
-	_, ok := d.Leader()
+	_, ok := d.leader()
 	assert.Assert(t, !ok, "this one leads")
 }
 
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -100,11 +100,13 @@
 	mux.Handle("/"+chicoryv1connect.ReplicaServiceName+"/", p.replica)
 	path, feeds := chicoryv1connect.NewFeedServiceHandler(feed.NewServer(source{p}, p.board))
 	mux.Handle(path, feeds)
+	declarations := newDeclarations(p.replica, p.log)
+	path, h := chicoryv1connect.NewDeclarationServiceHandler(declarationService{declarations})
+	mux.Handle(path, h)
 	var err error
 	if p.peers, err = serve(p.replica.id, mux); err != nil {
 		return errors.Annotate(err, "peer port")
 	}
-	declarations := &Declarations{replica: p.replica, log: p.log, operatorPort: port(p.settings.OperatorAddress)}
 	if p.operators, err = serve(string(p.settings.OperatorAddress), adapter.Operators(declarations)); err != nil {
 		return errors.Annotate(err, "operator address")
 	}
@@ -122,14 +124,6 @@
 	return s, nil
 }
 
-func port(address settings.Address) string {
-	_, p, err := net.SplitHostPort(string(address))
-	if err != nil {
-		return "" // checked with the settings
-	}
-	return p
-}
-
 // ready reports whether this VM hears a leader.
 func (p *Process) ready() (bool, string) {
 	if _, leader, _ := p.replica.members(); leader == "" {
