A prompt that is being read is no lost request; refused resumes ask again soon

On grown deployments a refused resume waited 10 s for its own account though the common bound would have allowed it a moment later.

--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -108,12 +108,20 @@
 
 // EngineReport is what an engine says of itself when it is asked.
 type EngineReport struct {
-	// Running and Waiting are its requests.
+	// Running counts the requests that it reads or generates; Waiting those before.
 	Running, Waiting int
-	// Holds: the request that was asked about is among those that it works on.
+	// Generating is the number of requests that it generates for, which it names.
+	Generating int
+	// Holds: the request that was asked about is among those.
 	Holds bool
 }
 
+// mayHold reports whether the request that was asked about may be at the engine: it
+// is generated for, its prompt is being read, or it waits.
+func (r EngineReport) mayHold() bool {
+	return r.Holds || r.Waiting > 0 || r.Running > r.Generating
+}
+
 // EngineProber asks engines whether they are alive. Platforms charge for that, so it
 // is asked only where nothing else tells.
 type EngineProber interface {
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -376,10 +376,10 @@
 		if ctx.Err() != nil || run.HasBegun() {
 			return
 		}
-		alive := err == nil && (report.Holds || report.Waiting > 0)
+		alive := err == nil && report.mayHold()
 		st.s.opts.Logger.Info(logging.EngineProbed, logging.Fields{
 			"request": st.a.ID, "target": run.Target.GetAddress(), "alive": alive, "reason": err,
-			"holds": report.Holds, "running": report.Running, "waiting": report.Waiting,
+			"holds": report.Holds, "generating": report.Generating, "running": report.Running, "waiting": report.Waiting,
 			"ms": time.Since(st.placedAt).Milliseconds(),
 		})
 		if !alive {
--- a/internal/request/exchange/stream_test.go
+++ b/internal/request/exchange/stream_test.go
@@ -136,8 +136,9 @@
 		ran    int
 	}{
 		"its prompt waits":   {&EngineReport{Waiting: 2}, 1},
+		"it reads it":        {&EngineReport{Running: 3, Generating: 2}, 1},
 		"it works on it":     {&EngineReport{Holds: true}, 1},
-		"it doesn't know it": {&EngineReport{Running: 3}, 2},
+		"it doesn't know it": {&EngineReport{Running: 3, Generating: 3}, 2},
 		"it doesn't answer":  {nil, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/retry/shared.go
+++ b/internal/request/retry/shared.go
@@ -58,6 +58,8 @@
 	unheard = 2
 	// othersLifetime is the age at which the others' use is no longer counted on.
 	othersLifetime = 1500 * time.Millisecond
+	// retryRound is the time after which the others' use is told again.
+	retryRound = 150 * time.Millisecond
 	// slices divides the window for counting.
 	slices = 20
 )
@@ -120,8 +122,10 @@
 		s.mu.Lock()
 		s.current(time.Now()).Further++
 		s.mu.Unlock()
+		return true, 0
 	}
-	return ok, wait
+	// The common bound may allow it as soon as the others' use is told again.
+	return false, min(wait, retryRound)
 }
 
 // spend takes one attempt from the common bound.
