Places don't echo between control VMs

Change: a control VM takes places from the leader only, and a board adds only what says something new.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -24,7 +24,9 @@
 	// places are the latest ones; the first of them has the number firstPlace.
 	places     []*chicoryv1.PromptPlace
 	firstPlace uint64
-	version    uint64
+	// newest has the last of the places for each prompt.
+	newest  map[string]*chicoryv1.PromptPlace
+	version uint64
 }
 
 type sharedLoads struct {
@@ -35,7 +37,7 @@
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{byEntry: map[string]sharedLoads{}}
+	return &Board{byEntry: map[string]sharedLoads{}, newest: map[string]*chicoryv1.PromptPlace{}}
 }
 
 // Put takes in what one entry VM shares.
@@ -57,13 +59,28 @@
 	}
 }
 
-// addPlaces drops the oldest places when there are too many. The caller holds mu.
+// addPlaces adds the places that say something new, and drops the oldest when there
+// are too many. The caller holds mu.
 func (b *Board) addPlaces(places []*chicoryv1.PromptPlace) {
-	b.places = append(b.places, places...)
-	if over := len(b.places) - placesKept; over > 0 {
-		b.places = append([]*chicoryv1.PromptPlace(nil), b.places[over:]...)
-		b.firstPlace += uint64(over)
+	for _, p := range places {
+		known := b.newest[p.GetPrompt()]
+		if known.GetAddress() == p.GetAddress() && known.GetInstance() == p.GetInstance() {
+			continue
+		}
+		b.newest[p.GetPrompt()] = p
+		b.places = append(b.places, p)
+	}
+	over := len(b.places) - placesKept
+	if over <= 0 {
+		return
+	}
+	for _, p := range b.places[:over] {
+		if b.newest[p.GetPrompt()] == p {
+			delete(b.newest, p.GetPrompt())
+		}
 	}
+	b.places = append([]*chicoryv1.PromptPlace(nil), b.places[over:]...)
+	b.firstPlace += uint64(over)
 }
 
 // Others is the sum of what all entry VMs but one share.
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -43,8 +43,8 @@
 	Version() uint64
 	// Shared gives what the other entry VMs share through the leader.
 	Shared(o Others)
-	// Places gives places of prompts that any control VM knows.
-	Places(places []*chicoryv1.PromptPlace)
+	// Places gives places of prompts that a control VM knows, which leads or not.
+	Places(places []*chicoryv1.PromptPlace, fromLeader bool)
 	// Share returns what this entry VM shares: all of its loads and uses, and the places
 	// since the last call, or the latest ones if anew says that the receiver knows none.
 	// It returns nil if there is nothing to share.
@@ -212,7 +212,7 @@
 	f.note(m)
 	if len(m.GetPlaces()) > 0 {
 		// Before the declaration, with which requests begin.
-		f.opts.Sink.Places(m.GetPlaces())
+		f.opts.Sink.Places(m.GetPlaces(), m.GetLeads())
 	}
 	if m.GetDeclaration() != nil {
 		f.opts.Sink.Declaration(m.GetDeclaration(), from)
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -95,7 +95,7 @@
 }
 
 // Places implements feed.Sink.
-func (r *roster) Places(places []*chicoryv1.PromptPlace) { r.engines.AddPlaces(places) }
+func (r *roster) Places(places []*chicoryv1.PromptPlace, _ bool) { r.engines.AddPlaces(places) }
 
 // Share implements feed.Sink.
 func (r *roster) Share(anew bool) *chicoryv1.ShareRequest {
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -46,6 +46,7 @@
 		return
 	}
 	k.board.AddPlaces(places)
+	k.log.Info(logging.PlacesLoaded, logging.Fields{"places": len(places)})
 }
 
 // run saves the places whenever there are new ones, until ctx ends.
@@ -70,8 +71,13 @@
 // The methods of feed.Sink: a control VM that doesn't lead takes the places from the
 // leader's feed and nothing else.
 
-// Places implements feed.Sink.
-func (k *placesKeeper) Places(places []*chicoryv1.PromptPlace) { k.board.AddPlaces(places) }
+// Places implements feed.Sink. Only the leader's are taken: control VMs that take
+// them from each other would send old ones round and round.
+func (k *placesKeeper) Places(places []*chicoryv1.PromptPlace, fromLeader bool) {
+	if fromLeader {
+		k.board.AddPlaces(places)
+	}
+}
 
 // Shared implements feed.Sink; only entry VMs use it.
 func (k *placesKeeper) Shared(feed.Others) {}
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -63,6 +63,7 @@
 	TargetListChanged    Event = "target_list_changed"
 	TargetListLost       Event = "target_list_lost"
 	TargetListFound      Event = "target_list_found"
+	PlacesLoaded         Event = "places_loaded"
 	PlacesLost           Event = "places_lost"
 	FeedLost             Event = "feed_lost"
 	FeedFound            Event = "feed_found"
