--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
@@ -52,8 +53,9 @@
 	Server Server
 	Holder *declared.Holder
 	// Started is closed once requests can be served.
-	Started <-chan struct{}
-	Logger  *logging.Logger
+	Started  <-chan struct{}
+	Logger   *logging.Logger
+	Registry metrics.Registry
 	// Draw gives uniform numbers.
 	Draw func() uint64
 }
@@ -167,6 +169,7 @@
 
 func (f *Front) refuse(w http.ResponseWriter, r *http.Request, id string, err error) {
 	e := fault.Of(err)
+	metrics.GetOrRegisterCounter("request.refused."+string(e.Kind), f.opts.Registry).Inc(1)
 	f.opts.Logger.Warn(logging.RequestRefused, logging.Fields{
 		"request": id, "host": r.Host, "path": r.URL.Path, "kind": string(e.Kind), "reason": e.Message,
 		"retry_after_ms": e.RetryAfter.Milliseconds(), "version": f.opts.Holder.Version(),
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -61,6 +61,7 @@
 		pool:     http1.NewPool(http1.Defaults(), registry),
 		budgets:  newBudgets(s.Retry, registry),
 	}
+	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.roster.Version()) })
 	p.roster = newRoster(adapter, engines, p.budgets, log)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
@@ -102,7 +103,7 @@
 	})
 	var err error
 	if p.front, err = front.Listen(string(p.settings.CallerAddress), front.Options{
-		Codec: adapter, Server: server, Holder: p.roster.declared, Started: p.roster.started, Logger: p.log, Draw: rand.Uint64,
+		Codec: adapter, Server: server, Holder: p.roster.declared, Started: p.roster.started, Logger: p.log, Registry: p.registry, Draw: rand.Uint64,
 	}); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -64,6 +64,10 @@
 		board:    feed.NewBoard(),
 	}
 	p.replica = newReplica(s, fs, log)
+	metrics.NewRegisteredFunctionalGauge("declared.version", p.registry, func() int64 {
+		newest, _ := p.replica.declaration()
+		return int64(newest.GetVersion())
+	})
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	if err := p.listen(adapter); err != nil {
 		p.Stop()
--- a/internal/process/monitor/monitor.go
+++ b/internal/process/monitor/monitor.go
@@ -21,6 +21,8 @@
 	ReadyPath = "/ready"
 	// MetricsPath answers with all metrics as JSON.
 	MetricsPath = "/metrics"
+	// TextPath answers with all metrics in the text format of monitoring systems.
+	TextPath = "/metrics/text"
 )
 
 const (
@@ -50,6 +52,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		metrics.WriteJSONOnce(registry, w)
 	})
+	mux.HandleFunc(TextPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_ = writeText(w, registry) // a reader that left asks again
+	})
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = s.http.Serve(ln) }()
 	return s, nil
--- /dev/null
+++ b/internal/process/monitor/text.go
@@ -0,0 +1,65 @@
+package monitor
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// percentiles that a histogram is read at.
+var percentiles = []float64{0.5, 0.9, 0.99}
+
+// writeText writes all metrics in the text format that monitoring systems read. Dots
+// and other signs in names become underscores.
+func writeText(w io.Writer, registry metrics.Registry) error {
+	var names []string
+	all := map[string]any{}
+	registry.Each(func(name string, metric any) {
+		names = append(names, name)
+		all[name] = metric
+	})
+	slices.Sort(names)
+	for _, name := range names {
+		if _, err := io.WriteString(w, textOf(textName(name), all[name])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func textOf(name string, metric any) string {
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, m.Count())
+	case metrics.Gauge:
+		return fmt.Sprintf("# TYPE %s gauge\n%s %d\n", name, name, m.Value())
+	case metrics.GaugeFloat64:
+		return fmt.Sprintf("# TYPE %s gauge\n%s %g\n", name, name, m.Value())
+	case metrics.Histogram:
+		return histogramText(name, m.Snapshot())
+	}
+	return "" // other kinds are not used
+}
+
+func histogramText(name string, h metrics.Histogram) string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "# TYPE %s summary\n", name) // a builder takes every write
+	for i, v := range h.Percentiles(percentiles) {
+		_, _ = fmt.Fprintf(&b, "%s{quantile=\"%g\"} %g\n", name, percentiles[i], v)
+	}
+	_, _ = fmt.Fprintf(&b, "%s_sum %d\n%s_count %d\n", name, h.Sum(), name, h.Count())
+	return b.String()
+}
+
+// textName returns a name that the format allows.
+func textName(name string) string {
+	return "chicory_" + strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' {
+			return r
+		}
+		return '_'
+	}, name)
+}
--- a/internal/request/routing/picker.go
+++ b/internal/request/routing/picker.go
@@ -162,8 +162,11 @@
 // noTarget says that no target can take the work now, and when to come back.
 func (p *Picker) noTarget(w request.Work) error {
 	wait := noTargetMinWait + time.Duration(p.opts.Rand()%uint64(noTargetSpread))
-	return fault.New(fault.NoTarget, "service %s has no target of version %s",
-		w.Route.GetService(), w.Version).WithRetryAfter(wait)
+	e := fault.New(fault.NoTarget, "service %q has no target", w.Route.GetService())
+	if w.Version != "" {
+		e = fault.New(fault.NoTarget, "service %q has no target of version %q", w.Route.GetService(), w.Version)
+	}
+	return e.WithRetryAfter(wait)
 }
 
 // Explain returns the last reasons for which the target at address was taken out
