--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -211,16 +211,13 @@
 	if route == nil {
 		return nil, fault.New(fault.UnknownRoute, "no route for host %q and path %q", host, path)
 	}
-	a := &exchange.Admitted{Request: req, Route: route, Priority: route.Priority}
+	a := &exchange.Admitted{Request: req, Route: route}
 	if view.HasTeams() && !route.Public {
 		team := view.TeamOf(req.Key)
 		if team == nil {
 			return nil, fault.New(fault.Unauthenticated, "no team holds the key")
 		}
 		a.Team = team.Name
-		if team.Priority != nil {
-			a.Priority = *team.Priority
-		}
 	}
 	a.Service = view.Service(route.Choose(f.opts.Draw()))
 	wait := route.Timeout
--- a/internal/request/exchange/answer.go
+++ b/internal/request/exchange/answer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // hopHeaders concern one connection only and are not passed on.
@@ -44,3 +45,14 @@
 		to["Content-Type"] = nil // or the server would guess one
 	}
 }
+
+// splitList returns the items of a header that holds a list.
+func splitList(line string) []string {
+	var items []string
+	for _, item := range strings.Split(line, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -59,8 +59,7 @@
 	Route   *declared.Route
 	Service *declared.Service
 	// Team is empty where teams have no part.
-	Team     string
-	Priority int
+	Team string
 	// Deadline is the earlier of the caller's and the route's.
 	Deadline time.Time
 }
--- a/internal/version/declared/declared.go
+++ b/internal/version/declared/declared.go
@@ -40,8 +40,6 @@
 	Repetition Repetition
 	// Stream: the answer is a series of events.
 	Stream bool
-	// Generation: requests state their prompt, and targets keep parts of prompts.
-	Generation bool
 	// Timeout is the longest time to an answer.
 	Timeout time.Duration
 	// LatencyObjective is the time to the answer or the first event.
@@ -77,15 +75,10 @@
 
 // Engine describes the targets of a model service.
 type Engine struct {
-	Slots int
 	// MemoryTokens is what running requests and cached prompt parts share.
 	MemoryTokens int
-	// TokensPerEvent is the number of tokens that one event of a stream holds.
-	TokensPerEvent int
 	// KeepsBackups: a target sends the memory of a run to another one as it grows.
 	KeepsBackups bool
-	// BackupLifetime is how long a backup is kept after its last part.
-	BackupLifetime time.Duration
 }
 
 // Team is a customer's group with its keys.
