Calls: a resend does not join a flight that ended without an outcome

A flight tells its callers before it is removed; a resend that comes in between joined it and got the old 'unknown', though the claim had been settled meanwhile. Ruled out: the ledger and the target's record, which the failing call never asked. Change: such a flight is replaced, and a flight removes only itself; flights whose answer is still being committed are joined as before.

--- a/internal/request/call/claimed.go
+++ b/internal/request/call/claimed.go
@@ -36,7 +36,7 @@
 // outcome. The flight ends after the commit, so that resends which come to this
 // router in between get the same answer.
 func (s *Service) runFlight(f *flight, c *call) {
-	defer s.flights.remove(c)
+	defer s.flights.remove(c, f)
 	if closed := s.answerFlight(f, c); closed != nil {
 		s.commit(c, closed)
 	}
--- a/internal/request/call/flight.go
+++ b/internal/request/call/flight.go
@@ -48,6 +48,18 @@
 	byKey map[flightKey]*flight
 }
 
+// endedUnknown reports whether the flight has ended without a known outcome. It stays
+// among the flights for a moment more; a resend must ask the ledger anew, since the
+// outcome may have been settled meanwhile.
+func (f *flight) endedUnknown() bool {
+	select {
+	case <-f.done:
+		return f.err != nil && f.err.Kind == fault.OutcomeUnknown
+	default:
+		return false
+	}
+}
+
 // join returns the flight of the call's key, and whether it was there already.
 // It fails with the kind KeyConflict when the flight has another digest.
 func (fs *flights) join(c *call) (f *flight, joined bool, err error) {
@@ -55,7 +67,7 @@
 	digest := c.digest()
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	if f, ok := fs.byKey[key]; ok {
+	if f, ok := fs.byKey[key]; ok && !f.endedUnknown() {
 		if !bytes.Equal(f.digest, digest) {
 			return nil, false, fault.New(fault.KeyConflict, "%s", keyConflictMessage)
 		}
@@ -66,9 +78,12 @@
 	return f, false, nil
 }
 
-// remove ends the flight of the call's key.
-func (fs *flights) remove(c *call) {
+// remove ends the flight f of the call's key, unless another one has taken its place.
+func (fs *flights) remove(c *call, f *flight) {
+	key := flightKey{c.req.GetTeam(), c.req.GetKey()}
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
-	delete(fs.byKey, flightKey{c.req.GetTeam(), c.req.GetKey()})
+	if fs.byKey[key] == f {
+		delete(fs.byKey, key)
+	}
 }
