--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -142,7 +142,13 @@
 	if end.over {
 		return true, end.err
 	}
-	return st.judge(ctx, run, from, end)
+	st.logEnded(run, from, end, context.Cause(ctx))
+	st.count(run, from, end)
+	if wasLost(ctx, end) {
+		st.s.opts.Pool.Drop(run.Target.GetAddress())
+		run.MarkLost()
+	}
+	return false, nil
 }
 
 func (st *stream) keepsBackups() bool {
@@ -160,44 +166,31 @@
 	err    error
 }
 
-// judge decides what follows an engine that did not complete the stream.
-func (st *stream) judge(ctx context.Context, run *placement.Run, from *chicoryv1.ListedTarget, end runEnd) (over bool, err error) {
-	cause := context.Cause(ctx)
-	st.logEnded(run, from, end, cause)
-	address := run.Target.GetAddress()
-	switch {
-	case end.ending == notRun && from != nil:
-		// The copy is gone; the engine itself is well, and the one that was to keep the
-		// next copy has none either.
-		st.refused++
-		st.backup = nil
-		return false, nil
-	case end.ending == notRun:
-		st.refused++
-		st.backup = nil
-		if end.status == http.StatusMisdirectedRequest {
-			run.MarkStale()
-		}
-		st.tried = append(st.tried, address)
-		return false, nil
-	case end.ending == answered:
+// count takes in how the stream ended at one engine: what was sent, what is not tried
+// again, and whether a copy is left to go on from.
+func (st *stream) count(run *placement.Run, from *chicoryv1.ListedTarget, end runEnd) {
+	if end.ending == lost || end.ending == answered {
 		st.sent++
-		st.backup = nil
-		st.tried = append(st.tried, address)
-		return false, nil
-	case end.ending == notSent:
+	} else {
 		st.refused++
+	}
+	// The copy begins with the first event.
+	if end.ending != lost || end.events == 0 {
 		st.backup = nil
-	default:
-		st.sent++
-		if end.events == 0 {
-			st.backup = nil // the copy begins with the first event
-		}
 	}
-	st.tried = append(st.tried, address)
-	if ctx.Err() == nil || errors.Is(cause, pace.ErrSilent) {
-		st.s.opts.Pool.Drop(address)
-		run.MarkLost()
+	if end.status == http.StatusMisdirectedRequest {
+		run.MarkStale()
 	}
-	return false, nil
+	if end.ending == notRun && from != nil {
+		return // the copy is gone; the engine itself is well
+	}
+	st.tried = append(st.tried, run.Target.GetAddress())
+}
+
+// wasLost reports whether the engine itself was lost, and not the caller or the time.
+func wasLost(ctx context.Context, end runEnd) bool {
+	if end.ending != lost && end.ending != notSent {
+		return false
+	}
+	return ctx.Err() == nil || errors.Is(context.Cause(ctx), pace.ErrSilent)
 }
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -63,8 +63,14 @@
 	}
 	answer.Finish()
 	end := runEnd{ending: endingOf(answer.Status, reply), status: answer.Status}
-	if end.ending == answered && !st.begun {
-		st.failure = &attempt{ending: answered, status: answer.Status, header: answer.Header, body: body}
+	if end.ending != answered || st.begun {
+		return end
+	}
+	st.failure = &attempt{ending: answered, status: answer.Status, header: answer.Header, body: body}
+	if !st.failure.failed() {
+		// Every engine would say the same of the request.
+		st.failure.passOn(st.w)
+		end.over = true
 	}
 	return end
 }
--- a/internal/request/exchange/stream_test.go
+++ b/internal/request/exchange/stream_test.go
@@ -176,6 +176,25 @@
 	})
 }
 
+// TestEnginesRefusalOfTheRequestIsFinal: a 4xx of the engine itself goes to the caller,
+// a 5xx to another engine first.
+func TestEnginesRefusalOfTheRequestIsFinal(t *testing.T) {
+	for status, ran := range map[int]int{400: 1, 500: 2} {
+		inBubble(t, func(t *testing.T) {
+			w := newWorld()
+			w.set("a", w.answers(status, "no"))
+			w.set("b", w.answers(status, "no"))
+			s, _ := w.service(plenty{}, "a", "b")
+			a := admitted(declared.Resumable, true)
+			a.Route.MaxAttempts = 2
+			rec := httptest.NewRecorder()
+			assert.NilError(t, s.Serve(t.Context(), rec, a))
+			assert.Equal(t, rec.Code, status)
+			assert.Equal(t, w.runs(), ran)
+		})
+	}
+}
+
 // TestRefusedStreamSaysNotRun: no engine takes it.
 func TestRefusedStreamSaysNotRun(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
