--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -116,8 +116,8 @@
 	return &chicoryv1.ShareRequest{Loads: []*chicoryv1.EngineLoad{{Address: "e1", Tokens: 100}}}
 }
 
-func (e *entryVM) Targets(*chicoryv1.TargetList, string) {}
-func (e *entryVM) Fresh(string)                          {}
+func (e *entryVM) Targets(*chicoryv1.TargetList)         {}
+func (e *entryVM) Fresh()                                {}
 func (e *entryVM) Places([]*chicoryv1.PromptPlace, bool) {}
 func (e *entryVM) told() (version uint64, entries int, tokens uint32) {
 	e.mu.Lock()
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -36,9 +36,9 @@
 	// Declaration gives a declaration; an older one than the one in force must be
 	// ignored.
 	Declaration(d *chicoryv1.Declaration, from string)
-	Targets(list *chicoryv1.TargetList, from string)
-	// Fresh says that the list that was given last by from is still the platform's.
-	Fresh(from string)
+	Targets(list *chicoryv1.TargetList)
+	// Fresh says that the list that was given last is still the platform's.
+	Fresh()
 	// Version returns the declared version in force.
 	Version() uint64
 	// Shared gives what the other entry VMs share through the leader.
@@ -51,9 +51,9 @@
 	Share(anew bool) *chicoryv1.ShareRequest
 }
 
-// FollowerOptions are what a Follower needs. All are required.
+// FollowerOptions are what a Follower needs. All but Self and Feeds are required.
 type FollowerOptions struct {
-	// ID names the entry VM.
+	// ID names this VM.
 	ID     string
 	Seeds  []string // peer addresses
 	Client *http.Client
@@ -218,10 +218,10 @@
 		f.opts.Sink.Declaration(m.GetDeclaration(), from)
 	}
 	if m.GetTargets() != nil {
-		f.opts.Sink.Targets(m.GetTargets(), from)
+		f.opts.Sink.Targets(m.GetTargets())
 	}
 	if m.GetListIsFresh() {
-		f.opts.Sink.Fresh(from)
+		f.opts.Sink.Fresh()
 	}
 	if m.GetLeads() {
 		f.opts.Sink.Shared(Others{Loads: m.GetLoads(), Uses: m.GetUses(), Entries: int(m.GetEntries())})
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -4,8 +4,8 @@
 // delays nothing.
 //
 // The leader's feed also passes on what entry VMs share with each other: the load
-// that they have put on engines, and where prompts were read. It is lost with the
-// leader, and shared anew with the next one.
+// that they have put on engines, and where prompts were read. Loads are lost with the
+// leader and shared anew with the next one; places are kept by all control VMs.
 package feed
 
 import (
@@ -107,22 +107,23 @@
 	m.ControlAddresses, m.Leader, m.Leads = f.s.source.Members()
 	m.InQuorum = m.GetLeader() != ""
 	now := time.Now()
-	shared := f.addShared(m, now)
+	shared := f.addPlaces(m)
 	if m.Declaration == nil && m.Targets == nil && !shared && now.Sub(f.sentAt) < KeepaliveInterval {
 		return nil, changed, listChanged
 	}
 	f.sentAt = now
+	if m.Leads {
+		others := f.s.board.Others(f.entry, now)
+		m.Loads, m.Uses, m.Entries = others.Loads, others.Uses, uint32(others.Entries)
+	}
 	return m, changed, listChanged
 }
 
-// addShared adds what entry VMs share, if it changed: places from every control VM,
-// since all keep them, and loads and uses from the leader, which alone is told all.
-func (f *following) addShared(m *chicoryv1.FollowResponse, now time.Time) bool {
+// addPlaces adds the places that are new, which every control VM knows, and reports
+// whether there is something to tell of what is shared: to the leader's followers, who
+// alone are told loads and uses, each change.
+func (f *following) addPlaces(m *chicoryv1.FollowResponse) bool {
 	version := f.s.board.Version()
-	if m.GetLeads() {
-		others := f.s.board.Others(f.entry, now)
-		m.Loads, m.Uses, m.Entries = others.Loads, others.Uses, uint32(others.Entries)
-	}
 	if version == f.board {
 		return false
 	}
--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -9,6 +9,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +31,8 @@
 	Refuse(w http.ResponseWriter, e *fault.Error)
 }
 
-// Server passes requests on. It fails with a *fault.Error if nothing was answered.
+// Server passes requests on. It fails with a *fault.Error if nothing was answered, and
+// with an *exchange.BrokenOff if the answer can't be completed.
 type Server interface {
 	Serve(ctx context.Context, w http.ResponseWriter, a *exchange.Admitted) error
 }
@@ -41,8 +43,8 @@
 	// for each request.
 	maxHeaderBytes = 64 << 10
 	maxBodyBytes   = 8 << 20
-	// headerTimeout and idleTimeout are above what configurations state: callers may
-	// use a connection that was idle for most of the stated time.
+	// headerTimeout and idleTimeout hold whatever the configuration states. They are
+	// wide: callers may use a connection that was idle for most of the stated time.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 90 * time.Second
 )
@@ -206,7 +208,7 @@
 	if err != nil {
 		host = r.Host // without a port
 	}
-	path := pathOf(req.URI)
+	path, _, _ := strings.Cut(req.URI, "?")
 	route := view.Route(host, path)
 	if route == nil {
 		return nil, fault.New(fault.UnknownRoute, "no route for host %q and path %q", host, path)
@@ -228,16 +230,6 @@
 	return a, nil
 }
 
-// pathOf returns the part of the URI that routes are found by.
-func pathOf(uri string) string {
-	for i := range len(uri) {
-		if uri[i] == '?' {
-			return uri[:i]
-		}
-	}
-	return uri
-}
-
 // headerBytes returns about what the request's head took on the wire.
 func headerBytes(r *http.Request) int {
 	const separators = 4 // colon, space and line end
--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -21,8 +21,6 @@
 	reader *bufio.Reader
 	// idleUntil is when the target may close the idle connection.
 	idleUntil time.Time
-	// used: a request was answered on it before.
-	used bool
 }
 
 func newConn(raw net.Conn) *conn {
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -24,7 +24,8 @@
 	HasBody bool
 }
 
-// Answer is a target's answer whose body has not been read. It must be closed.
+// Answer is a target's answer whose body has not been read. Finish or Abandon
+// ends it.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -174,9 +175,6 @@
 // Abandon closes the connection; a target that is still at work stops.
 func (a *Answer) Abandon() { a.exchange.abandon() }
 
-// Abandon closes the connection before an answer was read.
-func (x *Exchange) Abandon() { x.abandon() }
-
 func (x *Exchange) finish(a *Answer) {
 	if x.ended {
 		return
@@ -186,7 +184,6 @@
 		return
 	}
 	x.ended = true
-	x.conn.used = true
 	x.pool.put(x.address, x.conn, keptFor(a.Header))
 }
 
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -104,7 +104,7 @@
 }
 
 // Targets implements feed.Sink.
-func (r *roster) Targets(list *chicoryv1.TargetList, from string) {
+func (r *roster) Targets(list *chicoryv1.TargetList) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.remember(list, time.Now())
@@ -113,7 +113,7 @@
 }
 
 // Fresh implements feed.Sink.
-func (r *roster) Fresh(string) {
+func (r *roster) Fresh() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.freshAt = time.Now()
@@ -217,7 +217,7 @@
 	for ctx.Err() == nil {
 		newest, _, changed := list.Targets()
 		if newest != nil && r.isStale() {
-			r.Targets(newest, "own reading")
+			r.Targets(newest)
 		}
 		select {
 		case <-changed:
--- a/internal/process/entry/roster_test.go
+++ b/internal/process/entry/roster_test.go
@@ -58,7 +58,7 @@
 	r := testRoster()
 	ready, _ := r.ready()
 	assert.Assert(t, !ready)
-	r.Targets(listOf(target("1", false)), "c1")
+	r.Targets(listOf(target("1", false)))
 	ready, _ = r.ready()
 	assert.Assert(t, !ready)
 	r.Declaration(declaration(3), "c1")
@@ -73,17 +73,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := testRoster()
 		r.Declaration(declaration(3), "c1")
-		r.Targets(listOf(target("1", false), target("2", false)), "c1")
+		r.Targets(listOf(target("1", false), target("2", false)))
 		assert.DeepEqual(t, r.inForce(), []string{"1", "2"})
-		r.Targets(listOf(target("1", true), target("2", false)), "c1")
+		r.Targets(listOf(target("1", true), target("2", false)))
 		assert.DeepEqual(t, r.inForce(), []string{"2"})
-		r.Targets(listOf(target("1", false), target("2", false)), "late feed")
+		r.Targets(listOf(target("1", false), target("2", false)))
 		assert.DeepEqual(t, r.inForce(), []string{"2"})
-		r.Targets(listOf(target("1", false)), "c1")
-		r.Targets(listOf(target("1", false), target("2", false)), "late feed")
+		r.Targets(listOf(target("1", false)))
+		r.Targets(listOf(target("1", false), target("2", false)))
 		assert.Equal(t, len(r.inForce()), 0, "what left the list stays out as well")
 		time.Sleep(goneMemory + time.Second)
-		r.Targets(listOf(target("2", false)), "c1")
+		r.Targets(listOf(target("2", false)))
 		assert.DeepEqual(t, r.inForce(), []string{"2"}) // but not for ever
 	})
 }
@@ -101,14 +101,14 @@
 	r.Declaration(declaration(5), "c1")
 	other := target("9", false)
 	other.Service = "another"
-	r.Targets(listOf(target("1", false), other), "c1")
+	r.Targets(listOf(target("1", false), other))
 	assert.DeepEqual(t, r.inForce(), []string{"1"})
 }
 
 func TestListIsStaleWithoutWordOfIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := testRoster()
-		r.Fresh("c1")
+		r.Fresh()
 		assert.Assert(t, !r.isStale())
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, r.isStale())
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -15,32 +15,25 @@
 // after its run broke off.
 const placesInterval = 500 * time.Millisecond
 
-// placesFolder is beside the log, so that a failure of one doesn't touch the other.
-const placesFolder = "places"
-
 // placesKeeper keeps what the leader's board knows of places on this VM's disk too, so
 // that callers find their prompts after everything was lost at once.
 type placesKeeper struct {
 	board *feed.Board
-	file  feed.PlacesFile
+	file  placesFile
 	log   *logging.Logger
 }
 
 func (p *Process) newPlacesKeeper(board *feed.Board) *placesKeeper {
 	return &placesKeeper{
 		board: board,
-		file:  feed.PlacesFile{FS: p.replica.options.FS, Folder: filepath.Join(p.settings.DataFolder, placesFolder)},
+		file:  placesFile{fs: p.replica.options.FS, folder: filepath.Join(p.settings.DataFolder, placesFolder)},
 		log:   p.log,
 	}
 }
 
 // load puts the saved places on the board.
 func (k *placesKeeper) load() {
-	if err := k.file.FS.MkdirAll(k.file.Folder); err != nil {
-		k.log.Warn(logging.PlacesLost, logging.Fields{"reason": err})
-		return
-	}
-	places, err := k.file.Load()
+	places, err := k.file.load()
 	if err != nil {
 		k.log.Warn(logging.PlacesLost, logging.Fields{"reason": err})
 		return
@@ -58,7 +51,7 @@
 		if after == saved {
 			continue
 		}
-		err := k.file.Save(places)
+		err := k.file.save(places)
 		if err != nil && !failed {
 			k.log.Warn(logging.PlacesLost, logging.Fields{"reason": err, "places": len(places)})
 		}
@@ -86,10 +79,10 @@
 func (k *placesKeeper) Declaration(*chicoryv1.Declaration, string) {}
 
 // Targets implements feed.Sink; this VM reads the list.
-func (k *placesKeeper) Targets(*chicoryv1.TargetList, string) {}
+func (k *placesKeeper) Targets(*chicoryv1.TargetList) {}
 
 // Fresh implements feed.Sink.
-func (k *placesKeeper) Fresh(string) {}
+func (k *placesKeeper) Fresh() {}
 
 // Version implements feed.Sink: no declaration is wanted.
 func (k *placesKeeper) Version() uint64 { return ^uint64(0) }
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -52,10 +52,6 @@
 
 // Start opens the data folder, looks for the other control VMs and serves.
 func Start(s Settings, adapter Adapter, log *logging.Logger) (*Process, error) {
-	return start(s, adapter, log, disk.OS{})
-}
-
-func start(s Settings, adapter Adapter, log *logging.Logger, fs disk.FS) (*Process, error) {
 	p := &Process{
 		settings: s,
 		log:      log,
@@ -63,7 +59,7 @@
 		list:     observe.NewTargetList(adapter, log),
 		board:    feed.NewBoard(),
 	}
-	p.replica = newReplica(s, fs, log)
+	p.replica = newReplica(s, disk.OS{}, log)
 	metrics.NewRegisteredFunctionalGauge("declared.version", p.registry, func() int64 {
 		newest, _ := p.replica.declaration()
 		return int64(newest.GetVersion())
--- a/internal/process/snapshot/snapshot.go
+++ b/internal/process/snapshot/snapshot.go
@@ -42,41 +42,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	temporary := filepath.Join(s.folder, temporaryName)
-	if err := s.writeSynced(temporary, b); err != nil {
-		return errors.Trace(err)
-	}
 	name := fmt.Sprintf("%020d%s", file.GetIndex(), suffix)
-	if err := s.fs.Rename(temporary, filepath.Join(s.folder, name)); err != nil {
-		return storageFailed("rename", err)
-	}
-	if err := s.fs.SyncFolder(s.folder); err != nil {
-		return storageFailed("sync folder", err)
+	if err := disk.Replace(s.fs, s.folder, temporaryName, name, b); err != nil {
+		return storageFailed("save", err)
 	}
 	return s.removeOthers(name)
 }
 
-func (s *Store) writeSynced(path string, b []byte) error {
-	f, err := s.fs.Create(path)
-	if err != nil {
-		return storageFailed("create", err)
-	}
-	n, err := f.Write(b)
-	if err == nil && n < len(b) {
-		err = errors.Errorf("%d of %d bytes written", n, len(b))
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return storageFailed("write", err)
-	}
-	return nil
-}
-
 func (s *Store) removeOthers(keep string) error {
 	names, err := s.names()
 	if err != nil {
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -139,7 +139,7 @@
 		if err != nil {
 			return nil, Reply{}, err
 		}
-		reply := s.opts.Protocol.DecodeReply(answer.Status, answer.Header)
+		reply := s.opts.Protocol.DecodeReply(answer.Header)
 		if reply.ID == id || reply.ID == "" && !reply.Signed {
 			return answer, reply, nil
 		}
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -89,8 +89,6 @@
 	Signed bool
 	// NotRun: the target states that it did not run the request.
 	NotRun bool
-	// Instance is the start of the target that answered, if it says so.
-	Instance string
 	// Running and Waiting are the target's requests, of Slots at once. Slots is 0 if
 	// it states no load.
 	Running, Waiting, Slots int
@@ -102,7 +100,7 @@
 	// EncodeDispatch returns the headers of one dispatch of r.
 	EncodeDispatch(r *Request, d Dispatch) http.Header
 	// DecodeReply reads the head of an answer.
-	DecodeReply(status int, h http.Header) Reply
+	DecodeReply(h http.Header) Reply
 }
 
 // EngineReport is what an engine says of itself when it is asked.
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -47,7 +47,7 @@
 	return h
 }
 
-func (words) DecodeReply(_ int, h http.Header) Reply {
+func (words) DecodeReply(h http.Header) Reply {
 	return Reply{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
 }
 
--- a/internal/request/retry/shared.go
+++ b/internal/request/retry/shared.go
@@ -60,8 +60,8 @@
 	othersLifetime = 1500 * time.Millisecond
 	// retryRound is the time after which the others' use is told again.
 	retryRound = 150 * time.Millisecond
-	// slices divides the window for counting.
-	slices = 20
+	// windowSlices divides the window for counting.
+	windowSlices = 20
 )
 
 // Shared implements request.RetryBudget by one bound that all entry VMs share. While
@@ -72,7 +72,7 @@
 	own   *Budget
 
 	mu       sync.Mutex // guards the fields below
-	counts   [slices + 1]Use
+	counts   [windowSlices + 1]Use
 	slice    int64 // number of the newest slice
 	others   Use
 	othersAt time.Time
@@ -154,8 +154,8 @@
 
 // current returns the count of the slice of now. The caller holds mu.
 func (s *Shared) current(now time.Time) *Use {
-	slice := now.UnixNano() / (int64(s.bound.Window) / slices)
-	for n := max(s.slice+1, slice-slices); n <= slice; n++ {
+	slice := now.UnixNano() / (int64(s.bound.Window) / windowSlices)
+	for n := max(s.slice+1, slice-windowSlices); n <= slice; n++ {
 		s.counts[n%int64(len(s.counts))] = Use{}
 	}
 	s.slice = max(s.slice, slice)
