A fault soak: real programs as processes, harmed from outside, checked from outside

Change: test/soak draws system, load and troubles from a seed: kill, pause, stop, a stop that is killed, reload, lost disk, torn log, links that delay, reset, cut one way or both, refuse, targets that crash (alone or by zone), fall silent, fail, lose or break off answers, slow down, leave, and a list that is down. Checks: streams whole and of one run, calls at most once, 'not run' true, configurations never older than confirmed nor back, refused ones never in force, stops that cut nothing, leaving targets, left callers, service in calm times and after the last trouble, a log line for each failed request. The stand-ins of the platform's wire move from the adapter's tests to platform/standin, which both use, so that the platform's names stay in one folder. A keeper may listen for peers behind a proxy (peer_listen_address).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 TOOL = go tool -modfile=tools/go.mod
 
-.PHONY: build test lint generate check-generated bench bench-resume bench-route bench-control bench-moves capacity demo ci clean check-examples check-docs
+.PHONY: build test lint generate check-generated bench bench-resume bench-route bench-control bench-moves capacity demo ci clean check-examples check-docs soak soak-ci
 
 build:
 	go build -o bin/ ./cmd/...
@@ -45,6 +45,20 @@
 capacity:
 	go run ./bench/capacity -out capacity-out
 
+# Runs the real programs under drawn troubles. SEED, COUNT and SOAK_TIME choose the runs.
+SEED ?= 1
+COUNT ?= 1
+SOAK_TIME ?= 20s
+soak: build
+	go build -o bin/ ./test/soak
+	bin/soak -seed $(SEED) -count $(COUNT) -for $(SOAK_TIME)
+
+# The soak's part in CI: a fixed seed, and each seed that ever failed.
+soak-ci: build
+	go build -o bin/ ./test/soak
+	bin/soak -seed 1 -for 12s
+	bin/soak -regressions
+
 demo: build
 	./scripts/demo.sh
 
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -104,7 +104,7 @@
 	path, h := chicoryv1connect.NewDeclarationServiceHandler(declarationService{declarations})
 	mux.Handle(path, h)
 	var err error
-	if p.peers, err = serve(p.replica.id, mux); err != nil {
+	if p.peers, err = serve(p.settings.listenForPeers(), mux); err != nil {
 		return errors.Annotate(err, "peer port")
 	}
 	if p.operators, err = serve(string(p.settings.OperatorAddress), adapter.Operators(declarations)); err != nil {
--- a/internal/process/keeper/settings.go
+++ b/internal/process/keeper/settings.go
@@ -12,6 +12,9 @@
 	ID string `yaml:"id" settings:"required"`
 	// PeerPort is the port for own processes, the same on all VMs.
 	PeerPort int `yaml:"peer_port" settings:"required"`
+	// PeerListenAddress is where this VM listens for own processes if they reach it
+	// through a proxy. Empty: where they reach it, at its operator address's IP.
+	PeerListenAddress settings.Address `yaml:"peer_listen_address"`
 	// OperatorAddress is where operators reach this VM. Its port is the same on all.
 	OperatorAddress settings.Address `yaml:"operator_address" settings:"required"`
 	// MonitorAddress serves health and metrics.
@@ -25,6 +28,14 @@
 	DataFolder string `yaml:"data_folder" settings:"required"`
 }
 
+// listenForPeers returns where the peer port is served.
+func (s *Settings) listenForPeers() string {
+	if s.PeerListenAddress != "" {
+		return string(s.PeerListenAddress)
+	}
+	return s.OperatorAddress.WithPort(s.PeerPort)
+}
+
 // Validate implements settings.Validator.
 func (s *Settings) Validate() (field, problem string) {
 	switch {
--- /dev/null
+++ b/test/soak/callers.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/chicoryswitch/chicoryswitch/platform/standin"
+)
+
+// Load of one entry VM.
+const (
+	callersPerEntry = 3
+	streamsPerEntry = 3
+	callPause       = 60 * time.Millisecond
+	streamPause     = 300 * time.Millisecond
+	// callWait and streamWait are how long callers wait.
+	callWait   = 2 * time.Second
+	streamWait = 12 * time.Second
+	// leaveShare of the streams' callers leave within leaveWithin.
+	leaveShare  = 0.1
+	leaveWithin = 800 * time.Millisecond
+	// strangerShare of calls come with a key that nobody holds.
+	strangerShare = 0.03
+)
+
+// load drives callers at all entry VMs.
+type load struct {
+	world   *world
+	history *history
+	numbers atomic.Int64
+	// marks is the number of the newest configuration that is worth asking for.
+	operator *operator
+}
+
+// newID returns an id of a kind that is not used yet.
+func (l *load) newID(kind string) string {
+	return fmt.Sprintf("%s-%d", kind, l.numbers.Add(1))
+}
+
+// caller is one caller, who keeps a connection open while it works.
+type caller struct {
+	load   *load
+	entry  *machine
+	client *http.Client
+	rand   *rand.Rand
+}
+
+func (l *load) newCaller(entry *machine, r *rand.Rand) *caller {
+	return &caller{load: l, entry: entry, rand: r, client: &http.Client{
+		Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true},
+	}}
+}
+
+// pause waits up to twice d, or until ctx ends.
+func (c *caller) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(time.Duration(c.rand.Int64N(int64(2 * d)))):
+	case <-ctx.Done():
+	}
+}
+
+// makeCalls makes one call after the other until ctx ends. What was begun is finished.
+func (c *caller) makeCalls(ctx context.Context) {
+	for ctx.Err() == nil {
+		switch draw := c.rand.Float64(); {
+		case draw < strangerShare:
+			c.send(kindNoKey, standin.PathLook+"x", callWait, 0, map[string]string{"Credential": "nobody's"})
+		case draw < 0.5:
+			c.send(kindPay, standin.PathPay+"x", callWait, 0, nil)
+		default:
+			c.send(kindLook, standin.PathLook+"x", callWait, 0, nil)
+		}
+		c.pause(ctx, callPause)
+	}
+}
+
+// makeStreams asks for one stream after the other until ctx ends.
+func (c *caller) makeStreams(ctx context.Context) {
+	for ctx.Err() == nil {
+		var leave time.Duration
+		if c.rand.Float64() < leaveShare {
+			leave = time.Duration(c.rand.Int64N(int64(leaveWithin))) + 1
+		}
+		c.send(kindDraft, standin.PathDraft+"x", streamWait, leave, nil)
+		c.pause(ctx, streamPause)
+	}
+}
+
+// askForMarks asks for the routes that only one configuration has, until ctx ends.
+func (c *caller) askForMarks(ctx context.Context) {
+	for ctx.Err() == nil {
+		if version, path := c.load.operator.mark(c.rand); path != "" {
+			kind := kindMark
+			if version == 0 {
+				kind = kindBad
+			}
+			r := c.send(kind, path+"x", callWait, 0, nil)
+			c.load.history.mu.Lock()
+			r.version = version
+			c.load.history.mu.Unlock()
+		}
+		c.pause(ctx, callPause)
+	}
+}
+
+// send sends one request and notes what came of it. The caller leaves after the time
+// leave, if that is not 0.
+func (c *caller) send(kind, path string, wait, leave time.Duration, header map[string]string) *request {
+	id := c.load.newID(kind)
+	r := &request{id: id, entry: c.entry.id, uri: path, start: c.entry.current()}
+	patience := wait + time.Second
+	if leave > 0 {
+		patience = leave
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := standin.Request{ID: id, Method: http.MethodPost, Path: path, Wait: wait, Stream: kind == kindDraft, Header: header}.To(c.entry.link.listener.Addr().String())
+	if err != nil {
+		r.err = err
+		return r
+	}
+	c.load.history.sending(id)
+	r.sent = time.Now()
+	r.status, r.signer, r.body, r.err = c.exchange(req.WithContext(ctx))
+	r.ended = time.Now()
+	r.left = ctx.Err() != nil
+	if c.entry.current() != r.start {
+		r.start = 0
+	}
+	c.load.history.answeredWith(r)
+	return r
+}
+
+func (c *caller) exchange(req *http.Request) (status int, signer, body string, err error) {
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var text bytes.Buffer
+	_, err = io.Copy(&text, resp.Body)
+	return resp.StatusCode, standin.SignedBy(resp.Header), text.String(), err
+}
