--- a/internal/process/consensus/election.go
+++ b/internal/process/consensus/election.go
@@ -5,6 +5,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
 
 // campaign is an attempt to become leader, first asked in advance, so that a
@@ -15,20 +16,26 @@
 	granted map[replica]bool
 }
 
-// runClock looks at the timeouts.
+// runClock looks at the timeouts. Elections begin at the very moment that was drawn:
+// replicas that start together would find themselves at one tick of the clock, and
+// split the votes.
 func (n *Node) runClock() {
-	ticker := time.NewTicker(n.options.HeartbeatInterval / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.checkTimeouts(now)
-		}
+	for pause.For(n.ctx, n.untilTimeout(time.Now())) {
+		n.checkTimeouts(time.Now())
 	}
 }
 
+// untilTimeout returns the time until the timeouts are looked at again.
+func (n *Node) untilTimeout(now time.Time) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	wait := n.options.HeartbeatInterval / 2
+	if n.role != Leader && n.electionDeadline.After(now) {
+		wait = min(wait, n.electionDeadline.Sub(now)+time.Nanosecond) // a deadline has passed only after its moment
+	}
+	return wait
+}
+
 func (n *Node) checkTimeouts(now time.Time) {
 	n.mu.Lock()
 	c := n.campaign
--- a/internal/process/consensus/seeds_test.go
+++ b/internal/process/consensus/seeds_test.go
@@ -148,3 +148,34 @@
 		assert.NilError(t, c.awaitRepaired())
 	})
 }
+
+// TestAllRestartTogether: nine replicas come back at the same moment, as after a loss
+// of power, two of them with empty disks. One leads before callers give up on entry
+// VMs that have no configuration yet.
+func TestAllRestartTogether(t *testing.T) {
+	const soon = 600 * time.Millisecond // callers with short deadlines wait no longer
+	late := 0
+	for round := range uint64(20) {
+		inSeedCluster(t, 9, func(c *cluster) {
+			c.net.set(func() { c.net.random = rand.New(rand.NewPCG(round, 1)) })
+			for _, id := range c.ids {
+				c.disks[id].Unmount()
+				c.halt(id)
+			}
+			c.random = rand.New(rand.NewPCG(round, 2))
+			for _, id := range c.ids[7:] {
+				c.disks[id] = disktest.New()
+			}
+			c.mayFound = false
+			begin := time.Now()
+			for _, id := range c.ids {
+				c.start(id)
+			}
+			c.leader(t)
+			if time.Since(begin) > soon {
+				late++
+			}
+		})
+	}
+	assert.Assert(t, late <= 1, "%d of 20 elections took longer than %v", late, soon)
+}
