Placement: draw from as many engines as others' unseen runs ask for; backups count little

All choose the one engine without runs and backups, and hear of each other only later. Backups, 1.6 an engine, count like runs, so few engines look idle. Change: backups are shared apart from runs and count a tenth, but for the choice of another backup; a full engine comes last; a run is drawn from the best engines, twice as many as others' runs are placed before they are known here, by the measured rate.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -89,7 +89,7 @@
 }
 
 // Others sums up what all entry VMs but one share: of the loads, those that changed
-// after the version since, 0 for all of them; one without tokens is gone. It returns
+// after the version since, 0 for all of them; one that is 0 throughout is gone. It returns
 // the version to ask with the next time.
 func (b *Board) Others(except string, since uint64, now time.Time) (o Others, version uint64) {
 	b.mu.Lock()
@@ -102,7 +102,7 @@
 		}
 		mine := own.loads[address]
 		o.Loads = append(o.Loads, &chicoryv1.EngineLoad{
-			Address: address, Tokens: t.tokens - mine.tokens, Unread: t.unread - mine.unread,
+			Address: address, Tokens: t.tokens - mine.tokens, Unread: t.unread - mine.unread, Backups: t.backups - mine.backups,
 		})
 	}
 	for service, sum := range b.sums.uses {
--- a/internal/connection/feed/changes.go
+++ b/internal/connection/feed/changes.go
@@ -86,7 +86,7 @@
 		a.loads = map[string]*chicoryv1.EngineLoad{}
 	}
 	for _, l := range m.GetLoads() {
-		if l.GetTokens() == 0 && l.GetUnread() == 0 {
+		if loadOf(l) == (load{}) {
 			delete(a.loads, l.GetAddress())
 			continue
 		}
--- a/internal/connection/feed/changes_test.go
+++ b/internal/connection/feed/changes_test.go
@@ -56,7 +56,7 @@
 		}
 		for _, l := range r.GetLoads() {
 			s := sum[l.GetAddress()]
-			sum[l.GetAddress()] = load{s.tokens + l.GetTokens(), s.unread + l.GetUnread()}
+			sum[l.GetAddress()] = load{s.tokens + l.GetTokens(), s.unread + l.GetUnread(), s.backups + l.GetBackups()}
 		}
 	}
 	maps.DeleteFunc(sum, func(_ string, l load) bool { return l == load{} })
@@ -87,6 +87,7 @@
 				for _, n := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 0, 3, rapid.ID[int]).Draw(t, "engines") {
 					r.Loads = append(r.Loads, &chicoryv1.EngineLoad{
 						Address: fmt.Sprint("engine", n), Tokens: uint32(rapid.IntRange(0, 2).Draw(t, "tokens")), Unread: uint32(rapid.IntRange(0, 1).Draw(t, "unread")),
+						Backups: uint32(rapid.IntRange(0, 1).Draw(t, "backups")),
 					})
 				}
 				board.Put(r, now)
@@ -102,7 +103,7 @@
 				f.known.takeLoads(m)
 				got := map[string]load{}
 				for _, l := range f.known.loadList() {
-					got[l.GetAddress()] = load{l.GetTokens(), l.GetUnread()}
+					got[l.GetAddress()] = loadOf(l)
 				}
 				assert.DeepEqual(t, got, naiveLoads(shares, at, entry, now), cmp.AllowUnexported(load{}))
 			}
--- a/internal/connection/feed/loads.go
+++ b/internal/connection/feed/loads.go
@@ -8,9 +8,11 @@
 
 // load is what entry VMs have at one engine, in tokens.
 type load struct {
-	tokens, unread uint32
+	tokens, unread, backups uint32
 }
 
+func loadOf(l *chicoryv1.EngineLoad) load { return load{l.GetTokens(), l.GetUnread(), l.GetBackups()} }
+
 // total is the sum of one engine's loads.
 type total struct {
 	load
@@ -33,7 +35,7 @@
 func newSharedLoads(r *chicoryv1.ShareRequest, now time.Time) sharedLoads {
 	s := sharedLoads{loads: map[string]load{}, uses: map[string]use{}, at: now}
 	for _, l := range r.GetLoads() {
-		s.loads[l.GetAddress()] = load{l.GetTokens(), l.GetUnread()}
+		s.loads[l.GetAddress()] = loadOf(l)
 	}
 	for _, u := range r.GetUses() {
 		s.uses[u.GetService()] = use{u.GetRequests(), u.GetFurtherAttempts()}
@@ -83,6 +85,7 @@
 	}
 	t.tokens += now.tokens - old.tokens
 	t.unread += now.unread - old.unread
+	t.backups += now.backups - old.backups
 	t.version = version
 }
 
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -155,7 +155,7 @@
 	others, version := f.s.board.Others(f.entry, f.loads, now)
 	f.loads = version
 	for _, l := range others.Loads {
-		next := load{l.GetTokens(), l.GetUnread()}
+		next := loadOf(l)
 		if f.told[l.GetAddress()] == next {
 			continue // only the follower's own part changed
 		}
--- a/internal/connection/feed/share.go
+++ b/internal/connection/feed/share.go
@@ -54,7 +54,7 @@
 	}
 	loads := newSharedLoads(before, time.Time{}).loads
 	for _, l := range now.GetLoads() {
-		if known, ok := loads[l.GetAddress()]; !ok || known != (load{l.GetTokens(), l.GetUnread()}) {
+		if known, ok := loads[l.GetAddress()]; !ok || known != loadOf(l) {
 			return true
 		}
 	}
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -30,7 +30,9 @@
 	meanTokens float64
 	// sharedAt is when the other entry VMs' loads were told last.
 	sharedAt time.Time
-	places   places
+	// othersRate is the rate at which others place runs.
+	othersRate rate
+	places     places
 }
 
 // engine is one address of the list. It is guarded by Engines.mu.
--- a/internal/request/placement/settings.go
+++ b/internal/request/placement/settings.go
@@ -19,6 +19,8 @@
 	// PromptWeight is how much a prompt that is still to be read counts against the
 	// same number of tokens in memory: prompts delay the tokens of all runs.
 	PromptWeight float64
+	// BackupWeight is how much a backup counts against a run with the same memory.
+	BackupWeight float64
 	// ZoneWeight is the share of memory by which an engine of another availability
 	// zone must be freer to be preferred, for the bytes between zones.
 	ZoneWeight float64
@@ -35,6 +37,9 @@
 	// StalePause is how long an engine gets no work after it was found to be another
 	// start than the list says. A newer list ends it.
 	StalePause time.Duration
+	// SpreadFactor is the number of engines that a run is drawn from, for each run that
+	// other entry VMs place before it can be known here.
+	SpreadFactor float64
 	// ZoneLossWeight is the share of memory by which other engines of a zone must be
 	// freer for ZoneLossTime after one there was lost: losses of a zone come together.
 	ZoneLossWeight float64
@@ -49,9 +54,11 @@
 func Defaults() Settings {
 	return Settings{
 		PromptWeight:   2,                      // reading takes about twice as long as the generation of as many bytes
+		BackupWeight:   0.1,                    // few backups are ever used
 		ZoneWeight:     0.05,                   // half of a usual run's share of an engine
 		AffinityWeight: 0.15,                   // above one run, below one prompt that waits to be read
 		ReadWeight:     0.6,                    // two prompts that wait to be read
+		SpreadFactor:   2,                      // then about every third of them meets another one
 		LostPause:      500 * time.Millisecond, // restarts of engines take about a second
 		MaxLostPause:   2 * time.Second,        // the list names a dead engine for some seconds
 		StalePause:     3 * time.Second,        // the list lags by a second or two
