--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -104,6 +104,13 @@
 	slots.Wait()
 }
 
+// Followed returns the number of control VMs that are followed or tried at the moment.
+func (f *Follower) Followed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.followed)
+}
+
 // AddSeeds makes further addresses known, as after a reload.
 func (f *Follower) AddSeeds(seeds []string) {
 	f.mu.Lock()
--- a/internal/ctl/read.go
+++ b/internal/ctl/read.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
+	"os"
+	"slices"
 	"text/tabwriter"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -88,11 +92,19 @@
 }
 
 func (a *app) explainCommand() *ffcli.Command {
-	return a.command("explain", "explain SUBJECT", "Tells why things are as they are for a route, move, team or target.",
-		"chicoryctl explain -config ctl.yaml booking", nil,
+	var request string
+	return a.command("explain", "explain SUBJECT | explain -request ID [FILE...]",
+		"Tells why things are as they are for a route, move, team or target, or how a request came to its end, from logs.",
+		"chicoryctl explain -config ctl.yaml booking\nchicoryctl explain -request 9c41d07be2a35f68 entry-*.log",
+		func(fs *flag.FlagSet) {
+			fs.StringVar(&request, "request", "", "id of a request; its path is read from log files, or from standard input")
+		},
 		func(ctx context.Context, args []string) error {
+			if request != "" {
+				return a.explainRequest(request, args)
+			}
 			if len(args) != 1 {
-				return errors.New("name one route, move, team or target")
+				return errors.New("name one route, move, team or target, or a request with -request")
 			}
 			req := &chicoryv1.ExplainRequest{Subject: args[0]}
 			resp, err := ask(ctx, a, req, chicoryv1connect.OperatorServiceClient.Explain)
@@ -107,6 +119,50 @@
 		})
 }
 
+// explainRequest prints the lines that explain a request, in their order.
+func (a *app) explainRequest(request string, files []string) error {
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	path := pathOf(request, lines)
+	if len(path) == 0 {
+		return errors.Errorf("none of %d lines names request %q", len(lines), request)
+	}
+	if a.output == outputJSON {
+		encoder := json.NewEncoder(a.out)
+		encoder.SetIndent("", "  ")
+		return errors.Trace(encoder.Encode(path))
+	}
+	begin := path[slices.IndexFunc(path, func(l line) bool { return l.OfRequest })].Time
+	fmt.Fprintf(a.out, "request %s, from %s; lines with ~ are what its VM came to believe\n", request, begin.Format(time.RFC3339Nano))
+	for _, l := range path {
+		fmt.Fprintln(a.out, l.text(begin))
+	}
+	return nil
+}
+
+// readLogs reads the files, or standard input if there are none.
+func readLogs(files []string) ([]line, error) {
+	if len(files) == 0 {
+		return readLines(os.Stdin)
+	}
+	var lines []line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Annotate(err, "log")
+		}
+		more, err := readLines(f)
+		_ = f.Close() // was only read
+		if err != nil {
+			return nil, errors.Annotatef(err, "log %q", name)
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 func (a *app) configCommand() *ffcli.Command {
 	return a.command("config", "config", "Shows the configuration in force as JSON.",
 		"chicoryctl config -config ctl.yaml", nil,
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -61,6 +61,7 @@
 		pool:     http1.NewPool(http1.Defaults(), registry),
 		budgets:  newBudgets(s.Retry, registry),
 	}
+	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.LeftOut)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.roster.Version()) })
 	p.roster = newRoster(adapter, engines, p.budgets, log)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
@@ -70,6 +71,8 @@
 		Sink:   p.roster,
 		Logger: log,
 	})
+	metrics.NewRegisteredFunctionalGauge("list.age_ms", registry, func() int64 { return p.roster.listAge().Milliseconds() })
+	metrics.NewRegisteredFunctionalGauge("feeds", registry, func() int64 { return int64(p.follower.Followed()) })
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	if err := p.listen(adapter, engines); err != nil {
 		p.cut()
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -126,6 +126,17 @@
 	return time.Since(r.freshAt) > observe.ListLifetime
 }
 
+// listAge is the time since a control VM last said that the list is the platform's; 0
+// before the first list.
+func (r *roster) listAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.freshAt.IsZero() {
+		return 0
+	}
+	return time.Since(r.freshAt)
+}
+
 // ready reports whether requests can be served, and why not.
 func (r *roster) ready() (bool, string) {
 	if r.declared.Current() == nil {
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -60,6 +60,7 @@
 		board:    feed.NewBoard(),
 	}
 	p.replica = newReplica(s, disk.OS{}, log)
+	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", p.registry, log.LeftOut)
 	metrics.NewRegisteredFunctionalGauge("declared.version", p.registry, func() int64 {
 		newest, _ := p.replica.declaration()
 		return int64(newest.GetVersion())
--- a/internal/process/logging/limit.go
+++ b/internal/process/logging/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 
 // limit bounds the number of lines. Lines of failures go before ordinary ones.
 type limit struct {
+	total atomic.Int64 // lines that were left out
+
 	mu      sync.Mutex // guards the fields below
 	lines   float64
 	at      time.Time
@@ -41,6 +44,7 @@
 	}
 	if l.lines < floor {
 		l.leftOut++
+		l.total.Add(1)
 		return false, 0
 	}
 	l.lines--
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -127,6 +127,19 @@
 	return l
 }
 
+// LeftOut returns the number of lines that were left out: over the bound, or because
+// nobody read them.
+func (l *Logger) LeftOut() int64 {
+	var n int64
+	if l.limit != nil {
+		n = l.limit.total.Load()
+	}
+	if sink, ok := l.entry.Logger.Out.(*Sink); ok {
+		n += sink.LeftOut()
+	}
+	return n
+}
+
 // Discard returns a logger that writes nothing.
 func Discard() *Logger {
 	return New(io.Discard, "none", "none")
--- a/internal/process/logging/sink_test.go
+++ b/internal/process/logging/sink_test.go
@@ -90,3 +90,26 @@
 	text := w.b.String()
 	assert.Assert(t, strings.Contains(text, string(LinesLeftOut)) && strings.Contains(text, "lines=2"), text)
 }
+
+// TestLinesLeftOutAreCounted, those over the bound and those that nobody reads.
+func TestLinesLeftOutAreCounted(t *testing.T) {
+	stuck := &stuckWriter{wait: make(chan struct{})}
+	sink := NewSink(stuck)
+	log := NewBounded(sink, "entry", "v1")
+	assert.Equal(t, log.LeftOut(), int64(0))
+	const lines = 4 * (sinkLines + lineBurst)
+	for range lines {
+		log.Warn(RequestRefused, Fields{"request": "x"})
+	}
+	assert.Assert(t, log.LeftOut() > lines/2)
+	close(stuck.wait)
+	sink.Close()
+}
+
+// stuckWriter takes nothing until wait is closed.
+type stuckWriter struct{ wait chan struct{} }
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.wait
+	return len(p), nil
+}
--- a/internal/process/run/run.go
+++ b/internal/process/run/run.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
+	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
@@ -58,7 +60,11 @@
 		args = args[1:]
 	}
 	path, err := s.parse(args)
-	if err != nil {
+	switch {
+	case errors.Is(err, errVersionAsked):
+		fmt.Println(s.Name, version())
+		return ExitOK
+	case err != nil:
 		return ExitUsage
 	}
 	set := s.Settings()
@@ -73,10 +79,30 @@
 	return s.serve(path, set)
 }
 
+// errVersionAsked says that only the version is asked for.
+var errVersionAsked = errors.New("the version is asked for")
+
+// version returns the version that the binary was built of: the module's, and the
+// revision if the build knew it.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	text := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			text += " " + s.Value
+		}
+	}
+	return text + " " + info.GoVersion
+}
+
 // parse reads the flags and the environment and returns the settings' path.
 func (s Server) parse(args []string) (string, error) {
 	fs := flag.NewFlagSet(s.Name, flag.ContinueOnError)
 	path := fs.String("settings", "", "path of the YAML settings file")
+	asked := fs.Bool("version", false, "print the version and exit")
 	fs.Usage = func() {
 		fmt.Fprintf(fs.Output(), "%s [check-settings] -settings FILE\n\n", s.Name)
 		fs.PrintDefaults()
@@ -86,6 +112,9 @@
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(s.envPrefix())); err != nil {
 		return "", err
 	}
+	if *asked {
+		return "", errVersionAsked
+	}
 	if fs.NArg() > 0 {
 		fmt.Fprintf(os.Stderr, "unknown argument %q\n", fs.Arg(0))
 		return "", flag.ErrHelp
--- a/internal/process/run/run_test.go
+++ b/internal/process/run/run_test.go
@@ -53,6 +53,7 @@
 		{name: "environment", env: good, status: ExitOK, started: 1, stopped: 1},
 		{name: "failure", args: []string{"-settings", good}, failure: broken, status: ExitError, started: 1, stopped: 1},
 		{name: "start fails", args: []string{"-settings", good}, startErr: broken, status: ExitError, started: 1},
+		{name: "version", args: []string{"-version"}, status: ExitOK},
 		{name: "check", args: []string{"check-settings", "-settings", good}, status: ExitOK},
 		{name: "check of bad settings", args: []string{"check-settings", "-settings", bad}, status: ExitUsage},
 		{name: "bad settings", args: []string{"-settings", bad}, status: ExitUsage},
