Configurations are packed once; own processes ask for answers that are not compressed

The configuration has just grown to 230 KB, and connect compresses each answer for each reader: 230 KB for each of 64 entry VMs on up to three feeds takes some seconds of a control VM's 0.24 cores. Heartbeats stall, leaders change, and each change is answered "no quorum" after 0.9 s (logs of control VMs: five times in a row for one version). Ruled out: the network (1,000 Mbit/s), the disks (5 ms), the size limit of an entry.

--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -190,3 +190,18 @@
 	b.Shared(Others{})
 	eventually(t, "the entry VMs don't hear of each other through the new leader", hear)
 }
+
+// TestFeedsAreNotCompressed: a change goes to many entry VMs within a second, and each
+// message would be compressed for each of them.
+func TestFeedsAreNotCompressed(t *testing.T) {
+	asked := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case asked <- r.Header.Get("Connect-Accept-Encoding") + r.Header.Get("Accept-Encoding"):
+		default:
+		}
+	}))
+	defer s.Close()
+	follow(t, "v1", strings.TrimPrefix(s.URL, "http://"))
+	assert.Assert(t, !strings.Contains(<-asked, "gzip"))
+}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -183,7 +183,7 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilentFeed) })
 	defer watchdog.Stop()
-	client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(address))
+	client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(address), peer.Uncompressed)
 	stream, err := client.Follow(ctx, connect.NewRequest(&chicoryv1.FollowRequest{
 		EntryId: f.opts.ID, DeclaredVersion: f.opts.Sink.Version(),
 	}))
--- a/internal/connection/feed/share.go
+++ b/internal/connection/feed/share.go
@@ -36,7 +36,7 @@
 		}
 		request.EntryId = f.opts.ID
 		callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
-		client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(leader))
+		client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(leader), peer.Uncompressed)
 		_, err := client.Share(callCtx, connect.NewRequest(request))
 		cancel()
 		told, last, before = leader, time.Now(), request
--- a/internal/connection/peer/plain.go
+++ b/internal/connection/peer/plain.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"connectrpc.com/connect"
 )
 
 // Bounds of plain connections between own processes.
@@ -29,6 +31,11 @@
 	}}
 }
 
+// Uncompressed asks for answers that are not compressed. Messages between own processes
+// are short or packed already, and a feed's are sent to many: compressing each would
+// take more of a small VM's processor than all else.
+var Uncompressed = connect.WithAcceptCompression("gzip", nil, nil)
+
 // PlainURL is BaseURL for a peer without certificates.
 func PlainURL(address string) string {
 	return "http://" + address
--- a/internal/process/entry/roster.go
+++ b/internal/process/entry/roster.go
@@ -70,7 +70,12 @@
 	if d.GetVersion() <= r.declared.Version() {
 		return
 	}
-	c, err := r.decoder.DecodeConfiguration(d.GetDocument())
+	document, err := declared.Unpack(d)
+	if err != nil {
+		r.logger.Error(logging.DeclarationRefused, logging.Fields{"version": d.GetVersion(), "control": from, "reason": err})
+		return
+	}
+	c, err := r.decoder.DecodeConfiguration(document)
 	if err != nil {
 		// Control VMs take valid ones only: this VM runs another release.
 		r.logger.Error(logging.DeclarationRefused, logging.Fields{"version": d.GetVersion(), "control": from, "reason": err})
--- a/internal/process/keeper/declarations.go
+++ b/internal/process/keeper/declarations.go
@@ -14,6 +14,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
 // orderTimeout bounds a change or a read: operators wait a second before they go to
@@ -40,8 +41,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	begin := time.Now()
-	declaration := &chicoryv1.Declaration{Version: version, Document: document}
-	by, err := d.declareAnywhere(ctx, declaration)
+	by, err := d.declareAnywhere(ctx, version, document)
 	fields := logging.Fields{
 		"version": version, "bytes": len(document), "by": by, "ms": time.Since(begin).Milliseconds(),
 	}
@@ -55,10 +55,14 @@
 }
 
 // declareAnywhere commits here or at the leader. by says who confirmed it.
-func (d *Declarations) declareAnywhere(ctx context.Context, declaration *chicoryv1.Declaration) (by string, err error) {
-	if committed, _ := d.replica.declaration(); committed.GetVersion() >= declaration.GetVersion() {
+func (d *Declarations) declareAnywhere(ctx context.Context, version uint64, document []byte) (by string, err error) {
+	if committed, _ := d.replica.declaration(); committed.GetVersion() >= version {
 		return "committed before", nil
 	}
+	declaration, err := declared.Pack(version, document)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
 	err = d.declareHere(ctx, declaration)
 	if !fault.Is(err, fault.NotLeader) {
 		return "this VM", err
@@ -67,7 +71,7 @@
 	if !ok {
 		return "", err
 	}
-	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader))
+	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader), peer.Uncompressed)
 	_, err = client.Declare(ctx, connect.NewRequest(&chicoryv1.DeclareRequest{Declaration: declaration}))
 	return leader, fromLeader(err)
 }
@@ -108,7 +112,7 @@
 	if !ok {
 		return nil, err
 	}
-	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader))
+	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader), peer.Uncompressed)
 	resp, err := client.Newest(ctx, connect.NewRequest(&chicoryv1.NewestRequest{}))
 	if err != nil {
 		return nil, fromLeader(err)
--- a/internal/process/keeper/replica.go
+++ b/internal/process/keeper/replica.go
@@ -116,7 +116,7 @@
 	}
 	r.newest = d
 	r.signal()
-	r.log.Info(logging.DeclarationApplied, logging.Fields{"version": d.GetVersion(), "bytes": len(d.GetDocument())})
+	r.log.Info(logging.DeclarationApplied, logging.Fields{"version": d.GetVersion(), "bytes": len(d.GetDocument()) + len(d.GetPacked())})
 }
 
 // signal tells that something changed. The caller holds mu.
