--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -14,6 +14,9 @@
 	// placesKept is the number of places that a follower that begins anew is told. It
 	// covers some seconds of a busy deployment.
 	placesKept = 512
+	// versionsKept is how many versions an engine without loads is kept for: 64 entry VMs
+	// make that many in some 15 s, and a follower asks each tenth of a second.
+	versionsKept = 10_000
 )
 
 // Board keeps what entry VMs share, in memory, for those that follow this control
@@ -128,7 +131,6 @@
 			delete(b.byEntry, entry)
 		}
 	}
-	const versionsKept = 10_000 // some seconds of a busy deployment; a follower asks each tenth of one
 	if b.version > versionsKept {
 		b.sums.forget(b.version - versionsKept)
 	}
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -31,11 +31,10 @@
 
 // load drives callers at all entry VMs.
 type load struct {
-	world   *world
 	history *history
-	numbers atomic.Int64
-	// marks is the number of the newest configuration that is worth asking for.
+	// operator knows the routes that only one configuration has.
 	operator *operator
+	numbers  atomic.Int64 // ids that were given out
 }
 
 // newID returns an id of a kind that is not used yet.
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -65,26 +65,12 @@
 	wiped := -wipeDistance
 	for begin := time.Duration(0); begin < length; begin += burstLength + burstPause {
 		for range leastBurst + r.IntN(mostBurst-leastBurst) {
-			s := step{
-				at:   begin + time.Duration(r.Int64N(int64(burstLength))),
-				last: leastTrouble + time.Duration(r.Int64N(int64(mostTrouble-leastTrouble))), keeper: -1, entry: -1, target: -1,
-			}
-			switch draw := r.IntN(20); {
-			case draw < 5:
-				s.keeper, s.kind = r.IntN(keepers), pick(r, keeperTroubles)
-			case draw < 10:
-				s.entry, s.kind = r.IntN(entries), pick(r, entryTroubles)
-			case draw < 11:
-				s.kind = troubleList
-			default:
-				s.target, s.kind = pickTarget(r, targets), pick(r, targetTroubles)
-			}
-			if s.kind == troubleWipe {
-				if s.at < wiped+wipeDistance {
-					s.kind = troubleKill
-				} else {
-					wiped = s.at
-				}
+			s := drawStep(r, begin, keepers, entries, targets)
+			switch {
+			case s.kind == troubleWipe && s.at < wiped+wipeDistance:
+				s.kind = troubleKill
+			case s.kind == troubleWipe:
+				wiped = s.at
 			}
 			plan = append(plan, s)
 			if s.kind == troubleCrash && r.IntN(2) == 0 {
@@ -95,6 +81,26 @@
 	return plan
 }
 
+// drawStep draws one trouble of the burst that begins at the time.
+func drawStep(r *rand.Rand, begin time.Duration, keepers, entries, targets int) step {
+	s := step{
+		at:     begin + time.Duration(r.Int64N(int64(burstLength))),
+		last:   leastTrouble + time.Duration(r.Int64N(int64(mostTrouble-leastTrouble))),
+		keeper: -1, entry: -1, target: -1,
+	}
+	switch draw := r.IntN(20); {
+	case draw < 5:
+		s.keeper, s.kind = r.IntN(keepers), pick(r, keeperTroubles)
+	case draw < 10:
+		s.entry, s.kind = r.IntN(entries), pick(r, entryTroubles)
+	case draw < 11:
+		s.kind = troubleList
+	default:
+		s.target, s.kind = pickTarget(r, targets), pick(r, targetTroubles)
+	}
+	return s
+}
+
 // sameZone returns the trouble for the other targets of its availability zone: a zone
 // often fails as a whole.
 func sameZone(s step, targets int) []step {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -38,7 +38,7 @@
 		t.change(setNormal)
 	}
 	s.operator = newOperator(s.world, s.history)
-	s.load = &load{world: s.world, history: s.history, operator: s.operator}
+	s.load = &load{history: s.history, operator: s.operator}
 	if err := s.begin(ctx); err != nil {
 		return nil, err
 	}
