call: count an outcome as uncommitted before its response is visible

Cause: runInFlight completed the call and counted its uncommitted outcome afterwards, so the next call of the same caller could pass MaxUncommittedOutcomes and get deadline_unknown instead of ledger_unavailable. Ruled out: the commit itself, which the test holds back.

Change: every path that returns a claim counts it before it completes the call.

--- a/internal/request/call/claimed.go
+++ b/internal/request/call/claimed.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// execute completes f and returns the claim with the outcome to commit, or nil when
-// this router holds no claim of the key. The target is picked before the claim is
+// execute completes f and returns the claim with the outcome to commit, counted as
+// uncommitted, or nil when this router holds no claim of the key. The target is picked before the claim is
 // committed, so that a call without an available target leaves no claim.
 func (s *Service) execute(f *inFlightCall, c *call) *chicoryv1.Claim {
 	ctx, cancel := context.WithDeadline(s.ctx, c.work.Deadline.Add(-responseMargin(time.Until(c.work.Deadline))))
@@ -73,7 +73,7 @@
 	result, err := s.commitClaim(ctx, claim)
 	if err != nil {
 		p.Done(request.ResultAbandoned, 0)
-		f.complete(nil, ledgerError(ctx, err))
+		s.completeBeforeCommit(f, nil, ledgerError(ctx, err))
 		// The claim may still be committed. Unless it is closed, resends get "unknown"
 		// although no outcome will follow.
 		return notRunClaim(claim, notDispatchedError())
@@ -82,13 +82,23 @@
 		return s.dispatchClaimed(ctx, f, c, p, claim)
 	}
 	p.Done(request.ResultAbandoned, 0)
-	s.completeUndispatched(ctx, f, c, result)
-	if recorded := result.GetRecorded(); recorded.GetNonce() == claim.GetNonce() {
-		// The claim was put in doubt before the ledger's response arrived, so the call
-		// was never dispatched.
-		return notRunClaim(claim, notDispatchedError())
+	if result.GetRecorded().GetNonce() != claim.GetNonce() {
+		s.completeUndispatched(ctx, f, c, result)
+		return nil
 	}
-	return nil
+	// The claim was put in doubt before the ledger's response arrived, so the call was
+	// never dispatched.
+	s.uncommitted.Add(1)
+	s.completeUndispatched(ctx, f, c, result)
+	return notRunClaim(claim, notDispatchedError())
+}
+
+// completeBeforeCommit completes f while the outcome of its claim is still to be committed.
+// The outcome counts as uncommitted before a caller can see the response: a caller that
+// sends its next call on receiving the response must not exceed the limit.
+func (s *Service) completeBeforeCommit(f *inFlightCall, resp *chicoryv1.CallResponse, err *fault.Error) {
+	s.uncommitted.Add(1)
+	f.complete(resp, err)
 }
 
 // The response margin is subtracted from the deadline of a dispatch, so that its
@@ -136,7 +146,7 @@
 	a, notSentErr := s.dispatchAtMostOnce(ctx, c, p)
 	if notSentErr != nil {
 		// Only this router could dispatch the claim, and it will not do so any more.
-		f.complete(nil, notSentErr.WithRan(chicoryv1.Ran_RAN_NOT_RUN))
+		s.completeBeforeCommit(f, nil, notSentErr.WithRan(chicoryv1.Ran_RAN_NOT_RUN))
 		return notRunClaim(claim, notSentErr)
 	}
 	if a.status != attemptSucceeded && a.status != attemptRefused {
@@ -144,11 +154,11 @@
 	}
 	switch a.status {
 	case attemptSucceeded:
-		f.complete(c.response(a), nil)
+		s.completeBeforeCommit(f, c.response(a), nil)
 	case attemptRefused:
-		f.complete(nil, a.err)
+		s.completeBeforeCommit(f, nil, a.err)
 	default:
-		f.complete(nil, unknownOutcomeError(ctx, a))
+		s.completeBeforeCommit(f, nil, unknownOutcomeError(ctx, a))
 		s.logInDoubt(c, a.target, "no response from the target")
 	}
 	return s.completedClaim(claim, a)
@@ -175,10 +185,10 @@
 	maxCommitBackoff = 2 * time.Second
 )
 
-// commitOutcome commits the outcome of a claim. It retries until the commit succeeds
-// or the service is stopped; in the latter case the claim is in doubt.
+// commitOutcome commits the outcome of a claim, which execute has counted as uncommitted.
+// It retries until the commit succeeds or the service is stopped; in the latter case the
+// claim is in doubt.
 func (s *Service) commitOutcome(c *call, claim *chicoryv1.Claim) {
-	s.uncommitted.Add(1)
 	defer s.uncommitted.Add(-1)
 	for backoff := minCommitBackoff; ; backoff = min(2*backoff, maxCommitBackoff) {
 		state, err := s.opts.Ledger.Close(s.ctx, claim)
