routing: an ejected target that stops responding still counts as ejected

Cause: canEject skipped dead targets before it counted ejected ones. After one ejected target died, another could be ejected; when the first responded again, 2 of 3 were.

Change: ejected targets always count; dead ones that are not ejected still don't.

--- a/internal/request/routing/ejection_test.go
+++ b/internal/request/routing/ejection_test.go
@@ -62,6 +62,22 @@
 	})
 }
 
+// TestEjectedTargetThatDiesStillCounts guards against ejecting more than MaxEjectedShare:
+// a target that is ejected, stops responding and responds again is still ejected, beside
+// one that was ejected in the meantime.
+func TestEjectedTargetThatDiesStillCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(3)
+		f.finish(0, 3, request.ResultReset)
+		state := f.table.State(address(0))
+		state.PollFailed(time.Now())
+		time.Sleep(observe.Defaults().SilentAfter.Std())
+		f.finish(1, 3, request.ResultReset)
+		state.PollAnswered()
+		assert.Equal(t, strings.Count(f.log.String(), "event=target_ejected"), 1, f.log.String())
+	})
+}
+
 func TestErrorShareAbovePeersEjects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(4)
--- a/internal/request/routing/group.go
+++ b/internal/request/routing/group.go
@@ -58,19 +58,21 @@
 }
 
 // canEject reports whether one more ejection stays within MaxEjectedShare of the
-// targets. Dead targets can't serve requests and don't count. The caller holds mu.
+// targets. A dead target that is not ejected can't serve requests and doesn't count. An
+// ejected one counts even while it is dead: it would still be ejected after it responds
+// again. The caller holds mu.
 func (g *group) canEject(now time.Time) bool {
-	alive, ejectedCount := 0, 0
+	total, ejectedCount := 0, 0
 	for _, e := range g.members() {
-		if e.isDead(now) {
-			continue
-		}
-		alive++
-		if e.ejectedUntil.Load() != 0 {
+		switch {
+		case e.ejectedUntil.Load() != 0:
+			total++
 			ejectedCount++
+		case !e.isDead(now):
+			total++
 		}
 	}
-	return ejectedCount+1 <= int(float64(alive)*g.settings.MaxEjectedShare)
+	return ejectedCount+1 <= int(float64(total)*g.settings.MaxEjectedShare)
 }
 
 // ejectLocked ejects e and logs it. Each ejection lasts twice as long as the one
--- a/internal/request/routing/property_test.go
+++ b/internal/request/routing/property_test.go
@@ -161,9 +161,8 @@
 	return usableTargets, allowed, probeTargets
 }
 
-// checkEjectedShare checks that no more than MaxEjectedShare of all targets are ejected.
-// canEject counts only targets that are not dead, so the picker guarantees this only as
-// long as no ejected target is dead: when one dies, another may be ejected in its place.
+// checkEjectedShare checks that no more than MaxEjectedShare of all targets are ejected,
+// whether or not an ejected target has died since.
 func (r *historyRun) checkEjectedShare() {
 	ejectedCount := 0
 	for i := range r.n {
--- a/internal/request/routing/settings.go
+++ b/internal/request/routing/settings.go
@@ -17,7 +17,7 @@
 	// AffinityBound is the same for targets that have the prompt prefix cached.
 	AffinityBound float64 `yaml:"affinity_bound"`
 	// MaxEjectedShare is the maximum fraction of the targets of a service version that
-	// may be ejected at a time. Dead targets don't count.
+	// may be ejected at a time. Dead targets that are not ejected don't count.
 	MaxEjectedShare float64 `yaml:"max_ejected_share"`
 	// EjectErrors, EjectSilences, EjectResets and EjectLate are the numbers of
 	// consecutive results of each kind that eject a target. A call is late when it was
