entry: log each change of the target list, also from a feed

Cause: only TargetListPoller logged target_list_changed, so an entry VM whose first feed was faster than its own read had no line that shows why a request found no target. Change: SetTargets logs the starts that a list adds, removes or newly shows as leaving; a repeated list logs nothing. TestEachListChangeIsLogged fails before.

--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -117,11 +117,19 @@
 func (r *routingState) SetTargets(list *chicoryv1.TargetList) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trackStarts(list, time.Now())
+	change := r.trackStarts(list, time.Now())
+	if change != (listChange{}) {
+		r.logger.Info(logging.TargetListChanged, logging.Fields{
+			"targets": len(list.GetTargets()), "added": change.added, "removed": change.removed, "leaving": change.leaving,
+		})
+	}
 	r.list = list
 	r.updateTargets()
 }
 
+// listChange counts the target starts that a list adds, removes, or newly shows as leaving.
+type listChange struct{ added, removed, leaving int }
+
 // ConfirmTargets implements feed.Sink.
 func (r *routingState) ConfirmTargets() {
 	r.mu.Lock()
@@ -161,20 +169,28 @@
 	return true, ""
 }
 
-// trackStarts records which target starts are leaving and which were removed. The
-// caller holds mu.
-func (r *routingState) trackStarts(list *chicoryv1.TargetList, now time.Time) {
+// trackStarts records which target starts are leaving and which were removed, and returns
+// the changes since the previous list. The caller holds mu.
+func (r *routingState) trackStarts(list *chicoryv1.TargetList, now time.Time) listChange {
+	var change listChange
 	present := map[feed.TargetInstance]bool{}
 	for _, t := range list.GetTargets() {
 		start := feed.TargetInstanceOf(t)
 		present[start] = true
+		if !r.listed[start] {
+			change.added++
+		}
 		if t.GetLeaving() {
+			if !r.leaving[start] {
+				change.leaving++
+			}
 			r.leaving[start] = true
 		}
 	}
 	for start := range r.listed {
 		if !present[start] {
 			r.removedAt[start] = now
+			change.removed++
 		}
 	}
 	for start, since := range r.removedAt {
@@ -184,6 +200,7 @@
 		}
 	}
 	r.listed = present
+	return change
 }
 
 // updateTargets puts the list in force for the services of the configuration. The
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,3 +116,25 @@
 		assert.Assert(t, r.isListStale())
 	})
 }
+
+// TestEachListChangeIsLogged checks that a change of the target list is logged when a feed
+// delivers it, and not only when this VM reads the platform's list itself: without the line,
+// the log doesn't show why a request found no target.
+func TestEachListChangeIsLogged(t *testing.T) {
+	r := newTestRoutingState()
+	var log bytes.Buffer
+	r.logger = logging.New(&log, "entry", "e1")
+	lines := func() int { return strings.Count(log.String(), "event=target_list_changed") }
+
+	r.SetTargets(targetList(target("1", false), target("2", false)))
+	assert.Equal(t, lines(), 1)
+	r.SetTargets(targetList(target("1", false), target("2", false)))
+	assert.Equal(t, lines(), 1, "the second feed delivers the same list")
+	r.SetTargets(targetList(target("1", true), target("2", false)))
+	assert.Equal(t, lines(), 2)
+	r.SetTargets(targetList(target("2", false)))
+	assert.Equal(t, lines(), 3)
+	for _, want := range []string{"added=2", "leaving=1", "removed=1"} {
+		assert.Assert(t, strings.Contains(log.String(), want), "%q is missing in\n%s", want, log.String())
+	}
+}
