http1, exchange: bound what a target may send without end

Cause: http.ReadResponse has no limit on heads, informational responses were read in a loop, bodies were each limited to 8 MiB but not together, and every event, comment or repeated event reset the silence watchdog of a stream.

Comments, events relayed before and, in a resumable stream, events without a number are relayed as before but don't count as life of the engine. A line of exactly one buffer length no longer ends an event early.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -18,6 +18,7 @@
 // conn is one connection to a target.
 type conn struct {
 	raw    net.Conn
+	head   *headReader // reads from raw
 	reader *bufio.Reader
 	// idleUntil is the time from which the idle connection is not used any more, because
 	// the target may close it.
@@ -32,7 +33,17 @@
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 		})
 	}
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	head := &headReader{source: raw}
+	return &conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+}
+
+// beginHead limits the head of the next response, a part of which may be buffered.
+func (c *conn) beginHead() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.begin(buffered)
 }
 
 // close closes the connection. No written data depends on it, so errors are ignored.
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -33,8 +33,10 @@
 	// chunks or because there is none. Any other body ends when the target closes the
 	// connection.
 	SelfDelimited bool
-	body          io.ReadCloser
-	exchange      *Exchange
+	// length is the announced length of the body in bytes, or -1.
+	length   int64
+	body     io.ReadCloser
+	exchange *Exchange
 }
 
 // Exchange is one request on one connection. It is not safe for concurrent use.
@@ -125,18 +127,28 @@
 }
 
 // ReadResponse reads the status line and headers of the next final response on the
-// connection. It may be called again if the response belongs to another request.
+// connection. It may be called again if the response belongs to another request. It fails
+// with a *LimitError if the head or the number of informational responses exceeds a limit.
 func (x *Exchange) ReadResponse() (*Response, error) {
-	for {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
+	for range maxInformational + 1 {
+		resp, err := x.readHead()
 		if err != nil {
 			x.abandon()
 			return nil, errors.Annotatef(err, "read from target %s", x.address)
 		}
-		if resp.StatusCode >= 200 {
+		if resp.StatusCode >= http.StatusOK {
 			return x.response(resp), nil
 		}
 	}
+	x.abandon()
+	return nil, errors.Annotatef(&LimitError{LimitInformational, maxInformational}, "read from target %s", x.address)
+}
+
+func (x *Exchange) readHead() (*http.Response, error) {
+	if err := x.conn.beginHead(); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
 }
 
 // response converts resp to a Response.
@@ -147,10 +159,15 @@
 		// http.ReadResponse removes the Connection header; closes needs it.
 		resp.Header.Set("Connection", "close")
 	}
+	length := resp.ContentLength
+	if noBody {
+		length = 0
+	}
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		SelfDelimited: chunked || noBody || resp.ContentLength >= 0,
+		length:        length,
 		body:          resp.Body,
 		exchange:      x,
 	}
@@ -163,18 +180,6 @@
 	return r.body.Read(p)
 }
 
-// ReadAll reads the whole body. It fails if the body is longer than limit bytes.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r.body, limit+1))
-	if err != nil {
-		return nil, errors.Annotatef(err, "read body from target %s", r.exchange.address)
-	}
-	if int64(len(b)) > limit {
-		return nil, errors.Errorf("response body from target %s exceeds %d bytes", r.exchange.address, limit)
-	}
-	return b, nil
-}
-
 // Finish returns the connection to the pool if the body was read completely and the
 // connection can be reused. Otherwise it closes the connection.
 func (r *Response) Finish() { r.exchange.finish(r) }
--- a/internal/connection/http1/http1_test.go
+++ b/internal/connection/http1/http1_test.go
@@ -73,13 +73,15 @@
 	if err != nil {
 		return "", err
 	}
-	b, err := a.ReadAll(maxBodyBytes)
+	body, err := a.ReadAll(maxBodyBytes)
 	if err != nil {
 		a.Abandon()
 		return "", err
 	}
 	a.Finish()
-	return string(b), nil
+	var b strings.Builder
+	_, err = body.WriteTo(&b)
+	return b.String(), err
 }
 
 func TestConnectionIsReusedOnlyAfterACompleteResponse(t *testing.T) {
--- a/internal/connection/http1/pool.go
+++ b/internal/connection/http1/pool.go
@@ -27,15 +27,18 @@
 	IdleMargin time.Duration
 	// MaxIdle limits the idle connections to one target.
 	MaxIdle int
+	// MaxBodyMemory limits the memory in bytes of all long bodies that are being read.
+	MaxBodyMemory int64
 }
 
 // Defaults returns the settings for a deployment in one region.
 func Defaults() Settings {
 	return Settings{
-		DialTimeout: 250 * time.Millisecond, // some 100 round trips within a region
-		IdleTimeout: 4 * time.Second,        // below the 5 s that servers usually keep
-		IdleMargin:  time.Second,            // targets announce whole seconds
-		MaxIdle:     16,                     // one entry VM's streams to one model target
+		DialTimeout:   250 * time.Millisecond, // some 100 round trips within a region
+		IdleTimeout:   4 * time.Second,        // below the 5 s that servers usually keep
+		IdleMargin:    time.Second,            // targets announce whole seconds
+		MaxIdle:       16,                     // one entry VM's streams to one model target
+		MaxBodyMemory: 12 << 20,               // an entry VM has 184 MB
 	}
 }
 
@@ -45,6 +48,8 @@
 	dial     DialFunc
 	dialed   metrics.Counter
 	reused   metrics.Counter
+	// bodyMemory counts the bodies that are being read.
+	bodyMemory bodyMemory
 
 	mu   sync.Mutex // guards idle
 	idle map[string][]*conn
@@ -62,11 +67,12 @@
 // NewPoolWithDial is like NewPool, but opens connections with dial.
 func NewPoolWithDial(dial DialFunc, s Settings, registry metrics.Registry) *Pool {
 	return &Pool{
-		settings: s,
-		dial:     dial,
-		dialed:   metrics.GetOrRegisterCounter("target.connections.dialed", registry),
-		reused:   metrics.GetOrRegisterCounter("target.connections.reused", registry),
-		idle:     map[string][]*conn{},
+		settings:   s,
+		dial:       dial,
+		dialed:     metrics.GetOrRegisterCounter("target.connections.dialed", registry),
+		reused:     metrics.GetOrRegisterCounter("target.connections.reused", registry),
+		bodyMemory: bodyMemory{max: s.MaxBodyMemory},
+		idle:       map[string][]*conn{},
 	}
 }
 
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -31,7 +31,7 @@
 	target  string
 	status  int
 	header  http.Header
-	body    []byte
+	body    *http1.Body
 	err     error
 	latency time.Duration
 }
@@ -143,7 +143,7 @@
 		if meta.ID == id || meta.ID == "" && !meta.Signed {
 			return response, meta, nil
 		}
-		_, err = response.ReadAll(s.opts.Settings.MaxResponseBytes)
+		err = response.Discard(s.opts.Settings.MaxResponseBytes)
 		if err != nil || mismatched == maxMismatchedResponses || !response.SelfDelimited {
 			response.Abandon()
 			return nil, ResponseMetadata{}, &mismatchedResponseError{id: meta.ID}
--- a/internal/request/exchange/event_reader.go
+++ b/internal/request/exchange/event_reader.go
@@ -7,20 +7,28 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 )
 
-// maxEventBytes limits the size of one event. It is well above the size of real events
-// and keeps a target that never ends an event from exhausting the memory.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event; an event of a model has some 100 bytes.
+	maxEventBytes = 128 << 10
+	// maxUnnumberedBytes limits what a stream sends between two new events: comments,
+	// events without an id and events that were relayed before.
+	maxUnnumberedBytes = 128 << 10
+)
 
-// event is one complete event as received, with the empty line at its end.
+// event is one event of an event stream, with its bytes as received.
 type event struct {
 	// id is the event's number, or 0 if it has none.
-	id  int
-	raw []byte
+	id int
+	// hasData: the event has a field, and not only comments.
+	hasData bool
+	raw     []byte
 }
 
-// eventReader reads a stream of server-sent events.
+// eventReader reads the events of a stream.
 type eventReader struct {
 	source *bufio.Reader
 }
@@ -29,19 +37,14 @@
 	return &eventReader{source: bufio.NewReader(source)}
 }
 
-// next returns the next complete event, io.EOF if the stream ends after an event, or
-// io.ErrUnexpectedEOF if it ends within one.
+// next returns the next event. The error is io.EOF if the stream ended after a complete
+// event, io.ErrUnexpectedEOF if it ended within one, or a *http1.LimitError.
 func (r *eventReader) next() (event, error) {
 	var e event
 	for {
-		line, err := r.source.ReadSlice('\n')
+		line, err := r.readLine(len(e.raw))
 		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
-			return event{}, errors.Errorf("event exceeds %d bytes", maxEventBytes)
-		}
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
 		case errors.Is(err, io.EOF) && len(e.raw) > 0:
 			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
@@ -51,11 +54,42 @@
 		if len(line) == 0 {
 			return e, nil
 		}
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.id, err = strconv.Atoi(string(bytes.TrimSpace(value)))
-			if err != nil {
-				return event{}, errors.Errorf("event id %q is not a number", value)
+		if err := e.addLine(line); err != nil {
+			return event{}, err
+		}
+	}
+}
+
+// readLine returns the next line with its end. before is the number of bytes of the event
+// that precede the line. The line is valid until the next call.
+func (r *eventReader) readLine(before int) ([]byte, error) {
+	var long []byte
+	for {
+		line, err := r.source.ReadSlice('\n')
+		if before+len(long)+len(line) > maxEventBytes {
+			return nil, &http1.LimitError{Limit: http1.LimitEvent, Max: maxEventBytes}
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			if long != nil {
+				line = append(long, line...)
 			}
+			return line, err
 		}
+		long = append(long, line...)
+	}
+}
+
+// addLine parses one line, without its end.
+func (e *event) addLine(line []byte) error {
+	e.hasData = e.hasData || line[0] != ':'
+	value, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
+		return nil
+	}
+	id, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+	if err != nil {
+		return errors.Errorf("event id %q is not a number", value)
 	}
+	e.id = id
+	return nil
 }
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -160,7 +160,7 @@
 // Defaults returns the settings for a deployment in one region.
 func Defaults() Settings {
 	return Settings{
-		MaxResponseBytes:      8 << 20, // twice the largest body that routes accept
+		MaxResponseBytes:      6 << 20, // above the largest body that routes accept, 4 MiB
 		MaxRefusals:           12,      // twice the number of targets in a zone; each costs a round trip
 		FirstEventTimeout:     600 * time.Millisecond,
 		PromptTokensPerSecond: 2500, // half of the rate of an idle engine
--- a/internal/request/exchange/response.go
+++ b/internal/request/exchange/response.go
@@ -29,10 +29,10 @@
 func (t *attempt) writeTo(w http.ResponseWriter) {
 	copyHeader(w.Header(), t.header)
 	if t.status != http.StatusNoContent && t.status != http.StatusNotModified && w.Header().Get("Content-Length") == "" {
-		w.Header().Set("Content-Length", strconv.Itoa(len(t.body)))
+		w.Header().Set("Content-Length", strconv.FormatInt(t.body.Len(), 10))
 	}
 	w.WriteHeader(t.status)
-	_, _ = w.Write(t.body) // a write error means that the caller has left
+	_, _ = t.body.WriteTo(w) // a write error means that the caller has left
 }
 
 // copyHeader copies all headers but the hop-by-hop ones.
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -12,6 +12,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
 // dispatch sends the request to the engine and forwards its events.
@@ -80,6 +81,7 @@
 	events := newEventReader(response)
 	result := attemptResult{outcome: outcomeLost, status: response.Status}
 	previous := time.Now()
+	unnumbered := 0 // bytes since the last new event
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -87,27 +89,53 @@
 			result.final = st.finishStream(response)
 			return result
 		}
+		isNew := err == nil && st.isNew(e)
+		if unnumbered += len(e.raw); isNew {
+			unnumbered = 0
+		}
+		if unnumbered > maxUnnumberedBytes {
+			err = &http1.LimitError{Limit: http1.LimitUnnumbered, Max: maxUnnumberedBytes}
+		}
 		if err != nil {
 			response.Abandon()
 			result.err = err
 			return result
 		}
-		now := time.Now()
-		if result.events == 0 {
-			run.MarkPromptRead()
-			st.logFirstEvent(run, meta, now)
-		} else {
-			st.gaps.Add(now.Sub(previous))
+		if isNew {
+			st.recordEvent(&result, run, meta, previous)
+			previous = time.Now()
 		}
-		previous = now
-		result.events++
 		if err := st.relayEvent(response, e); err != nil {
 			response.Abandon()
 			result.final, result.err = isCallerError(err), err
 			return result
 		}
-		watchdog.Reset(st.gaps.SilenceTimeout(st.silenceBounds(), 0))
+		if isNew {
+			watchdog.Reset(st.gaps.SilenceTimeout(st.silenceBounds(), 0))
+		}
+	}
+}
+
+// isNew reports whether an event continues the stream. Comments, events that were relayed
+// before and, in a stream that can be resumed by number, events without a number do not: an
+// engine that sends only these is stalled.
+func (st *stream) isNew(e event) bool {
+	if e.id != 0 {
+		return e.id > st.lastEvent
+	}
+	return e.hasData && (st.lastEvent == 0 || st.a.Route.RetryPolicy != declared.Resumable)
+}
+
+// recordEvent records that a new event arrived after the one at previous.
+func (st *stream) recordEvent(result *attemptResult, run *placement.Run, meta ResponseMetadata, previous time.Time) {
+	now := time.Now()
+	if result.events == 0 {
+		run.MarkPromptRead()
+		st.logFirstEvent(run, meta, now)
+	} else {
+		st.gaps.Add(now.Sub(previous))
 	}
+	result.events++
 }
 
 // relayEvent writes one event to the caller, unless the caller has already received it.
