Bound messages between processes, the platform's documents and Connect targets

Cause: no Connect client or handler set WithReadMaxBytes, net/http reads 10 MiB of response headers unless told otherwise, a read of the platform's list took up to 200 pages of 4 MiB, and a document that was too long was cut silently and reported as bad JSON.

--- a/client/client.go
+++ b/client/client.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// maxMessageBytes limits one message from a router.
+const maxMessageBytes = 8 << 20
+
 // newEndpoint returns an endpoint for the next address. The caller holds mu, or no
 // other goroutine can use c yet.
 func (c *Client) newEndpoint() *endpoint {
@@ -109,6 +112,7 @@
 		transport: t,
 		// Compressing messages of a single token costs more time and bytes than it saves.
 		service: chicoryv1connect.NewCallerServiceClient(&http.Client{Transport: t}, url,
+			connect.WithReadMaxBytes(maxMessageBytes),
 			connect.WithAcceptCompression("gzip", nil, nil)),
 	}
 }
--- a/internal/connection/control/client.go
+++ b/internal/connection/control/client.go
@@ -47,7 +47,7 @@
 func NewClient(vms []VM, peers *peer.Client) *Client {
 	c := &Client{peers: peers, vms: vms, services: map[string]chicoryv1connect.ControlServiceClient{}}
 	for _, vm := range vms {
-		c.services[vm.ID] = chicoryv1connect.NewControlServiceClient(peers.Client, peer.BaseURL(vm.Address))
+		c.services[vm.ID] = chicoryv1connect.NewControlServiceClient(peers.Client, peer.BaseURL(vm.Address), peer.ReadLimit)
 	}
 	return c
 }
--- a/internal/connection/control/watch.go
+++ b/internal/connection/control/watch.go
@@ -48,7 +48,7 @@
 func NewWatcher(h *config.Holder, routerID string, addresses []string, peers *peer.Client, logger *logging.Logger, onApplied func(uint64)) *Watcher {
 	w := &Watcher{peers: peers, holder: h, routerID: routerID, logger: logger, onApplied: onApplied}
 	for _, a := range addresses {
-		w.servers = append(w.servers, chicoryv1connect.NewControlServiceClient(peers.Client, peer.BaseURL(a)))
+		w.servers = append(w.servers, chicoryv1connect.NewControlServiceClient(peers.Client, peer.BaseURL(a), peer.ReadLimit))
 	}
 	return w
 }
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -193,7 +193,7 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(feedTimeout, func() { cancel(errFeedTimeout) })
 	defer watchdog.Stop()
-	client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(address), peer.Uncompressed)
+	client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(address), peer.Uncompressed, peer.ReadLimit)
 	stream, err := client.Follow(ctx, connect.NewRequest(&chicoryv1.FollowRequest{
 		EntryId: f.opts.ID, DeclaredVersion: f.opts.Sink.DeclaredVersion(),
 	}))
--- a/internal/connection/feed/share.go
+++ b/internal/connection/feed/share.go
@@ -39,7 +39,7 @@
 		}
 		request.EntryId = f.opts.ID
 		callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
-		client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(leader), peer.Uncompressed)
+		client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(leader), peer.Uncompressed, peer.ReadLimit)
 		_, err := client.Share(callCtx, connect.NewRequest(request))
 		cancel()
 		sharedWith, sharedAt, previous = leader, time.Now(), request
--- a/internal/connection/peer/client.go
+++ b/internal/connection/peer/client.go
@@ -53,10 +53,11 @@
 
 func newTransport(credentials *Credentials) *http3.Transport {
 	return &http3.Transport{
-		TLSClientConfig:    credentials.ClientConfig(),
-		QUICConfig:         quicConfig(),
-		DisableCompression: true,
-		Dial:               dialOwnSocket,
+		TLSClientConfig:        credentials.ClientConfig(),
+		QUICConfig:             quicConfig(),
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		Dial:                   dialOwnSocket,
 	}
 }
 
--- a/internal/connection/peer/plain.go
+++ b/internal/connection/peer/plain.go
@@ -24,10 +24,11 @@
 // connection. It has no timeout of its own: each call is limited by its context.
 func NewPlainClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
-		MaxIdleConnsPerHost: plainIdlePerPeer,
-		IdleConnTimeout:     plainIdleTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: plainDialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    plainIdlePerPeer,
+		IdleConnTimeout:        plainIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
--- a/internal/connection/target/endpoint.go
+++ b/internal/connection/target/endpoint.go
@@ -30,11 +30,11 @@
 	}
 	url := "http://" + address
 	// Compressing messages of a few hundred bytes costs more than sending them.
-	uncompressed := connect.WithAcceptCompression("gzip", nil, nil)
+	options := connect.WithClientOptions(connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))
 	e.clients = &Clients{
-		Engine:      chicoryv1connect.NewEngineServiceClient(client, url, uncompressed),
-		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url, uncompressed),
-		Target:      chicoryv1connect.NewTargetServiceClient(client, url, uncompressed),
+		Engine:      chicoryv1connect.NewEngineServiceClient(client, url, options),
+		Transaction: chicoryv1connect.NewTransactionServiceClient(client, url, options),
+		Target:      chicoryv1connect.NewTargetServiceClient(client, url, options),
 	}
 	return e
 }
@@ -62,6 +62,9 @@
 		set.release()
 		return nil, err
 	}
+	if !isStream(resp) {
+		resp.Body = &limitedBody{ReadCloser: resp.Body, left: maxMessageBytes + 1}
+	}
 	resp.Body = &releasingBody{ReadCloser: resp.Body, release: set.release}
 	return resp, nil
 }
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -21,6 +21,9 @@
 	sendPingTimeout = time.Second
 	pingTimeout     = time.Second
 	idleTimeout     = 90 * time.Second
+	// maxMessageBytes limits one message from a target, maxHeaderBytes its headers.
+	maxMessageBytes = 8 << 20
+	maxHeaderBytes  = 64 << 10
 )
 
 // DialFunc opens a connection to an IP:port.
@@ -118,10 +121,11 @@
 	protocols.SetHTTP1(opts.HTTP1)
 	protocols.SetUnencryptedHTTP2(!opts.HTTP1)
 	return &http.Transport{
-		DialContext:        opts.Dial,
-		Protocols:          protocols,
-		DisableCompression: true,
-		IdleConnTimeout:    idleTimeout,
+		DialContext:            opts.Dial,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: sendPingTimeout,
 			PingTimeout:     pingTimeout,
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -40,7 +40,7 @@
 		if _, err := netip.ParseAddrPort(address); err != nil {
 			return nil, errors.Errorf("control address %q is not IP:port", address)
 		}
-		out = append(out, chicoryv1connect.NewOperatorServiceClient(h, "https://"+address))
+		out = append(out, chicoryv1connect.NewOperatorServiceClient(h, "https://"+address, peer.ReadLimit))
 	}
 	return out, nil
 }
--- a/internal/process/consensus/handler.go
+++ b/internal/process/consensus/handler.go
@@ -22,7 +22,7 @@
 // PlainHandler is like Handler but doesn't check the peer's role. It is for a listener
 // that only other control VMs can reach.
 func (n *Node) PlainHandler() (path string, h http.Handler) {
-	return chicoryv1connect.NewReplicaServiceHandler(replicaService{n})
+	return chicoryv1connect.NewReplicaServiceHandler(replicaService{n}, peer.ReadLimit)
 }
 
 // replicaService implements the replica RPC service for a node.
--- a/internal/process/consensus/transport.go
+++ b/internal/process/consensus/transport.go
@@ -61,7 +61,7 @@
 	defer t.mu.Unlock()
 	s, ok := t.services[to.Address]
 	if !ok {
-		s = chicoryv1connect.NewReplicaServiceClient(t.client, t.baseURL(to.Address), peer.Uncompressed)
+		s = chicoryv1connect.NewReplicaServiceClient(t.client, t.baseURL(to.Address), peer.Uncompressed, peer.ReadLimit)
 		t.services[to.Address] = s
 	}
 	return s
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -130,7 +130,7 @@
 	mux := http.NewServeMux()
 	path, replica := p.node.Handler()
 	mux.Handle(path, peer.RequireRole(replica, peer.RoleControl))
-	path, routers := chicoryv1connect.NewControlServiceHandler(&routerService{p})
+	path, routers := chicoryv1connect.NewControlServiceHandler(&routerService{p}, peer.ReadLimit)
 	mux.Handle(path, peer.RequireRole(routers, peer.RoleRouter))
 	server, err := peer.Listen(string(p.settings.PeerAddress), keys, mux)
 	if err != nil {
@@ -149,7 +149,7 @@
 	if err != nil {
 		return errors.Annotate(err, "operator address")
 	}
-	path, h := chicoryv1connect.NewOperatorServiceHandler(&operatorService{p})
+	path, h := chicoryv1connect.NewOperatorServiceHandler(&operatorService{p}, peer.ReadLimit)
 	mux := http.NewServeMux()
 	mux.Handle(path, peer.RequireRole(withOperatorName(h), peer.RoleOperator))
 	p.operatorServer = &http.Server{
--- a/internal/process/keeper/declarations.go
+++ b/internal/process/keeper/declarations.go
@@ -73,7 +73,7 @@
 	if !ok {
 		return "", err
 	}
-	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader), peer.Uncompressed)
+	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader), peer.Uncompressed, peer.ReadLimit)
 	_, err = client.Declare(ctx, connect.NewRequest(&chicoryv1.DeclareRequest{Declaration: declaration}))
 	return leader, wrapLeaderError(err)
 }
@@ -114,7 +114,7 @@
 	if !ok {
 		return nil, err
 	}
-	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader), peer.Uncompressed)
+	client := chicoryv1connect.NewDeclarationServiceClient(d.peers, peer.PlainURL(leader), peer.Uncompressed, peer.ReadLimit)
 	resp, err := client.Newest(ctx, connect.NewRequest(&chicoryv1.NewestRequest{}))
 	if err != nil {
 		return nil, wrapLeaderError(err)
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -101,10 +101,10 @@
 func (p *Process) listen(adapter Adapter) error {
 	mux := http.NewServeMux()
 	mux.Handle("/"+chicoryv1connect.ReplicaServiceName+"/", p.replica)
-	path, feeds := chicoryv1connect.NewFeedServiceHandler(feed.NewServer(feedSource{p}, p.board))
+	path, feeds := chicoryv1connect.NewFeedServiceHandler(feed.NewServer(feedSource{p}, p.board), peer.ReadLimit)
 	mux.Handle(path, feeds)
 	declarations := newDeclarationStore(p.replica, p.log)
-	path, h := chicoryv1connect.NewDeclarationServiceHandler(declarationService{declarations})
+	path, h := chicoryv1connect.NewDeclarationServiceHandler(declarationService{declarations}, peer.ReadLimit)
 	mux.Handle(path, h)
 	var err error
 	if p.peers, err = serve(p.settings.resolvePeerListenAddress(), mux); err != nil {
--- a/internal/process/router/callers.go
+++ b/internal/process/router/callers.go
@@ -18,6 +18,8 @@
 	readHeaderTimeout = 5 * time.Second
 	// minCompressBytes is the size from which responses to callers are compressed.
 	minCompressBytes = 1024
+	// maxRequestBytes limits a caller's message, before it is decoded.
+	maxRequestBytes = 8 << 20
 )
 
 // listenCallers starts to serve callers on their address.
@@ -25,7 +27,7 @@
 	ready := func() bool { ok, _ := p.reporter.ready(); return ok }
 	service := caller.NewService(p.holder, p.generations, p.calls, ready, p.log)
 	// Compressing a message of a few hundred bytes costs more than sending it.
-	path, h := chicoryv1connect.NewCallerServiceHandler(service, connect.WithCompressMinBytes(minCompressBytes))
+	path, h := chicoryv1connect.NewCallerServiceHandler(service, connect.WithCompressMinBytes(minCompressBytes), connect.WithReadMaxBytes(maxRequestBytes))
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
 	server, err := newCallerServer(closeConnectionsWhen(&p.draining, mux), p.settings.CallerTLS)
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -146,7 +146,7 @@
 		return nil
 	}
 	client := &http.Client{Timeout: platformTimeout}
-	return chicoryv1connect.NewPlatformServiceClient(client, "http://"+string(p.settings.Platform))
+	return chicoryv1connect.NewPlatformServiceClient(client, "http://"+string(p.settings.Platform), peer.ReadLimit)
 }
 
 const platformTimeout = 2 * time.Second
@@ -181,7 +181,7 @@
 	path, h := chicoryv1connect.NewControlServiceHandler(&relayService{
 		watchServer: watch.NewServer(p.holder),
 		done:        p.ctx,
-	})
+	}, peer.ReadLimit)
 	mux.Handle(path, peer.RequireRole(h, peer.RoleRouter))
 	server, err := peer.Listen(string(p.settings.PeerAddress), keys, mux)
 	if err != nil {
