exchange: a caller that reads slowly costs no engine and holds no request

Cause: the silence watchdog of a stream kept running while an event was written to the caller. A caller that read nothing for half a second made a sound engine look silent: a resumable stream read its prompt again elsewhere, one that runs at most once was cut off. Writes had no limit either, so a caller that kept its connection and read nothing held the request for ever.

Change: the watchdog is paused while an event is written, and gaps are measured from the end of the write; writes fail 2 s after the request's deadline.

TestSlowCallerDoesNotCostItsEngine: 2 runs instead of 1, and truncated at most once, before; TestWritesEndWithTheDeadline fails before.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -181,6 +181,7 @@
 		"request": id, "host": r.Host, "path": r.URL.Path, "kind": string(e.Kind), "reason": e.Message,
 		"retry_after_ms": e.RetryAfter.Milliseconds(), "version": f.opts.Holder.Version(),
 	})
+	exchange.LimitWrites(w, time.Now())
 	f.opts.Codec.Refuse(w, e)
 }
 
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -246,6 +246,7 @@
 func (s *Service) Serve(ctx context.Context, w http.ResponseWriter, a *AdmittedRequest) error {
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
+	LimitWrites(w, a.Deadline)
 	s.opts.Budget(a.Service.Name).OnRequest()
 	if a.Route.Stream {
 		defer recordLatency(s.metrics.streams, a.ReceivedAt)
@@ -258,6 +259,17 @@
 	return s.serveRepeatable(ctx, w, a)
 }
 
+// writeGrace is the time after a request's deadline in which its response can be written.
+const writeGrace = 2 * time.Second
+
+// LimitWrites makes writes to the caller fail some time after deadline, so that a caller that
+// keeps its connection and reads nothing holds no request. The limit stays on the connection
+// until the next request replaces it.
+func LimitWrites(w http.ResponseWriter, deadline time.Time) {
+	// An error means that the caller has left, which the next write reports.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // targetRequest returns the HTTP request for one attempt.
 func (s *Service) targetRequest(a *AdmittedRequest, d Dispatch) *http1.Request {
 	d.Team = a.Team
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -103,15 +103,18 @@
 		}
 		if isNew {
 			st.recordEvent(&result, run, meta, previous)
-			previous = time.Now()
 		}
+		watchdog.Pause() // a caller that reads slowly is no silence of the engine
 		if err := st.relayEvent(response, e); err != nil {
 			response.Abandon()
 			result.final, result.err = isCallerError(err), err
 			return result
 		}
 		if isNew {
+			previous = time.Now()
 			watchdog.Reset(st.gaps.SilenceTimeout(st.silenceBounds(), 0))
+		} else {
+			watchdog.Resume()
 		}
 	}
 }
--- a/internal/request/pace/watchdog.go
+++ b/internal/request/pace/watchdog.go
@@ -28,6 +28,8 @@
 	timeout time.Duration
 	// deadline is when the current silence times out; zero while paused.
 	deadline time.Time
+	// left is how much of the timeout was left when the watchdog was paused.
+	left time.Duration
 }
 
 // NewWatchdog starts a watchdog with an initial timeout.
@@ -53,10 +55,19 @@
 func (w *Watchdog) Pause() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.left = time.Until(w.deadline)
 	w.deadline = time.Time{}
 	w.timer.Stop()
 }
 
+// Resume continues the silence that Pause interrupted.
+func (w *Watchdog) Resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.deadline = time.Now().Add(w.left)
+	w.timer.Reset(w.left)
+}
+
 func (w *Watchdog) onTimer() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
