exchange: a late copy of a refusal is not taken for another request's

Cause: a refusal (503 not run, 421) names no request, and its connection was used again. A second copy that arrived while the connection carried the next call was read as "that call has not run": the call was reported as not run, or sent to another target, while it ran. The check of an idle connection for unread bytes does not help, since the copy comes after the next request was written.

Change: a connection is used again only after a response that names its request.

--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -110,11 +110,22 @@
 		t.outcome, t.err = outcomeLost, err
 		return t
 	}
-	response.Finish()
+	endResponse(response, meta, a.ID)
 	t.outcome = classifyResponse(response.Status, meta)
 	return t
 }
 
+// endResponse ends a complete response. Its connection may carry another request only if the
+// response names its own: a late second copy of one that names none, such as a refusal, can't
+// be told from the response to the next request.
+func endResponse(response *http1.Response, meta ResponseMetadata, id string) {
+	if meta.ID == id {
+		response.Finish()
+		return
+	}
+	response.Abandon()
+}
+
 // classifyResponse returns the outcome of a complete response.
 func classifyResponse(status int, meta ResponseMetadata) outcome {
 	switch {
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -62,7 +62,7 @@
 		response.Abandon()
 		return attemptResult{outcome: outcomeLost, status: response.Status, err: err}
 	}
-	response.Finish()
+	endResponse(response, meta, st.a.ID)
 	result := attemptResult{outcome: classifyResponse(response.Status, meta), status: response.Status}
 	if result.outcome != outcomeAnswered || st.headerSent {
 		return result
