keeper: one control VM reads the platform's target list for all

Weighed: two readers that split the pages (a lost one leaves half of a list); longer intervals by the number of pages (all targets' departures are heard later). Chosen: the leader reads; the others take over what the feed that they follow delivers, with its age, and read themselves when it is older than 1.6 s.

--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -46,8 +46,8 @@
 	return v.cluster.declaration, v.cluster.changed
 }
 
-func (v *controlVM) Targets() (*chicoryv1.TargetList, bool, <-chan struct{}) {
-	return nil, true, nil
+func (v *controlVM) Targets() (*chicoryv1.TargetList, time.Time, <-chan struct{}) {
+	return &chicoryv1.TargetList{}, time.Now(), nil
 }
 
 func (v *controlVM) Members() (addresses []string, leader string, leads bool) {
@@ -118,7 +118,7 @@
 }
 
 func (e *entryVM) SetTargets(*chicoryv1.TargetList)                  {}
-func (e *entryVM) ConfirmTargets()                                   {}
+func (e *entryVM) ConfirmTargets(time.Duration)                      {}
 func (e *entryVM) AddPromptLocations([]*chicoryv1.PromptPlace, bool) {}
 func (e *entryVM) received() (version uint64, entries int, tokens uint32) {
 	e.mu.Lock()
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -39,8 +39,9 @@
 	ApplyDeclaration(d *chicoryv1.Declaration, from string)
 	// SetTargets replaces the target list.
 	SetTargets(list *chicoryv1.TargetList)
-	// ConfirmTargets is called when the last target list still matches the platform's.
-	ConfirmTargets()
+	// ConfirmTargets is called when the last target list still matches the platform's, as
+	// it was read the given time ago.
+	ConfirmTargets(age time.Duration)
 	// DeclaredVersion returns the version of the current declaration.
 	DeclaredVersion() uint64
 	// SetRemoteState replaces what the other entry VMs share through the leader.
@@ -242,7 +243,7 @@
 		f.opts.Sink.SetTargets(state.list)
 	}
 	if m.GetListIsFresh() {
-		f.opts.Sink.ConfirmTargets()
+		f.opts.Sink.ConfirmTargets(time.Duration(m.GetListAgeMs()) * time.Millisecond)
 	}
 	if m.GetLeads() {
 		state.applyLoads(m)
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -16,6 +16,7 @@
 	"connectrpc.com/connect"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 )
 
 const (
@@ -33,9 +34,9 @@
 type Source interface {
 	// Declaration returns the current declaration, or nil if there is none yet.
 	Declaration() (*chicoryv1.Declaration, <-chan struct{})
-	// Targets returns the latest list, or nil if there is none yet, and whether it was
-	// read recently.
-	Targets() (list *chicoryv1.TargetList, fresh bool, changed <-chan struct{})
+	// Targets returns the latest list, or nil if there is none yet, and when it was read
+	// from the platform.
+	Targets() (list *chicoryv1.TargetList, readAt time.Time, changed <-chan struct{})
 	// Members returns the peer addresses of the control VMs, the peer address of the
 	// leader (empty if this VM has no contact with one), and whether this VM is the
 	// leader.
@@ -112,9 +113,11 @@
 		f.declaredVersion = declaration.GetVersion()
 		m.Declaration = declaration
 	}
-	list, fresh, listChanged := f.server.source.Targets()
+	list, readAt, listChanged := f.server.source.Targets()
 	f.addTargets(m, list)
-	m.ListIsFresh = fresh
+	if age := time.Since(readAt); list != nil && age < observe.MaxListAge {
+		m.ListIsFresh, m.ListAgeMs = true, uint32(age.Milliseconds())
+	}
 	m.ControlAddresses, m.Leader, m.Leads = f.server.source.Members()
 	m.InQuorum = m.GetLeader() != ""
 	now := time.Now()
--- a/internal/connection/observe/list.go
+++ b/internal/connection/observe/list.go
@@ -25,19 +25,28 @@
 	listReadTimeout = 800 * time.Millisecond
 	// MaxListAge is the age at which a list is considered stale.
 	MaxListAge = 2500 * time.Millisecond
+	// TakeOverAge is the age at which a control VM reads the list itself, since the one
+	// that reads it for all does not: one read later than usual, and the interval between
+	// two messages of a feed.
+	TakeOverAge = 1600 * time.Millisecond
+	// needCheckInterval is the interval at which a poller that is not needed checks whether
+	// it is.
+	needCheckInterval = 200 * time.Millisecond
 )
 
-// TargetListPoller reads the platform's list of targets periodically and holds the
-// latest one. It is safe for concurrent use.
+// TargetListPoller reads the platform's list of targets periodically, or takes over what
+// another VM has read, and holds the latest one. It is safe for concurrent use.
 type TargetListPoller struct {
 	reader TargetReader
 	logger *logging.Logger
 
-	mu      sync.Mutex // guards the fields below
-	list    *chicoryv1.TargetList
-	readAt  time.Time
-	failing bool          // the last read failed
-	changed chan struct{} // closed and replaced when list changes
+	mu     sync.Mutex // guards the fields below
+	list   *chicoryv1.TargetList
+	readAt time.Time
+	// accepted is the list that Accept took over last, nil after an own read.
+	accepted *chicoryv1.TargetList
+	failing  bool          // the last read failed
+	changed  chan struct{} // closed and replaced when list changes
 }
 
 // NewTargetListPoller returns a poller that has no list yet. Polling starts with Run.
@@ -45,16 +54,42 @@
 	return &TargetListPoller{reader: reader, logger: logger, changed: make(chan struct{})}
 }
 
-// Run reads the list at every interval at which needed returns true, until ctx is done.
+// Run reads the list at every interval while needed returns true, until ctx is done.
 func (p *TargetListPoller) Run(ctx context.Context, needed func() bool) {
 	for ctx.Err() == nil {
+		wait := needCheckInterval
 		if needed() {
 			p.read(ctx)
+			wait = ListReadInterval
 		}
-		pause.For(ctx, ListReadInterval)
+		pause.For(ctx, wait)
 	}
 }
 
+// Accept takes over a list that another VM read at readAt, unless this VM has a later one. A
+// list must not be modified after it was accepted.
+func (p *TargetListPoller) Accept(list *chicoryv1.TargetList, readAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !readAt.After(p.readAt) {
+		return
+	}
+	p.readAt = readAt
+	if list != p.accepted {
+		p.accepted = list
+		p.replace(list)
+	}
+}
+
+// MustRead reports whether a control VM reads the list itself: it leads, or the VM that it
+// follows has no recent reading. One reader is enough, and the platform limits the rate of
+// all reads together.
+func (p *TargetListPoller) MustRead(leads bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return leads || time.Since(p.readAt) > TakeOverAge
+}
+
 func (p *TargetListPoller) read(ctx context.Context) {
 	start := time.Now()
 	readCtx, cancel := context.WithTimeout(ctx, listReadTimeout)
@@ -73,21 +108,25 @@
 		p.logger.Info(logging.TargetListFound, logging.Fields{"targets": len(targets)})
 	}
 	p.failing = false
-	p.readAt = start
-	next := &chicoryv1.TargetList{Targets: targets}
+	p.readAt, p.accepted = start, nil
+	p.replace(&chicoryv1.TargetList{Targets: targets})
+}
+
+// replace replaces the list if next differs from it. The caller holds mu.
+func (p *TargetListPoller) replace(next *chicoryv1.TargetList) {
 	if p.list != nil && proto.Equal(p.list, next) {
 		return
 	}
-	p.logger.Info(logging.TargetListChanged, logging.Fields{"targets": len(targets)})
+	p.logger.Info(logging.TargetListChanged, logging.Fields{"targets": len(next.GetTargets())})
 	p.list = next
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-// Targets returns the latest list (nil before the first read), whether it is recent
-// enough to be current, and a channel that is closed when the list changes.
-func (p *TargetListPoller) Targets() (list *chicoryv1.TargetList, fresh bool, changed <-chan struct{}) {
+// Targets returns the latest list (nil before the first read), when it was read from the
+// platform, and a channel that is closed when the list changes.
+func (p *TargetListPoller) Targets() (list *chicoryv1.TargetList, readAt time.Time, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.list, p.list != nil && time.Since(p.readAt) < MaxListAge, p.changed
+	return p.list, p.readAt, p.changed
 }
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -131,7 +131,7 @@
 type listChange struct{ added, removed, leaving int }
 
 // ConfirmTargets implements feed.Sink.
-func (r *routingState) ConfirmTargets() {
+func (r *routingState) ConfirmTargets(time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listConfirmedAt = time.Now()
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -110,7 +110,7 @@
 func TestTargetListBecomesStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRoutingState()
-		r.ConfirmTargets()
+		r.ConfirmTargets(0)
 		assert.Assert(t, !r.isListStale())
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, r.isListStale())
--- a/internal/process/keeper/feed_source.go
+++ b/internal/process/keeper/feed_source.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"time"
+
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 )
 
@@ -11,7 +13,7 @@
 	return s.p.replica.declaration()
 }
 
-func (s feedSource) Targets() (list *chicoryv1.TargetList, fresh bool, changed <-chan struct{}) {
+func (s feedSource) Targets() (list *chicoryv1.TargetList, readAt time.Time, changed <-chan struct{}) {
 	return s.p.targetList.Targets()
 }
 
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
@@ -20,13 +22,17 @@
 // processes were lost at once.
 type promptLocationSync struct {
 	board *feed.SharedState
-	file  promptLocationFile
-	log   *logging.Logger
+	list  *observe.TargetListPoller
+	// received is the list of the feed that is followed. Only one is.
+	received atomic.Pointer[chicoryv1.TargetList]
+	file     promptLocationFile
+	log      *logging.Logger
 }
 
 func (p *Process) newPromptLocationSync(board *feed.SharedState) *promptLocationSync {
 	return &promptLocationSync{
 		board: board,
+		list:  p.targetList,
 		file:  promptLocationFile{fs: p.replica.options.FS, folder: filepath.Join(p.settings.DataFolder, promptLocationFolder)},
 		log:   p.log,
 	}
@@ -62,8 +68,8 @@
 	}
 }
 
-// The methods of feed.Sink: a control VM that is not the leader takes only the prompt
-// locations from the leader's feed.
+// The methods of feed.Sink: a control VM that is not the leader takes the prompt locations
+// and the target list from the leader's feed.
 
 // AddPromptLocations implements feed.Sink. It accepts prompt locations only from the leader:
 // control VMs that accepted them from each other would pass outdated ones around
@@ -80,11 +86,16 @@
 // ApplyDeclaration implements feed.Sink; the log has the declarations.
 func (s *promptLocationSync) ApplyDeclaration(*chicoryv1.Declaration, string) {}
 
-// SetTargets implements feed.Sink; this VM reads the target list itself.
-func (s *promptLocationSync) SetTargets(*chicoryv1.TargetList) {}
+// SetTargets implements feed.Sink.
+func (s *promptLocationSync) SetTargets(list *chicoryv1.TargetList) { s.received.Store(list) }
 
-// ConfirmTargets implements feed.Sink.
-func (s *promptLocationSync) ConfirmTargets() {}
+// ConfirmTargets implements feed.Sink. It takes over the list that the followed VM has read
+// or taken over itself; a list that two VMs pass to each other grows old.
+func (s *promptLocationSync) ConfirmTargets(age time.Duration) {
+	if list := s.received.Load(); list != nil {
+		s.list.Accept(list, time.Now().Add(-age))
+	}
+}
 
 // DeclaredVersion implements feed.Sink. The maximum version means that no declaration is
 // needed.
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -73,15 +73,20 @@
 	}
 	p.tasks.Go(func() { p.replica.run(p.ctx) })
 	p.tasks.Go(p.syncPromptLocations)
-	p.tasks.Go(func() { p.targetList.Run(p.ctx, func() bool { return true }) })
+	p.tasks.Go(func() { p.targetList.Run(p.ctx, p.mustReadTargets) })
 	log.Info(logging.ProcessStarted, logging.Fields{
 		"peer_address": p.replica.id, "operator_address": s.OperatorAddress, "may_found": s.MayFound, "seeds": s.Seeds,
 	})
 	return p, nil
 }
 
-// syncPromptLocations loads the saved prompt locations, follows the leader for new ones
-// and saves them.
+func (p *Process) mustReadTargets() bool {
+	_, _, leads := p.replica.members()
+	return p.targetList.MustRead(leads)
+}
+
+// syncPromptLocations loads the saved prompt locations, follows the leader for new ones and
+// for the target list, and saves the locations.
 func (p *Process) syncPromptLocations() {
 	locations := p.newPromptLocationSync(p.board)
 	locations.load()
