feed: engines by number, members only when they change

Cause: each of the ten messages a second that the leader sends to each entry VM repeated the addresses of all control VMs (some 200 bytes), and named each engine by its address, 18 of some 30 bytes of a load; other control VMs' keepalives were little else.

Change: members and leader are sent when they change; an engine's address is sent once in a feed and then a number stands for it, if the follower says that it knows numbers. A follower applies the last leader of a feed with each of its messages, as before.

TestFollowersKnowRemoteLoads draws feeds with and without numbers.

--- a/internal/connection/feed/changes.go
+++ b/internal/connection/feed/changes.go
@@ -65,8 +65,11 @@
 // feedState is the state accumulated from the messages of one feed. It is used by a
 // single goroutine.
 type feedState struct {
-	list  *chicoryv1.TargetList
-	loads map[string]*chicoryv1.EngineLoad
+	list    *chicoryv1.TargetList
+	loads   map[string]*chicoryv1.EngineLoad
+	engines engineAddresses
+	// leader is the leader according to the last message that named one.
+	leader string
 }
 
 // applyTargets updates the target list from a message, and reports whether the message
@@ -83,18 +86,23 @@
 	return true
 }
 
-// applyLoads updates the loads from a message of the leader.
-func (s *feedState) applyLoads(m *chicoryv1.FollowResponse) {
+// applyLoads updates the loads from a message of the leader. It fails if a load has a number
+// that the feed has not defined.
+func (s *feedState) applyLoads(m *chicoryv1.FollowResponse) error {
 	if m.GetLoadsAreWhole() || s.loads == nil {
-		s.loads = map[string]*chicoryv1.EngineLoad{}
+		s.loads, s.engines = map[string]*chicoryv1.EngineLoad{}, engineAddresses{}
 	}
 	for _, l := range m.GetLoads() {
+		if err := s.engines.complete(l); err != nil {
+			return err
+		}
 		if newLoad(l) == (load{}) {
 			delete(s.loads, l.GetAddress())
 			continue
 		}
 		s.loads[l.GetAddress()] = l
 	}
+	return nil
 }
 
 func (s *feedState) loadList() []*chicoryv1.EngineLoad {
--- a/internal/connection/feed/changes_test.go
+++ b/internal/connection/feed/changes_test.go
@@ -79,7 +79,8 @@
 		}
 		followers := map[string]follower{}
 		for _, e := range entries {
-			followers[e] = follower{&followerState{server: NewServer(nil, state), entryID: e}, &feedState{}}
+			numbers := engineNumbers{enabled: rapid.Bool().Draw(t, "numbers")}
+			followers[e] = follower{&followerState{server: NewServer(nil, state), entryID: e, numbers: numbers}, &feedState{}}
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
@@ -103,7 +104,7 @@
 				state.expiryCheckedAt = time.Time{}
 				m := &chicoryv1.FollowResponse{Leads: true}
 				f.sent.addLoads(m, now)
-				f.received.applyLoads(m)
+				assert.NilError(t, f.received.applyLoads(m))
 				got := map[string]load{}
 				for _, l := range f.received.loadList() {
 					got[l.GetAddress()] = newLoad(l)
@@ -144,6 +145,52 @@
 	assert.Equal(t, len(m.GetLoads()), perEntry, "only the loads changed by other entry VMs are sent")
 }
 
+// TestLeaderMessagesAreSmall checks the size of the messages that a leader sends to each entry
+// VM, most of them to another zone. Load pattern: 40 streams a second on 156 engines, each of
+// which changes the load of two engines three times, so that each message of 100 ms has the
+// loads of some 20 engines.
+func TestLeaderMessagesAreSmall(t *testing.T) {
+	const engines, changedPerMessage, messages = 156, 20, 100
+	const maxMeanBytes = 300
+	state, now := NewSharedState(), time.Now()
+	members := []string{}
+	for i := range 9 {
+		members = append(members, fmt.Sprintf("10.%d.0.21:7200", i))
+	}
+	f := &followerState{server: NewServer(&staticSource{members: members}, state), entryID: "entry0"}
+	f.numbers.enabled = true
+	received, total := &feedState{}, 0
+	for n := range messages {
+		r := &chicoryv1.ShareRequest{EntryId: "entry1"}
+		for i := range engines {
+			tokens := 5000 + n - (i+n*changedPerMessage)%engines/changedPerMessage
+			r.Loads = append(r.Loads, &chicoryv1.EngineLoad{Address: fmt.Sprintf("10.200.%d.17:8367", i), Tokens: uint32(tokens), Unread: 4000, Backups: 9000})
+		}
+		state.Update(r, now)
+		m, _, _ := f.nextMessage()
+		if n > 0 {
+			total += proto.Size(m)
+		}
+		assert.NilError(t, received.applyLoads(m))
+		assert.Equal(t, len(received.loadList()), engines)
+	}
+	mean := total / (messages - 1)
+	assert.Assert(t, mean <= maxMeanBytes*len(received.loadList())/engines, "a message has %d bytes", mean)
+}
+
+// staticSource is the source of a leader whose members do not change.
+type staticSource struct{ members []string }
+
+func (s *staticSource) Declaration() (*chicoryv1.Declaration, <-chan struct{}) { return nil, nil }
+
+func (s *staticSource) Targets() (*chicoryv1.TargetList, time.Time, <-chan struct{}) {
+	return nil, time.Time{}, nil
+}
+
+func (s *staticSource) Members() (addresses []string, leader string, leads bool) {
+	return s.members, s.members[0], true
+}
+
 func TestIsUrgent(t *testing.T) {
 	loads := func(tokens uint32) *chicoryv1.ShareRequest {
 		return &chicoryv1.ShareRequest{Loads: []*chicoryv1.EngineLoad{{Address: "e", Tokens: tokens}}}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -196,7 +196,7 @@
 	defer watchdog.Stop()
 	client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(address), peer.Uncompressed, peer.ReadLimit)
 	stream, err := client.Follow(ctx, connect.NewRequest(&chicoryv1.FollowRequest{
-		EntryId: f.opts.ID, DeclaredVersion: f.opts.Sink.DeclaredVersion(),
+		EntryId: f.opts.ID, DeclaredVersion: f.opts.Sink.DeclaredVersion(), KnowsEngineNumbers: true,
 	}))
 	if err != nil {
 		return false, errors.Trace(err)
@@ -211,7 +211,9 @@
 			f.opts.Logger.Info(logging.FeedFound, logging.Fields{"control": address})
 		}
 		m := stream.Msg()
-		f.deliver(m, state, address)
+		if err := f.deliver(m, state, address); err != nil {
+			return received, err
+		}
 		if leaderSlot && f.mustSwitchToLeader(address) {
 			return false, errNotLeader
 		}
@@ -229,8 +231,8 @@
 
 // deliver passes the updates of a message to the sink. state is accumulated from the
 // previous messages of the same feed.
-func (f *Follower) deliver(m *chicoryv1.FollowResponse, state *feedState, from string) {
-	f.updateMembers(m)
+func (f *Follower) deliver(m *chicoryv1.FollowResponse, state *feedState, from string) error {
+	f.updateMembers(m, state)
 	if len(m.GetPlaces()) > 0 {
 		// Locations are delivered before the declaration, because the sink starts to
 		// serve requests once it has a declaration.
@@ -246,18 +248,26 @@
 		f.opts.Sink.ConfirmTargets(time.Duration(m.GetListAgeMs()) * time.Millisecond)
 	}
 	if m.GetLeads() {
-		state.applyLoads(m)
+		if err := state.applyLoads(m); err != nil {
+			return errors.Annotatef(err, "feed of control VM %s", from)
+		}
 		f.opts.Sink.SetRemoteState(RemoteState{Loads: state.loadList(), Uses: m.GetUses(), EntryVMs: int(m.GetEntries())})
 	}
+	return nil
 }
 
-// updateMembers adds the control VMs named in a message and updates the leader.
-func (f *Follower) updateMembers(m *chicoryv1.FollowResponse) {
+// updateMembers adds the control VMs named in a message and updates the leader. A message
+// that names none, of a VM that knows one, confirms the last one: another feed may have named
+// an earlier leader in the meantime.
+func (f *Follower) updateMembers(m *chicoryv1.FollowResponse, state *feedState) {
+	if m.GetLeader() != "" {
+		state.leader = m.GetLeader()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.addAddresses(m.GetControlAddresses())
-	if m.GetLeader() != "" {
-		f.leader = m.GetLeader()
+	if m.GetInQuorum() && state.leader != "" {
+		f.leader = state.leader
 	}
 }
 
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -64,6 +65,7 @@
 // sending fails.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[chicoryv1.FollowRequest], stream *connect.ServerStream[chicoryv1.FollowResponse]) error {
 	f := &followerState{server: s, entryID: req.Msg.GetEntryId(), declaredVersion: req.Msg.GetDeclaredVersion()}
+	f.numbers.enabled = req.Msg.GetKnowsEngineNumbers()
 	ticker := time.NewTicker(ShareInterval)
 	defer ticker.Stop()
 	for {
@@ -97,6 +99,10 @@
 	wasLeader    bool
 	loadsVersion uint64
 	sentLoads    map[string]load
+	numbers      engineNumbers
+	// sentMembers and sentLeader are the members and the leader that the follower knows.
+	sentMembers []string
+	sentLeader  string
 	// sentFurtherAttempts and sentEntryVMs are the numbers of further attempts and entry
 	// VMs in the previous message.
 	sentFurtherAttempts uint64
@@ -118,8 +124,7 @@
 	if age := time.Since(readAt); list != nil && age < observe.MaxListAge {
 		m.ListIsFresh, m.ListAgeMs = true, uint32(age.Milliseconds())
 	}
-	m.ControlAddresses, m.Leader, m.Leads = f.server.source.Members()
-	m.InQuorum = m.GetLeader() != ""
+	f.addMembers(m)
 	now := time.Now()
 	urgent := f.addLocations(m)
 	if f.addLoads(m, now) {
@@ -132,6 +137,19 @@
 	return m, changed, listChanged
 }
 
+// addMembers adds the control VMs and the leader if they changed since the last message:
+// repeated in each, they would be most of it.
+func (f *followerState) addMembers(m *chicoryv1.FollowResponse) {
+	addresses, leader, leads := f.server.source.Members()
+	if !slices.Equal(addresses, f.sentMembers) {
+		m.ControlAddresses, f.sentMembers = addresses, addresses
+	}
+	if leader != f.sentLeader {
+		m.Leader, f.sentLeader = leader, leader
+	}
+	m.Leads, m.InQuorum = leads, leader != ""
+}
+
 // addTargets adds the complete target list to the first message to a follower and only
 // the changes to later ones.
 func (f *followerState) addTargets(m *chicoryv1.FollowResponse, list *chicoryv1.TargetList) {
@@ -163,6 +181,7 @@
 	}
 	if !f.wasLeader {
 		f.wasLeader, f.loadsVersion, f.sentLoads, m.LoadsAreWhole = true, 0, map[string]load{}, true
+		f.numbers.reset()
 	}
 	remote, version := f.server.sharedState.RemoteState(f.entryID, f.loadsVersion, now)
 	f.loadsVersion = version
@@ -175,6 +194,7 @@
 		if next == (load{}) {
 			delete(f.sentLoads, l.GetAddress())
 		}
+		f.numbers.shorten(l)
 		m.Loads = append(m.Loads, l)
 	}
 	m.Uses, m.Entries = remote.Uses, uint32(remote.EntryVMs)
