feed: a long list of targets comes in parts, feeds start one after the other

Change: at most 250 targets a message, each of which shows that the feed is alive; the list is used when it is complete; a follower of an earlier release gets it at once. The second and third feed start 250 and 500 ms after the first. TestLongListArrivesInParts.

--- a/internal/connection/feed/changes.go
+++ b/internal/connection/feed/changes.go
@@ -73,7 +73,7 @@
 }
 
 // applyTargets updates the target list from a message, and reports whether the message
-// contained an update.
+// contained an update after which the list is complete.
 func (s *feedState) applyTargets(m *chicoryv1.FollowResponse) bool {
 	switch {
 	case m.GetTargets() != nil:
@@ -83,7 +83,7 @@
 	default:
 		return false
 	}
-	return true
+	return !m.GetListContinues()
 }
 
 // applyLoads updates the loads from a message of the leader. It fails if a load has a number
--- a/internal/connection/feed/changes_test.go
+++ b/internal/connection/feed/changes_test.go
@@ -178,13 +178,44 @@
 	assert.Assert(t, mean <= maxMeanBytes*len(received.loadList())/engines, "a message has %d bytes", mean)
 }
 
+// TestLongListArrivesInParts checks that a list of thousands of targets, which fills the link
+// of an entry VM for longer than it waits for a message, comes in small messages and is not
+// used before it is complete, and that a follower of an earlier release gets it at once.
+func TestLongListArrivesInParts(t *testing.T) {
+	const targets = 3001
+	list := &chicoryv1.TargetList{}
+	for i := range targets {
+		list.Targets = append(list.Targets, &chicoryv1.ListedTarget{Address: fmt.Sprint("t", i), Instance: fmt.Sprint("i", i)})
+	}
+	source := &staticSource{members: []string{"c1"}, list: list}
+	f := &followerState{server: NewServer(source, NewSharedState()), knowsPartialLists: true}
+	received, messages := &feedState{}, 0
+	for complete := false; !complete; messages++ {
+		m, _, _ := f.nextMessage()
+		assert.Assert(t, len(m.GetTargets().GetTargets())+len(m.GetTargetChange().GetSet()) <= maxTargetsPerMessage)
+		complete = received.applyTargets(m)
+		assert.Equal(t, m.GetListIsFresh(), complete)
+		assert.Equal(t, len(f.unsentTargets) == 0, complete)
+	}
+	assert.Equal(t, messages, (targets+maxTargetsPerMessage-1)/maxTargetsPerMessage)
+	assert.Assert(t, proto.Equal(received.list, list))
+
+	earlier := &followerState{server: NewServer(source, NewSharedState())}
+	m, _, _ := earlier.nextMessage()
+	assert.Equal(t, len(m.GetTargets().GetTargets()), targets)
+	assert.Assert(t, m.GetListIsFresh())
+}
+
 // staticSource is the source of a leader whose members do not change.
-type staticSource struct{ members []string }
+type staticSource struct {
+	members []string
+	list    *chicoryv1.TargetList
+}
 
 func (s *staticSource) Declaration() (*chicoryv1.Declaration, <-chan struct{}) { return nil, nil }
 
 func (s *staticSource) Targets() (*chicoryv1.TargetList, time.Time, <-chan struct{}) {
-	return nil, time.Time{}, nil
+	return s.list, time.Now(), nil
 }
 
 func (s *staticSource) Members() (addresses []string, leader string, leads bool) {
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -28,6 +28,9 @@
 	// noLeaderTimeout is the time for which a control VM without a leader is followed. An
 	// election takes up to one second.
 	noLeaderTimeout = 1500 * time.Millisecond
+	// slotDelay is the delay between the starts of two slots. The first messages of a feed
+	// carry the whole list of targets, and all feeds together fill the link of an entry VM.
+	slotDelay = 250 * time.Millisecond
 	// retryDelay is the delay between two connection attempts of one slot.
 	retryDelay = 150 * time.Millisecond
 )
@@ -105,7 +108,11 @@
 func (f *Follower) Run(ctx context.Context) {
 	var slots sync.WaitGroup
 	for i := range f.opts.FeedCount {
-		slots.Go(func() { f.runSlot(ctx, i == 0) })
+		slots.Go(func() {
+			if pause.For(ctx, time.Duration(i)*slotDelay) {
+				f.runSlot(ctx, i == 0)
+			}
+		})
 	}
 	slots.Go(func() { f.shareLocalState(ctx) })
 	slots.Wait()
@@ -196,7 +203,7 @@
 	defer watchdog.Stop()
 	client := chicoryv1connect.NewFeedServiceClient(f.opts.Client, peer.PlainURL(address), peer.Uncompressed, peer.ReadLimit)
 	stream, err := client.Follow(ctx, connect.NewRequest(&chicoryv1.FollowRequest{
-		EntryId: f.opts.ID, DeclaredVersion: f.opts.Sink.DeclaredVersion(), KnowsEngineNumbers: true,
+		EntryId: f.opts.ID, DeclaredVersion: f.opts.Sink.DeclaredVersion(), KnowsEngineNumbers: true, KnowsPartialLists: true,
 	}))
 	if err != nil {
 		return false, errors.Trace(err)
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -25,6 +25,9 @@
 	// that receives no message for three intervals switches to another control VM, well
 	// within the one to two seconds that a change may take to arrive.
 	KeepaliveInterval = 300 * time.Millisecond
+	// maxTargetsPerMessage limits the first messages of a feed, about 20 KB: a list of
+	// thousands of targets takes longer to receive than a follower waits for a message.
+	maxTargetsPerMessage = 250
 	// ShareInterval is the minimum interval between messages with shared loads. An engine
 	// takes several times as long to process a prompt.
 	ShareInterval = 100 * time.Millisecond
@@ -65,7 +68,7 @@
 // sending fails.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[chicoryv1.FollowRequest], stream *connect.ServerStream[chicoryv1.FollowResponse]) error {
 	f := &followerState{server: s, entryID: req.Msg.GetEntryId(), declaredVersion: req.Msg.GetDeclaredVersion()}
-	f.numbers.enabled = req.Msg.GetKnowsEngineNumbers()
+	f.numbers.enabled, f.knowsPartialLists = req.Msg.GetKnowsEngineNumbers(), req.Msg.GetKnowsPartialLists()
 	ticker := time.NewTicker(ShareInterval)
 	defer ticker.Stop()
 	for {
@@ -75,6 +78,9 @@
 				return err
 			}
 		}
+		if len(f.unsentTargets) > 0 && ctx.Err() == nil {
+			continue
+		}
 		select {
 		case <-changed:
 		case <-listChanged:
@@ -91,6 +97,9 @@
 	entryID         string
 	declaredVersion uint64
 	list            *chicoryv1.TargetList
+	// unsentTargets is the part of list that was not sent yet.
+	unsentTargets     []*chicoryv1.ListedTarget
+	knowsPartialLists bool
 	// nextLocation is the number of the first prompt location that was not sent yet.
 	nextLocation uint64
 	// wasLeader reports whether the previous message was sent as leader. loadsVersion
@@ -121,7 +130,7 @@
 	}
 	list, readAt, listChanged := f.server.source.Targets()
 	f.addTargets(m, list)
-	if age := time.Since(readAt); list != nil && age < observe.MaxListAge {
+	if age := time.Since(readAt); list != nil && !m.GetListContinues() && age < observe.MaxListAge {
 		m.ListIsFresh, m.ListAgeMs = true, uint32(age.Milliseconds())
 	}
 	f.addMembers(m)
@@ -150,17 +159,31 @@
 	m.Leads, m.InQuorum = leads, leader != ""
 }
 
-// addTargets adds the complete target list to the first message to a follower and only
+// addTargets adds the complete target list to the first messages to a follower and only
 // the changes to later ones.
 func (f *followerState) addTargets(m *chicoryv1.FollowResponse, list *chicoryv1.TargetList) {
 	switch {
+	case len(f.unsentTargets) > 0:
+		m.TargetChange = &chicoryv1.TargetListChange{Set: f.nextTargets()}
 	case list == f.list:
-	case f.list == nil:
-		m.Targets = list
-	default:
+	case f.list != nil:
 		m.TargetChange = diffTargetLists(f.list, list)
+		f.list = list
+	case f.knowsPartialLists:
+		f.list, f.unsentTargets = list, list.GetTargets()
+		m.Targets = &chicoryv1.TargetList{Targets: f.nextTargets()}
+	default:
+		f.list, m.Targets = list, list
 	}
-	f.list = list
+	m.ListContinues = len(f.unsentTargets) > 0
+}
+
+// nextTargets removes and returns the next part of the list.
+func (f *followerState) nextTargets() []*chicoryv1.ListedTarget {
+	n := min(len(f.unsentTargets), maxTargetsPerMessage)
+	part := f.unsentTargets[:n]
+	f.unsentTargets = f.unsentTargets[n:]
+	return part
 }
 
 // addLocations adds the prompt locations that were not sent yet, and reports whether
