observe, platform: read long lists of targets at the platform's rate

A read ended with the first 429 and after 800 ms at most, so it never succeeded, the list counted as stale, and every entry VM read it as well.

--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -130,7 +130,7 @@
 	}
 	list, readAt, listChanged := f.server.source.Targets()
 	f.addTargets(m, list)
-	if age := time.Since(readAt); list != nil && !m.GetListContinues() && age < observe.MaxListAge {
+	if age := time.Since(readAt); list != nil && !m.GetListContinues() && !observe.IsStale(list, age) {
 		m.ListIsFresh, m.ListAgeMs = true, uint32(age.Milliseconds())
 	}
 	f.addMembers(m)
--- a/internal/connection/observe/list.go
+++ b/internal/connection/observe/list.go
@@ -21,19 +21,27 @@
 	// ListReadInterval is the interval between reads of the platform's list. A leaving target
 	// must stop receiving new requests within a few seconds after the list shows it.
 	ListReadInterval = time.Second
-	// listReadTimeout limits the duration of one read.
-	listReadTimeout = 800 * time.Millisecond
-	// MaxListAge is the age at which a list is considered stale.
-	MaxListAge = 2500 * time.Millisecond
-	// TakeOverAge is the age at which a control VM reads the list itself, since the one
+	// listReadTimeout limits the duration of one read of all pages.
+	listReadTimeout = 3 * time.Second
+	// maxListAge is the age at which a list is considered stale.
+	maxListAge = 2500 * time.Millisecond
+	// takeOverAge is the age at which a control VM reads the list itself, since the one
 	// that reads it for all does not: one read later than usual, and the interval between
 	// two messages of a feed.
-	TakeOverAge = 1600 * time.Millisecond
+	takeOverAge = 1600 * time.Millisecond
 	// needCheckInterval is the interval at which a poller that is not needed checks whether
 	// it is.
 	needCheckInterval = 200 * time.Millisecond
+	// readTimePerTarget is added to the ages for each target of the list: the platform
+	// limits the rate of calls, and a page has some 50 targets.
+	readTimePerTarget = time.Millisecond
 )
 
+// IsStale reports whether a list of the given age may no longer be the platform's.
+func IsStale(list *chicoryv1.TargetList, age time.Duration) bool {
+	return age > maxListAge+time.Duration(len(list.GetTargets()))*readTimePerTarget
+}
+
 // TargetListPoller reads the platform's list of targets periodically, or takes over what
 // another VM has read, and holds the latest one. It is safe for concurrent use.
 type TargetListPoller struct {
@@ -87,7 +95,7 @@
 func (p *TargetListPoller) MustRead(leads bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return leads || time.Since(p.readAt) > TakeOverAge
+	return leads || time.Since(p.readAt) > takeOverAge+time.Duration(len(p.list.GetTargets()))*readTimePerTarget
 }
 
 func (p *TargetListPoller) read(ctx context.Context) {
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -138,11 +138,11 @@
 }
 
 // isListStale reports whether no control VM has confirmed the target list within
-// observe.MaxListAge.
+// the time that observe.IsStale allows.
 func (r *routingState) isListStale() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.listConfirmedAt) > observe.MaxListAge
+	return observe.IsStale(r.list, time.Since(r.listConfirmedAt))
 }
 
 // listAge returns the time since a control VM last confirmed that the list is the
