feed: only the leader sends new prompt locations

Change: a control VM that follows a leader sends the locations that it has when a feed begins; when it becomes the leader it sends those since then. TestOnlyTheLeaderSendsNewPromptLocations fails before.

--- a/internal/connection/feed/changes_test.go
+++ b/internal/connection/feed/changes_test.go
@@ -237,9 +237,36 @@
 	assert.Equal(t, len(changes), 1, "computed once for all followers")
 }
 
-// staticSource is the source of a leader whose members do not change.
+// TestOnlyTheLeaderSendsNewPromptLocations checks that the locations of new prompts, some 40 a
+// second on a large deployment, reach a follower once and not on each of its feeds, and that
+// none is missing after a change of the leader.
+func TestOnlyTheLeaderSendsNewPromptLocations(t *testing.T) {
+	state := NewSharedState()
+	add := func(prompt string) { state.AddPromptLocations([]*chicoryv1.PromptPlace{newLocation(prompt, "e")}) }
+	source := &staticSource{members: []string{"c1"}, follows: "c2"}
+	f := &followerState{server: NewServer(source, state), entryID: "entry0"}
+	received := func() (prompts []string) {
+		m, _, _ := f.nextMessage()
+		for _, p := range m.GetPlaces() {
+			prompts = append(prompts, p.GetPrompt())
+		}
+		return prompts
+	}
+	add("known before")
+	assert.DeepEqual(t, received(), []string{"known before"})
+	add("new")
+	assert.Equal(t, len(received()), 0, "the leader sends it")
+	source.follows = ""
+	assert.DeepEqual(t, received(), []string{"new"})
+	add("newer")
+	assert.DeepEqual(t, received(), []string{"newer"})
+}
+
+// staticSource is the source of a leader whose members do not change, or of a control VM that
+// follows another one.
 type staticSource struct {
 	members []string
+	follows string
 	list    *chicoryv1.TargetList
 }
 
@@ -250,6 +277,9 @@
 }
 
 func (s *staticSource) Members() (addresses []string, leader string, leads bool) {
+	if s.follows != "" {
+		return s.members, s.follows, false
+	}
 	return s.members, s.members[0], true
 }
 
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -103,6 +103,8 @@
 	knowsPartialLists bool
 	// nextLocation is the number of the first prompt location that was not sent yet.
 	nextLocation uint64
+	// sentLocations: the locations that were known when the feed began were sent.
+	sentLocations bool
 	// wasLeader reports whether the previous message was sent as leader. loadsVersion
 	// is the version of the shared state up to which loads were sent, sentLoads the
 	// loads that the follower knows, by engine address.
@@ -188,8 +190,14 @@
 }
 
 // addLocations adds the prompt locations that were not sent yet, and reports whether
-// there are any. Every control VM has them, not only the leader.
+// there are any. Every control VM has them, but while one leads, the others send only those
+// that they have when the feed begins: a follower gets the rest from the leader, and from
+// another control VM when that becomes the leader.
 func (f *followerState) addLocations(m *chicoryv1.FollowResponse) bool {
+	if f.sentLocations && m.GetInQuorum() && !m.GetLeads() {
+		return false
+	}
+	f.sentLocations = true
 	m.Places, f.nextLocation = f.server.sharedState.PromptLocationsSince(f.nextLocation)
 	return len(m.GetPlaces()) > 0
 }
