--- a/internal/connection/http1/body.go
+++ b/internal/connection/http1/body.go
@@ -13,9 +13,6 @@
 	size   int64
 }
 
-// NewBody returns a body with the given bytes.
-func NewBody(b []byte) *Body { return &Body{chunks: [][]byte{b}, size: int64(len(b))} }
-
 // Len returns the size in bytes; 0 for nil.
 func (b *Body) Len() int64 {
 	if b == nil {
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
-	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
 // dispatch sends the request to the engine and forwards its events.
@@ -38,7 +36,8 @@
 	if !meta.Signed || response.Status != http.StatusOK {
 		return st.readNonStream(response, meta)
 	}
-	return st.relayEvents(response, meta, run, watchdog)
+	relay := &eventRelay{st: st, response: response, meta: meta, run: run, watchdog: watchdog}
+	return relay.relayAll()
 }
 
 // watchEngineLoss cancels the attempt if another run finds the engine lost before this
@@ -76,71 +75,6 @@
 	return result
 }
 
-// relayEvents forwards events until the stream ends.
-func (st *stream) relayEvents(response *http1.Response, meta ResponseMetadata, run *placement.Run, watchdog *pace.Watchdog) attemptResult {
-	events := newEventReader(response)
-	result := attemptResult{outcome: outcomeLost, status: response.Status}
-	previous := time.Now()
-	unnumbered := 0 // bytes since the last new event
-	for {
-		e, err := events.next()
-		if errors.Is(err, io.EOF) {
-			response.Finish()
-			result.final = st.finishStream(response)
-			return result
-		}
-		isNew := err == nil && st.isNew(e)
-		if unnumbered += len(e.raw); isNew {
-			unnumbered = 0
-		}
-		if unnumbered > maxUnnumberedBytes {
-			err = &http1.LimitError{Limit: http1.LimitUnnumbered, Max: maxUnnumberedBytes}
-		}
-		if err != nil {
-			response.Abandon()
-			result.err = err
-			return result
-		}
-		if isNew {
-			st.recordEvent(&result, run, meta, previous)
-		}
-		watchdog.Pause() // a caller that reads slowly is no silence of the engine
-		if err := st.relayEvent(response, e); err != nil {
-			response.Abandon()
-			result.final, result.err = isCallerError(err), err
-			return result
-		}
-		if isNew {
-			previous = time.Now()
-			watchdog.Reset(st.gaps.SilenceTimeout(st.silenceBounds(), 0))
-		} else {
-			watchdog.Resume()
-		}
-	}
-}
-
-// isNew reports whether an event continues the stream. Comments, events that were relayed
-// before and, in a stream that can be resumed by number, events without a number do not: an
-// engine that sends only these is stalled.
-func (st *stream) isNew(e event) bool {
-	if e.id != 0 {
-		return e.id > st.lastEvent
-	}
-	return e.hasData && (st.lastEvent == 0 || st.a.Route.RetryPolicy != declared.Resumable)
-}
-
-// recordEvent records that a new event arrived after the one at previous.
-func (st *stream) recordEvent(result *attemptResult, run *placement.Run, meta ResponseMetadata, previous time.Time) {
-	now := time.Now()
-	if result.events == 0 {
-		run.MarkPromptRead()
-		st.logFirstEvent(run, meta, now)
-	} else {
-		st.gaps.Add(now.Sub(previous))
-	}
-	result.events++
-}
-
 // relayEvent writes one event to the caller, unless the caller has already received it.
 func (st *stream) relayEvent(response *http1.Response, e event) error {
 	if e.id != 0 && e.id <= st.lastEvent {
