exchange: log the shared parts of prompts

Beside an engine's crash the log couldn't tell which requests it ended had the same part of a prompt. stream_placed, stream_resumed and attempt_ended now name the shared parts, and attempt_ended the start of the engine.

Six requests were sent 5 to 9 times each; each loss comes with status 200 and no event.

--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -52,6 +52,9 @@
 	// PromptID identifies the prompt of a generation; equal prompts have equal ids. It is
 	// empty if the caller did not state it.
 	PromptID string
+	// SharedParts identifies the parts of the prompt that other requests may share, in
+	// their order. The rest of the prompt belongs to the request or its session.
+	SharedParts []string
 }
 
 // AdmittedRequest is a request with the configuration that applies to it.
--- a/internal/request/exchange/stream_log.go
+++ b/internal/request/exchange/stream_log.go
@@ -18,6 +18,7 @@
 		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
 		"instance": run.Target.GetInstance(), "backup": d.BackupTo, "from": d.ContinueFrom,
 		"last_event": st.lastEvent, "prompt_tokens": st.size.Prompt, "tried": len(st.tried),
+		"shared_parts": st.a.SharedParts,
 	})
 }
 
@@ -34,6 +35,7 @@
 		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
 		"ending": string(result.outcome), "status": result.status, "events": result.events, "last_event": st.lastEvent,
 		"copy": from != nil, "ms": time.Since(st.a.ReceivedAt).Milliseconds(),
+		"instance": run.Target.GetInstance(), "shared_parts": st.a.SharedParts,
 	}
 	if result.err != nil {
 		fields["reason"] = result.err
