quarantine: refuse requests with a part of a prompt that crashes engines

Cause: a further attempt looked for another engine, whatever ended the one before, and no VM kept what it had learned for the next request. Class of fault: a retry treats a failure that belongs to the request as one of the target.

Ruled out: engines that end on their own.

Change: losses of engines before an answer begins are counted for the shared parts of the request, answers that begin clear them, and entry VMs share both through the control VMs. A part with three losses at different times that no other part explains is in quarantine: requests with it are refused at once, and one that waits at an engine is ended. The quarantine ends with a trial.

With the quarantine out of force (no part reaches the number of losses), TestRequestThatCrashesEnginesIsNotSentToAllOfThem and four other tests of internal/request/exchange fail (six engines are sent the request).

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -5,6 +5,7 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 )
 
 const (
@@ -36,16 +37,24 @@
 	byPrompt map[string]*chicoryv1.PromptPlace
 	// version increases with every change of the loads.
 	version uint64
+	// suspects has a lock of its own.
+	suspects *quarantine.Table
 }
 
 // NewSharedState returns an empty SharedState.
 func NewSharedState() *SharedState {
-	return &SharedState{byEntry: map[string]entryState{}, totals: newTotals(), byPrompt: map[string]*chicoryv1.PromptPlace{}}
+	return &SharedState{
+		byEntry:  map[string]entryState{},
+		totals:   newTotals(),
+		byPrompt: map[string]*chicoryv1.PromptPlace{},
+		suspects: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
+	}
 }
 
 // Update replaces the shared loads and usage of one entry VM and adds its prompt
-// locations.
+// locations and suspect parts.
 func (s *SharedState) Update(r *chicoryv1.ShareRequest, now time.Time) {
+	s.MergeSuspects(r.GetSuspects(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
@@ -62,6 +71,17 @@
 	s.addLocations(locations)
 }
 
+// MergeSuspects adds what entry VMs know about parts of prompts that may crash engines.
+func (s *SharedState) MergeSuspects(suspects []*chicoryv1.SuspectPart, now time.Time) {
+	s.suspects.Merge(suspects, now)
+}
+
+// SuspectsSince returns the suspect parts that changed after version and that several VMs
+// may meet, and the version to pass to the next call.
+func (s *SharedState) SuspectsSince(version uint64, now time.Time) ([]*chicoryv1.SuspectPart, uint64) {
+	return s.suspects.ChangesSince(version, true, now)
+}
+
 // addLocations adds the locations that differ from the known ones, and removes the oldest
 // beyond maxLocations. The caller holds mu.
 func (s *SharedState) addLocations(locations []*chicoryv1.PromptPlace) {
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -52,11 +52,14 @@
 	// AddPromptLocations adds prompt locations known to a control VM. fromLeader
 	// reports whether that VM is the leader.
 	AddPromptLocations(locations []*chicoryv1.PromptPlace, fromLeader bool)
+	// MergeSuspects adds what a control VM knows about parts of prompts that may crash
+	// engines.
+	MergeSuspects(suspects []*chicoryv1.SuspectPart)
 	// LocalState returns the state that this entry VM shares: all of its loads and usage,
-	// and the prompt locations added since the last call. If allLocations is set, the
-	// receiver has no locations of this entry VM yet and the latest ones are returned
-	// instead. The result is nil if there is nothing to share.
-	LocalState(allLocations bool) *chicoryv1.ShareRequest
+	// and the prompt locations and suspect parts added since the last call. If all is set,
+	// the receiver has none of this entry VM yet, and the latest locations and all suspect
+	// parts are returned instead. The result is nil if there is nothing to share.
+	LocalState(all bool) *chicoryv1.ShareRequest
 }
 
 // FollowerOptions configures a Follower. All fields except SelfAddress and FeedCount are
@@ -241,10 +244,13 @@
 func (f *Follower) deliver(m *chicoryv1.FollowResponse, state *feedState, from string) error {
 	f.updateMembers(m, state)
 	if len(m.GetPlaces()) > 0 {
-		// Locations are delivered before the declaration, because the sink starts to
-		// serve requests once it has a declaration.
+		// Locations and suspect parts are delivered before the declaration, because the sink
+		// starts to serve requests once it has a declaration.
 		f.opts.Sink.AddPromptLocations(m.GetPlaces(), m.GetLeads())
 	}
+	if len(m.GetSuspects()) > 0 {
+		f.opts.Sink.MergeSuspects(m.GetSuspects())
+	}
 	if m.GetDeclaration() != nil {
 		f.opts.Sink.ApplyDeclaration(m.GetDeclaration(), from)
 	}
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -5,8 +5,9 @@
 //
 // The leader's feed also distributes state that entry VMs share with each other: the load
 // that they cause on engines, and the prompt locations, that is, which engine has
-// processed a prompt. Loads are lost with the leader and shared again with the next one;
-// prompt locations are kept by all control VMs.
+// processed a prompt, and the parts of prompts that may crash engines. Loads are lost with
+// the leader and shared again with the next one; prompt locations and suspect parts are kept
+// by all control VMs.
 package feed
 
 import (
@@ -103,8 +104,11 @@
 	knowsPartialLists bool
 	// nextLocation is the number of the first prompt location that was not sent yet.
 	nextLocation uint64
-	// sentLocations: the locations that were known when the feed began were sent.
-	sentLocations bool
+	// suspectsVersion is the version up to which suspect parts were sent.
+	suspectsVersion uint64
+	// sentShared: the locations and suspect parts that were known when the feed began were
+	// sent.
+	sentShared bool
 	// wasLeader reports whether the previous message was sent as leader. loadsVersion
 	// is the version of the shared state up to which loads were sent, sentLoads the
 	// loads that the follower knows, by engine address.
@@ -138,7 +142,7 @@
 	}
 	f.addMembers(m)
 	now := time.Now()
-	urgent := f.addLocations(m)
+	urgent := f.addShared(m, now)
 	if f.addLoads(m, now) {
 		urgent = true
 	}
@@ -189,17 +193,18 @@
 	return part
 }
 
-// addLocations adds the prompt locations that were not sent yet, and reports whether
-// there are any. Every control VM has them, but while one leads, the others send only those
-// that they have when the feed begins: a follower gets the rest from the leader, and from
-// another control VM when that becomes the leader.
-func (f *followerState) addLocations(m *chicoryv1.FollowResponse) bool {
-	if f.sentLocations && m.GetInQuorum() && !m.GetLeads() {
+// addShared adds the prompt locations and suspect parts that were not sent yet, and reports
+// whether there are any. Every control VM has them, but while one leads, the others send
+// only those that they have when the feed begins: a follower gets the rest from the leader,
+// and from another control VM when that becomes the leader.
+func (f *followerState) addShared(m *chicoryv1.FollowResponse, now time.Time) bool {
+	if f.sentShared && m.GetInQuorum() && !m.GetLeads() {
 		return false
 	}
-	f.sentLocations = true
+	f.sentShared = true
 	m.Places, f.nextLocation = f.server.sharedState.PromptLocationsSince(f.nextLocation)
-	return len(m.GetPlaces()) > 0
+	m.Suspects, f.suspectsVersion = f.server.sharedState.SuspectsSince(f.suspectsVersion, now)
+	return len(m.GetPlaces()) > 0 || len(m.GetSuspects()) > 0
 }
 
 // addLoads adds to a leader's message the loads that the other entry VMs cause on engines
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -26,6 +26,8 @@
 	NotFound Kind = "not_found"
 	// NoTarget: no target is currently available for the request.
 	NoTarget Kind = "no_target"
+	// PromptQuarantined: a part of the prompt crashes the engines that answer it.
+	PromptQuarantined Kind = "prompt_quarantined"
 	// Overloaded: the request would still be queued at its deadline.
 	Overloaded Kind = "overloaded"
 	// TeamLimit: the team has reached its own limit.
@@ -140,6 +142,7 @@
 	{UnknownRoute, connect.CodeNotFound, http.StatusNotFound, notRun, RetryNever, 0},
 	{NotFound, connect.CodeNotFound, http.StatusNotFound, notRun, RetryNever, 0},
 	{NoTarget, connect.CodeUnavailable, http.StatusServiceUnavailable, notRun, RetryLater, retryLater},
+	{PromptQuarantined, connect.CodeUnavailable, http.StatusServiceUnavailable, notRun, RetryLater, retryLater},
 	{Overloaded, connect.CodeResourceExhausted, http.StatusTooManyRequests, notRun, RetryLater, retryLater},
 	{TeamLimit, connect.CodeResourceExhausted, http.StatusTooManyRequests, notRun, RetryLater, retryLater},
 	{DeadlineNotRun, connect.CodeDeadlineExceeded, http.StatusGatewayTimeout, notRun, RetryLater, retryLater},
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -19,6 +19,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/exchange"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
 )
 
@@ -63,7 +64,8 @@
 	}
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
-	p.routingState = newRoutingState(adapter, engines, p.retryBudgets, log)
+	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, Random: rand.Float64})
+	p.routingState = newRoutingState(adapter, engines, suspects, p.retryBudgets, log)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
 		Seeds:  settings.WithPort(s.Seeds, s.PeerPort),
@@ -97,12 +99,13 @@
 			Logger:   p.log,
 			Settings: routing.Defaults(),
 		}),
-		Loads:    loads,
-		Engines:  engines,
-		Budget:   p.retryBudgets.forService,
-		Logger:   p.log,
-		Registry: p.registry,
-		Settings: exchange.Defaults(),
+		Loads:      loads,
+		Engines:    engines,
+		Quarantine: p.routingState.quarantine,
+		Budget:     p.retryBudgets.forService,
+		Logger:     p.log,
+		Registry:   p.registry,
+		Settings:   exchange.Defaults(),
 	})
 	var err error
 	if p.front, err = frontend.Listen(string(p.settings.CallerAddress), frontend.Options{
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -10,6 +10,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -32,11 +33,16 @@
 	declared     *declared.Holder
 	targets      *config.Holder
 	engines      *placement.EngineTable
+	quarantine   *quarantine.Table
 	retryBudgets *retryBudgets
 	logger       *logging.Logger
 	// initialized is closed when a configuration and a target list are in force.
 	initialized chan struct{}
 
+	// sharedSuspects is the version up to which suspect parts were shared; only LocalState
+	// uses it.
+	sharedSuspects uint64
+
 	mu              sync.Mutex // guards the fields below
 	list            *chicoryv1.TargetList
 	listConfirmedAt time.Time
@@ -50,12 +56,13 @@
 	removedAt map[feed.TargetInstance]time.Time
 }
 
-func newRoutingState(decoder Decoder, engines *placement.EngineTable, budgets *retryBudgets, logger *logging.Logger) *routingState {
+func newRoutingState(decoder Decoder, engines *placement.EngineTable, suspects *quarantine.Table, budgets *retryBudgets, logger *logging.Logger) *routingState {
 	return &routingState{
 		decoder:      decoder,
 		declared:     &declared.Holder{},
 		targets:      &config.Holder{},
 		engines:      engines,
+		quarantine:   suspects,
 		retryBudgets: budgets,
 		initialized:  make(chan struct{}),
 		logger:       logger,
@@ -107,10 +114,20 @@
 	r.engines.AddPromptLocations(places)
 }
 
-// LocalState implements feed.Sink.
+// MergeSuspects implements feed.Sink.
+func (r *routingState) MergeSuspects(suspects []*chicoryv1.SuspectPart) {
+	r.quarantine.Merge(suspects, time.Now())
+}
+
+// LocalState implements feed.Sink. A single task calls it.
 func (r *routingState) LocalState(full bool) *chicoryv1.ShareRequest {
+	if full {
+		r.sharedSuspects = 0
+	}
 	loads, places := r.engines.LocalState(full)
-	return &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage()}
+	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage()}
+	share.Suspects, r.sharedSuspects = r.quarantine.ChangesSince(r.sharedSuspects, false, time.Now())
+	return share
 }
 
 // SetTargets implements feed.Sink.
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -14,6 +14,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -32,7 +33,8 @@
 
 func newTestRoutingState() *routingState {
 	engines := placement.NewEngineTable(placement.Defaults(), "a")
-	return newRoutingState(decoder{}, engines, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
+	suspects := quarantine.NewTable(quarantine.Options{ID: "e1", Random: func() float64 { return 0 }})
+	return newRoutingState(decoder{}, engines, suspects, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
 }
 
 func declaration(version byte) *chicoryv1.Declaration {
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -80,6 +80,11 @@
 	}
 }
 
+// MergeSuspects implements feed.Sink.
+func (s *promptLocationSync) MergeSuspects(suspects []*chicoryv1.SuspectPart) {
+	s.board.MergeSuspects(suspects, time.Now())
+}
+
 // SetRemoteState implements feed.Sink; only entry VMs use it.
 func (s *promptLocationSync) SetRemoteState(feed.RemoteState) {}
 
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -53,6 +53,8 @@
 	AttemptEnded         Event = "attempt_ended"
 	StreamPlaced         Event = "stream_placed"
 	StreamBegun          Event = "stream_begun"
+	PartQuarantined      Event = "part_quarantined"
+	QuarantineTried      Event = "quarantine_tried"
 	StreamResumed        Event = "stream_resumed"
 	RequestAnswered      Event = "request_answered"
 	RequestBroken        Event = "request_broken"
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -57,6 +57,7 @@
 	if t.outcome == outcomeLost && ctx.Err() == nil {
 		s.opts.Pool.CloseIdle(t.target)
 	}
+	s.recordCall(ctx, a, t, p.Target.GetInstance())
 	s.logAttempt(a, t)
 	return t
 }
--- a/internal/request/exchange/event_relay.go
+++ b/internal/request/exchange/event_relay.go
@@ -85,6 +85,9 @@
 		r.st.gaps.Add(now.Sub(r.previous))
 	}
 	r.result.events++
+	if r.result.events == eventsOfBegunAnswer {
+		r.st.markBegun()
+	}
 	r.otherBytes = 0
 }
 
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -22,6 +22,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -66,6 +67,9 @@
 	Team string
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
+
+	// trial: a part of the prompt was in quarantine until now.
+	trial bool
 }
 
 // Dispatch holds the parameters of one attempt to send a request to a target.
@@ -187,6 +191,8 @@
 	Loads  *observe.Table
 	// Engines selects the engines of streams.
 	Engines *placement.EngineTable
+	// Quarantine refuses requests whose prompts crash engines.
+	Quarantine *quarantine.Table
 	// Budget returns the retry budget of a service.
 	Budget   func(service string) request.RetryBudget
 	Logger   *logging.Logger
@@ -205,6 +211,9 @@
 	// Latencies in milliseconds.
 	calls, streams, firstEvent  metrics.Histogram
 	retried, resumed, truncated metrics.Counter
+	// quarantined counts refused requests, engineLosses the engines lost with a request
+	// whose answer had not begun.
+	quarantined, engineLosses metrics.Counter
 }
 
 // New returns a service.
@@ -220,6 +229,9 @@
 			retried:    metrics.GetOrRegisterCounter("request.retried", r),
 			resumed:    metrics.GetOrRegisterCounter("request.stream.resumed", r),
 			truncated:  metrics.GetOrRegisterCounter("request.stream.broken_off", r),
+
+			quarantined:  metrics.GetOrRegisterCounter("request.quarantined", r),
+			engineLosses: metrics.GetOrRegisterCounter("request.engine_lost_before_answer", r),
 		},
 	}
 }
@@ -250,6 +262,9 @@
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
 	LimitWrites(w, a.Deadline)
+	if err := s.admitPrompt(a); err != nil {
+		return err
+	}
 	s.opts.Budget(a.Service.Name).OnRequest()
 	if a.Route.Stream {
 		defer recordLatency(s.metrics.streams, a.ReceivedAt)
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -169,16 +170,17 @@
 	}
 	engines.Update(listed, func(string) int { return 50_000 })
 	return New(Options{
-		Pool:     http1.NewPoolWithDial(w.dial, http1.Defaults(), metrics.NewRegistry()),
-		Protocol: testProtocol{},
-		Prober:   w,
-		Picker:   orderedPicker(addresses),
-		Loads:    observe.NewTable(observe.Defaults()),
-		Engines:  engines,
-		Budget:   func(string) request.RetryBudget { return budget },
-		Logger:   logging.Discard(),
-		Registry: metrics.NewRegistry(),
-		Settings: Defaults(),
+		Pool:       http1.NewPoolWithDial(w.dial, http1.Defaults(), metrics.NewRegistry()),
+		Protocol:   testProtocol{},
+		Prober:     w,
+		Picker:     orderedPicker(addresses),
+		Loads:      observe.NewTable(observe.Defaults()),
+		Engines:    engines,
+		Quarantine: quarantine.NewTable(quarantine.Options{ID: "e1", Random: func() float64 { return 0 }}),
+		Budget:     func(string) request.RetryBudget { return budget },
+		Logger:     logging.Discard(),
+		Registry:   metrics.NewRegistry(),
+		Settings:   Defaults(),
 	}), engines
 }
 
--- /dev/null
+++ b/internal/request/exchange/quarantine_test.go
@@ -0,0 +1,176 @@
+package exchange
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
+)
+
+func engineStart(i int) quarantine.Engine {
+	return quarantine.Engine{Address: engineAddresses[i], Instance: "earlier"}
+}
+
+var engineAddresses = []string{"a", "b", "c", "d", "e", "f"}
+
+// crashingEngines returns a service whose engines crash, after reading the prompt, as they
+// begin an answer.
+func crashingEngines() (*testNetwork, *Service) {
+	w := newTestNetwork()
+	for _, address := range engineAddresses {
+		w.set(address, func(c net.Conn, _ *http.Request) {
+			w.countRun()
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedBy+"Transfer-Encoding: chunked\r\n\r\n")
+		})
+	}
+	s, _ := w.service(unlimitedBudget{}, engineAddresses...)
+	return w, s
+}
+
+// withParts returns a request for a stream whose prompt has the parts.
+func withParts(parts ...string) *AdmittedRequest {
+	a := admitted(declared.Resumable, true)
+	a.SharedParts = parts
+	a.Route.MaxAttempts = len(engineAddresses)
+	return a
+}
+
+func faultOf(t *testing.T, err error) *fault.Error {
+	t.Helper()
+	var e *fault.Error
+	assert.Assert(t, errors.As(err, &e), "%v", err)
+	return e
+}
+
+// TestRequestThatCrashesEnginesIsNotSentToAllOfThem guards against a request that crashes
+// one engine after the other, up to the attempts of its route.
+func TestRequestThatCrashesEnginesIsNotSentToAllOfThem(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := crashingEngines()
+		e := faultOf(t, s.Serve(t.Context(), httptest.NewRecorder(), withParts("first", "deadly")))
+		assert.Equal(t, e.Kind, fault.PromptQuarantined)
+		assert.Equal(t, e.Ran, chicoryv1.Ran_RAN_UNKNOWN)
+		assert.Equal(t, w.runs(), 3)
+	})
+}
+
+// TestRequestWithQuarantinedPartIsRefusedAtOnce guards against requests of one kind that
+// crash engines, one after the other: each is refused without reaching an engine.
+func TestRequestWithQuarantinedPartIsRefusedAtOnce(t *testing.T) {
+	for name, stream := range map[string]bool{"stream": true, "call": false} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				w, s := crashingEngines()
+				_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("first", "deadly"))
+				runs, begin := w.runs(), time.Now()
+				a := withParts("first", "deadly")
+				a.Route.Stream = stream
+				e := faultOf(t, s.Serve(t.Context(), httptest.NewRecorder(), a))
+				assert.Equal(t, e.Kind, fault.PromptQuarantined)
+				assert.Equal(t, e.Ran, chicoryv1.Ran_RAN_NOT_RUN)
+				assert.Assert(t, e.RetryAfter > 0)
+				assert.Equal(t, w.runs(), runs)
+				assert.Equal(t, time.Since(begin), time.Duration(0))
+			})
+		})
+	}
+}
+
+// TestRepeatableCallThatCrashesTargetsIsNotRetriedEverywhere guards against the same for
+// calls that are not streams.
+func TestRepeatableCallThatCrashesTargetsIsNotRetriedEverywhere(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := crashingEngines()
+		a := withParts("first", "deadly")
+		a.Route.Stream, a.Route.RetryPolicy, a.Route.LatencyObjective = false, declared.Retryable, 0
+		err := s.Serve(t.Context(), httptest.NewRecorder(), a)
+		assert.Assert(t, err != nil)
+		assert.Assert(t, w.runs() <= 4, "%d runs", w.runs()) // three, and a hedge beside them
+	})
+}
+
+// TestWaitingRequestWithQuarantinedPartIsEnded guards against a request that crashes one more
+// engine because it had been sent before the quarantine.
+func TestWaitingRequestWithQuarantinedPartIsEnded(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := crashingEngines()
+		slow := make(chan error, 1)
+		for _, address := range engineAddresses {
+			w.set(address, func(c net.Conn, _ *http.Request) {
+				w.countRun()
+				_, _ = c.Read(make([]byte, 1)) // until the caller closes the connection
+			})
+		}
+		begin := time.Now()
+		go func() { slow <- s.Serve(t.Context(), httptest.NewRecorder(), withParts("other", "deadly")) }()
+		synctest.Wait()
+		for i := range 3 {
+			time.Sleep(500 * time.Millisecond)
+			s.opts.Quarantine.RecordLoss([]string{"deadly"}, engineStart(i), time.Now())
+		}
+		e := faultOf(t, <-slow)
+		assert.Equal(t, e.Kind, fault.PromptQuarantined)
+		assert.Equal(t, e.Ran, chicoryv1.Ran_RAN_UNKNOWN)
+		assert.Equal(t, time.Since(begin), 1500*time.Millisecond)
+		assert.Equal(t, w.runs(), 1)
+	})
+}
+
+// TestSoundRequestIsServedBesideAQuarantine guards against a quarantine of the parts that
+// sound requests share with those that crash engines.
+func TestSoundRequestIsServedBesideAQuarantine(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := crashingEngines()
+		_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("first", "deadly"))
+		w.engines(defaultEngine, engineAddresses...)
+		rec := httptest.NewRecorder()
+		assert.NilError(t, s.Serve(t.Context(), rec, withParts("first")))
+		assert.Equal(t, rec.Body.String(), streamText(eventCount))
+		e := faultOf(t, s.Serve(t.Context(), httptest.NewRecorder(), withParts("other", "deadly")))
+		assert.Equal(t, e.Kind, fault.PromptQuarantined, "the first part is cleared")
+	})
+}
+
+// TestEnginesLostAfterAnAnswerBeganAreNoQuarantine guards against a stream that is ended
+// because the engines that continue it fail, which its prompt does not cause.
+func TestEnginesLostAfterAnAnswerBeganAreNoQuarantine(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newTestNetwork()
+		e := defaultEngine
+		e.dieAfter = 4
+		w.engines(e, engineAddresses...)
+		s, _ := w.service(unlimitedBudget{}, engineAddresses...)
+		rec := httptest.NewRecorder()
+		assert.NilError(t, s.Serve(t.Context(), rec, withParts("popular")))
+		assert.Equal(t, rec.Body.String(), streamText(eventCount))
+		assert.Assert(t, !s.opts.Quarantine.Admit([]string{"popular"}, time.Now()).Refused)
+	})
+}
+
+// TestTrialAfterAQuarantineIsServed guards against a part that is refused for good after its
+// fault was mended.
+func TestTrialAfterAQuarantineIsServed(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := crashingEngines()
+		_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("p"))
+		w.engines(defaultEngine, engineAddresses...)
+		w.set("a", refuseInstance) // the trial goes on to another engine
+		time.Sleep(time.Minute)
+		rec := httptest.NewRecorder()
+		assert.NilError(t, s.Serve(t.Context(), rec, withParts("p")))
+		assert.Equal(t, rec.Body.String(), streamText(eventCount))
+		assert.NilError(t, s.Serve(t.Context(), httptest.NewRecorder(), withParts("p")))
+	})
+}
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -112,7 +112,10 @@
 // retry starts another attempt after a failed one, if the attempts and the budget allow
 // it.
 func (c *hedgedCall) retry(ctx context.Context, failed *attempt) bool {
-	if ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
+	if c.lost && c.running > 0 && len(c.a.SharedParts) > 0 {
+		return false // the prompt may crash targets: one at a time
+	}
+	if c.s.quarantineError(c.a, c.possibleRuns) != nil || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
 		return false
 	}
 	if ok, _ := c.s.opts.Budget(c.a.Service.Name).Allow(request.RetryCall); !ok || c.startAttempt(ctx) != nil {
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -27,6 +27,10 @@
 	// whether the response header was written.
 	lastEvent  int
 	headerSent bool
+	// begun: an engine has begun the answer, so the prompt crashes none. stopWatch ends the
+	// watch for a quarantine of the prompt.
+	begun     bool
+	stopWatch context.CancelFunc
 	// eventsSent counts the events that were forwarded.
 	eventsSent int
 	gaps       pace.GapEstimator
@@ -47,7 +51,7 @@
 // serveStream forwards an event stream. If its engine is lost, the stream continues on
 // the engine that keeps a copy of the run's memory, or on any other.
 func (s *Service) serveStream(ctx context.Context, w http.ResponseWriter, a *AdmittedRequest) error {
-	st := &stream{s: s, a: a, w: w, size: a.Size, lastEvent: a.LastEventID}
+	st := &stream{s: s, a: a, w: w, size: a.Size, lastEvent: a.LastEventID, begun: a.LastEventID > 0}
 	if st.size == (placement.Size{}) {
 		st.size = s.opts.Settings.DefaultSize
 	}
@@ -90,6 +94,11 @@
 // awaitRetry waits until the retry budget allows another engine, or returns why none may
 // be tried.
 func (st *stream) awaitRetry(ctx context.Context) error {
+	if !st.begun {
+		if err := st.s.quarantineError(st.a, st.possibleRuns); err != nil {
+			return err
+		}
+	}
 	resumable := st.a.Route.RetryPolicy == declared.Resumable
 	switch {
 	case st.possibleRuns > 0 && !resumable:
@@ -143,12 +152,15 @@
 		st.backup = backup
 	}
 	st.logPlaced(run, d)
+	st.stopWatch = st.watchQuarantine(ctx, cancel)
+	defer st.stopWatch()
 	result := st.dispatch(ctx, cancel, run, d)
 	if result.final {
 		return true, result.err
 	}
 	st.logAttemptEnded(run, from, result, context.Cause(ctx))
 	st.record(run, from, result)
+	st.recordLoss(ctx, run, result)
 	if engineLost(ctx, result) {
 		st.s.opts.Pool.CloseIdle(run.Target.GetAddress())
 		run.MarkLost()
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -119,6 +119,7 @@
 // finishStream logs a complete stream and writes its header if it had no events.
 func (st *stream) finishStream(response *http1.Response) bool {
 	st.writeHeader(response)
+	st.markBegun()
 	st.s.opts.Logger.Info(logging.RequestAnswered, logging.Fields{
 		"request": st.a.ID, "route": st.a.Route.Name, "events": st.eventsSent, "engines": st.possibleRuns + 1,
 		"ms": time.Since(st.a.ReceivedAt).Milliseconds(),
