quarantine: name all parts of which one crashes engines

The error and the log named one part, which need not be the one that crashes engines: of parts that were always lost together, it was the first one with the longest time left.

--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -25,7 +25,7 @@
 func (s *Service) admitPrompt(a *AdmittedRequest) error {
 	admission := s.opts.Quarantine.Admit(a.SharedParts, time.Now())
 	if a.trial = admission.Trial; a.trial {
-		s.opts.Logger.Warn(logging.QuarantineTried, logging.Fields{"request": a.ID, "route": a.Route.Name, "part": admission.Part})
+		s.opts.Logger.Warn(logging.QuarantineTried, logging.Fields{"request": a.ID, "route": a.Route.Name, "parts": admission.Parts})
 	}
 	if !admission.Refused {
 		return nil
@@ -35,7 +35,7 @@
 }
 
 func quarantined(a quarantine.Admission) *fault.Error {
-	return fault.New(fault.PromptQuarantined, "part %q of the prompt crashes engines", a.Part).WithRetryAfter(a.Wait)
+	return fault.New(fault.PromptQuarantined, "a prompt with the parts %q crashes engines", a.Parts).WithRetryAfter(a.Wait)
 }
 
 // recordEngineLoss records that an engine was lost before it began the answer to a, and
@@ -49,7 +49,7 @@
 	s.opts.Quarantine.RecordLoss(a.SharedParts, engine, now)
 	if admission := s.opts.Quarantine.Check(a.SharedParts, now); admission.Refused {
 		s.opts.Logger.Warn(logging.PartQuarantined, logging.Fields{
-			"request": a.ID, "route": a.Route.Name, "part": admission.Part, "ms": admission.Wait.Milliseconds(),
+			"request": a.ID, "route": a.Route.Name, "parts": admission.Parts, "ms": admission.Wait.Milliseconds(),
 		})
 	}
 }
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -12,14 +12,15 @@
 
 // Admission is the result of a check.
 type Admission struct {
-	// Refused: the request contains a part in quarantine.
+	// Refused: the request contains parts in quarantine, which ends after Wait.
 	Refused bool
-	// Part is the part in quarantine, and Wait the time until its quarantine ends.
-	Part string
-	Wait time.Duration
-	// Trial: the request contains a part whose quarantine has ended. Its answer shows
-	// whether the part still crashes engines.
+	Wait    time.Duration
+	// Trial: the request contains parts whose quarantine has ended. Its answer shows
+	// whether one still crashes engines.
 	Trial bool
+	// Parts are the parts in quarantine or on trial. At least one of them crashes engines,
+	// or did.
+	Parts []string
 }
 
 // Admit checks a request that contains parts. A request that is admitted as a trial counts
@@ -32,18 +33,11 @@
 	defer t.mu.Unlock()
 	a := t.check(parts, now)
 	if a.Trial {
-		t.addTrial(parts, now)
-	}
-	return a
-}
-
-// addTrial adds a loss to the parts whose quarantine has ended. The caller holds mu.
-func (t *Table) addTrial(parts []string, now time.Time) {
-	for _, id := range parts {
-		if p := t.parts[id]; p != nil && len(p.losses) >= minLosses {
+		for _, id := range a.Parts {
 			t.addLoss(id, loss{Engine{trialAddress, t.id}, now})
 		}
 	}
+	return a
 }
 
 // Check is Admit for a request that is already at an engine: it begins no trial.
@@ -73,24 +67,24 @@
 
 // check returns the admission of a request that contains parts. The caller holds mu.
 func (t *Table) check(parts []string, now time.Time) Admission {
-	var worst Admission
+	var refusal, trial Admission
 	for _, id := range parts {
 		losses := t.unexplained(id, parts)
 		if len(losses) < minLosses {
 			continue
 		}
 		wait := losses[len(losses)-1].at.Add(t.period(len(losses))).Sub(now)
-		if wait <= 0 {
-			if !worst.Refused {
-				worst = Admission{Part: id, Trial: true}
-			}
-			continue
-		}
-		if !worst.Refused || wait > worst.Wait {
-			worst = Admission{Refused: true, Part: id, Wait: wait}
+		if wait > 0 {
+			refusal.Refused, refusal.Wait = true, max(refusal.Wait, wait)
+			refusal.Parts = append(refusal.Parts, id)
+		} else {
+			trial.Trial, trial.Parts = true, append(trial.Parts, id)
 		}
 	}
-	return worst
+	if refusal.Refused {
+		return refusal
+	}
+	return trial
 }
 
 // period returns the length of the quarantine after a number of losses.
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -38,7 +38,7 @@
 	}
 	a := tb.Admit(deadly(9), second(3))
 	assert.Assert(t, a.Refused)
-	assert.Equal(t, a.Part, "deadly")
+	assert.DeepEqual(t, a.Parts, []string{"deadly"})
 	assert.Equal(t, a.Wait, minPeriod-time.Second)
 	assert.Assert(t, !tb.Admit([]string{"bystander-1"}, second(3)).Refused)
 }
