quarantine: judge by what all VMs know, and count only crashes

Each VM now keeps when answers last began, and answers a report of older losses with that time. A report has a number, and an entry VM shares only what it has seen itself. A loss counts if the connection ended or the engine was silent. A trial holds further ones back for 30 s and is no loss.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -79,7 +79,7 @@
 // SuspectsSince returns the suspect parts that changed after version and that several VMs
 // may meet, and the version to pass to the next call.
 func (s *SharedState) SuspectsSince(version uint64, now time.Time) ([]*chicoryv1.SuspectPart, uint64) {
-	return s.suspects.ChangesSince(version, true, now)
+	return s.suspects.RecurrentChanges(version, now)
 }
 
 // addLocations adds the locations that differ from the known ones, and removes the oldest
--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -121,7 +121,7 @@
 func (e *entryVM) ConfirmTargets(time.Duration)                      {}
 func (e *entryVM) AddPromptLocations([]*chicoryv1.PromptPlace, bool) {}
 
-func (e *entryVM) MergeSuspects([]*chicoryv1.SuspectPart) {}
+func (e *entryVM) MergeSuspects([]*chicoryv1.SuspectPart, bool) {}
 func (e *entryVM) received() (version uint64, entries int, tokens uint32) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -53,8 +53,8 @@
 	// reports whether that VM is the leader.
 	AddPromptLocations(locations []*chicoryv1.PromptPlace, fromLeader bool)
 	// MergeSuspects adds what a control VM knows about parts of prompts that may crash
-	// engines.
-	MergeSuspects(suspects []*chicoryv1.SuspectPart)
+	// engines. fromLeader reports whether that VM is the leader.
+	MergeSuspects(suspects []*chicoryv1.SuspectPart, fromLeader bool)
 	// LocalState returns the state that this entry VM shares: all of its loads and usage,
 	// and the prompt locations and suspect parts added since the last call. If all is set,
 	// the receiver has none of this entry VM yet, and the latest locations and all suspect
@@ -249,7 +249,7 @@
 		f.opts.Sink.AddPromptLocations(m.GetPlaces(), m.GetLeads())
 	}
 	if len(m.GetSuspects()) > 0 {
-		f.opts.Sink.MergeSuspects(m.GetSuspects())
+		f.opts.Sink.MergeSuspects(m.GetSuspects(), m.GetLeads())
 	}
 	if m.GetDeclaration() != nil {
 		f.opts.Sink.ApplyDeclaration(m.GetDeclaration(), from)
--- a/internal/connection/feed/suspects_test.go
+++ b/internal/connection/feed/suspects_test.go
@@ -11,13 +11,13 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 )
 
-func newQuarantine(id string) *quarantine.Table {
-	return quarantine.NewTable(quarantine.Options{ID: id, Random: func() float64 { return 0 }})
+func newQuarantine() *quarantine.Table {
+	return quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }})
 }
 
 // quarantinedPart returns a table in which three engines were lost with the part.
 func quarantinedPart(part string) *quarantine.Table {
-	table := newQuarantine("entry1")
+	table := newQuarantine()
 	for i := range 3 {
 		engine := quarantine.Engine{Address: fmt.Sprint("e", i), Instance: "i"}
 		table.RecordLoss([]string{part}, engine, time.Now().Add(time.Duration(i-3)*time.Second))
@@ -26,7 +26,7 @@
 }
 
 func shareSuspects(from *quarantine.Table, to *SharedState) {
-	suspects, _ := from.ChangesSince(0, false, time.Now())
+	suspects, _ := from.LocalChanges(0, time.Now())
 	to.Update(&chicoryv1.ShareRequest{EntryId: "entry1", Suspects: suspects}, time.Now())
 }
 
@@ -34,7 +34,7 @@
 func learns(server *Server, part string) bool {
 	f := &followerState{server: server, entryID: "late"}
 	m, _, _ := f.nextMessage()
-	table := newQuarantine("late")
+	table := newQuarantine()
 	table.Merge(m.GetSuspects(), time.Now())
 	return table.Admit([]string{part}, time.Now()).Refused
 }
@@ -63,7 +63,7 @@
 // Every crash has many suspects, most of which no other entry VM will ever meet.
 func TestPartsLostOnceAreNotSentToEntryVMs(t *testing.T) {
 	state := NewSharedState()
-	table := newQuarantine("entry1")
+	table := newQuarantine()
 	for i := range 50 {
 		table.RecordLoss([]string{fmt.Sprint("p", i)}, quarantine.Engine{Address: "e", Instance: "i"}, time.Now())
 	}
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -115,18 +115,19 @@
 }
 
 // MergeSuspects implements feed.Sink.
-func (r *routingState) MergeSuspects(suspects []*chicoryv1.SuspectPart) {
+func (r *routingState) MergeSuspects(suspects []*chicoryv1.SuspectPart, _ bool) {
 	r.quarantine.Merge(suspects, time.Now())
 }
 
 // LocalState implements feed.Sink. A single task calls it.
 func (r *routingState) LocalState(full bool) *chicoryv1.ShareRequest {
-	if full {
-		r.sharedSuspects = 0
-	}
 	loads, places := r.engines.LocalState(full)
 	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage()}
-	share.Suspects, r.sharedSuspects = r.quarantine.ChangesSince(r.sharedSuspects, false, time.Now())
+	if full {
+		share.Suspects, r.sharedSuspects = r.quarantine.All(time.Now())
+	} else {
+		share.Suspects, r.sharedSuspects = r.quarantine.LocalChanges(r.sharedSuspects, time.Now())
+	}
 	return share
 }
 
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -33,7 +33,7 @@
 
 func newTestRoutingState() *routingState {
 	engines := placement.NewEngineTable(placement.Defaults(), "a")
-	suspects := quarantine.NewTable(quarantine.Options{ID: "e1", Random: func() float64 { return 0 }})
+	suspects := quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }})
 	return newRoutingState(decoder{}, engines, suspects, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
 }
 
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -17,8 +17,8 @@
 // for some seconds after the prompt's generation was interrupted.
 const promptLocationSaveInterval = 500 * time.Millisecond
 
-// promptLocationSync copies the prompt locations of the leader's shared state to this VM
-// and its disk, so that the engines with callers' prompts are still known after all
+// promptLocationSync copies the prompt locations and suspect parts of the leader's shared
+// state to this VM, and the locations to its disk, so that the engines with callers' prompts are still known after all
 // processes were lost at once.
 type promptLocationSync struct {
 	board *feed.SharedState
@@ -68,8 +68,8 @@
 	}
 }
 
-// The methods of feed.Sink: a control VM that is not the leader takes the prompt locations
-// and the target list from the leader's feed.
+// The methods of feed.Sink: a control VM that is not the leader takes the prompt locations,
+// the suspect parts and the target list from the leader's feed.
 
 // AddPromptLocations implements feed.Sink. It accepts prompt locations only from the leader:
 // control VMs that accepted them from each other would pass outdated ones around
@@ -80,9 +80,12 @@
 	}
 }
 
-// MergeSuspects implements feed.Sink.
-func (s *promptLocationSync) MergeSuspects(suspects []*chicoryv1.SuspectPart) {
-	s.board.MergeSuspects(suspects, time.Now())
+// MergeSuspects implements feed.Sink. It accepts them only from the leader, like prompt
+// locations.
+func (s *promptLocationSync) MergeSuspects(suspects []*chicoryv1.SuspectPart, fromLeader bool) {
+	if fromLeader {
+		s.board.MergeSuspects(suspects, time.Now())
+	}
 }
 
 // SetRemoteState implements feed.Sink; only entry VMs use it.
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -176,7 +176,7 @@
 		Picker:     orderedPicker(addresses),
 		Loads:      observe.NewTable(observe.Defaults()),
 		Engines:    engines,
-		Quarantine: quarantine.NewTable(quarantine.Options{ID: "e1", Random: func() float64 { return 0 }}),
+		Quarantine: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
 		Budget:     func(string) request.RetryBudget { return budget },
 		Logger:     logging.Discard(),
 		Registry:   metrics.NewRegistry(),
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -71,12 +74,23 @@
 	return err
 }
 
+// isConnectionEnd reports whether a target ended its connection. A target that sends what is
+// no valid response is not lost.
+func isConnectionEnd(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordCall records whether a target that was sent a call was lost or answered it.
 func (s *Service) recordCall(ctx context.Context, a *AdmittedRequest, t *attempt, instance string) {
 	switch {
-	case t.outcome == outcomeAnswered && !t.isServerError():
+	case t.outcome == outcomeAnswered && t.status < http.StatusMultipleChoices:
 		s.opts.Quarantine.RecordBegun(a.SharedParts, time.Now())
-	case t.outcome == outcomeLost && ctx.Err() == nil:
+	case t.outcome == outcomeLost && ctx.Err() == nil && isConnectionEnd(t.err):
 		s.recordEngineLoss(a, quarantine.Engine{Address: t.target, Instance: instance})
 	}
 }
@@ -88,7 +102,7 @@
 		return
 	}
 	cause := context.Cause(ctx)
-	if cause == nil || errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost) {
+	if cause == nil && isConnectionEnd(result.err) || errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost) {
 		st.s.recordEngineLoss(st.a, quarantine.Engine{Address: run.Target.GetAddress(), Instance: run.Target.GetInstance()})
 	}
 }
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -47,7 +47,8 @@
 	possibleRuns, refused int
 	// errorResponse is the latest server error that a target returned.
 	errorResponse *attempt
-	lost          bool
+	// lost counts the attempts without a complete response.
+	lost int
 }
 
 func (c *hedgedCall) startAttempt(ctx context.Context) error {
@@ -102,7 +103,7 @@
 	case outcomeAnswered:
 		c.errorResponse = t
 	case outcomeLost:
-		c.lost = true
+		c.lost++
 	default:
 		c.possibleRuns--
 		c.refused++
@@ -112,8 +113,8 @@
 // retry starts another attempt after a failed one, if the attempts and the budget allow
 // it.
 func (c *hedgedCall) retry(ctx context.Context, failed *attempt) bool {
-	if c.lost && c.running > 0 && len(c.a.SharedParts) > 0 {
-		return false // the prompt may crash targets: one at a time
+	if c.lost > 1 && c.running > 0 && len(c.a.SharedParts) > 0 {
+		return false // the prompt may crash targets: no further one beside those that run
 	}
 	if c.s.quarantineError(c.a, c.possibleRuns) != nil || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
 		return false
@@ -140,7 +141,7 @@
 
 // finalResult returns the result of a call without a successful response.
 func (c *hedgedCall) finalResult(ctx context.Context) (*attempt, error) {
-	mayHaveRun := c.lost || c.errorResponse != nil || c.running > 0
+	mayHaveRun := c.lost > 0 || c.errorResponse != nil || c.running > 0
 	switch {
 	case c.errorResponse != nil:
 		return c.errorResponse, nil
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -51,7 +51,7 @@
 // serveStream forwards an event stream. If its engine is lost, the stream continues on
 // the engine that keeps a copy of the run's memory, or on any other.
 func (s *Service) serveStream(ctx context.Context, w http.ResponseWriter, a *AdmittedRequest) error {
-	st := &stream{s: s, a: a, w: w, size: a.Size, lastEvent: a.LastEventID, begun: a.LastEventID > 0}
+	st := &stream{s: s, a: a, w: w, size: a.Size, lastEvent: a.LastEventID}
 	if st.size == (placement.Size{}) {
 		st.size = s.opts.Settings.DefaultSize
 	}
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -119,7 +119,9 @@
 // finishStream logs a complete stream and writes its header if it had no events.
 func (st *stream) finishStream(response *http1.Response) bool {
 	st.writeHeader(response)
-	st.markBegun()
+	if response.SelfDelimited {
+		st.markBegun() // a shorter answer that ends with its connection may be a crash
+	}
 	st.s.opts.Logger.Info(logging.RequestAnswered, logging.Fields{
 		"request": st.a.ID, "route": st.a.Route.Name, "events": st.eventsSent, "engines": st.possibleRuns + 1,
 		"ms": time.Since(st.a.ReceivedAt).Milliseconds(),
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -7,7 +7,7 @@
 )
 
 // otherCauses is the number of losses of a part that another part need not share to
-// explain the rest: engines are also lost for reasons that no part explains.
+// explain it: engines are also lost for reasons that no part explains.
 const otherCauses = 1
 
 // Admission is the result of a check.
@@ -23,8 +23,8 @@
 	Parts []string
 }
 
-// Admit checks a request that contains parts. A request that is admitted as a trial counts
-// as a loss until its answer begins, so that other VMs send no further one meanwhile.
+// Admit checks a request that contains parts. After one that is admitted as a trial, all VMs
+// refuse further requests for trialPeriod or until its answer begins.
 func (t *Table) Admit(parts []string, now time.Time) Admission {
 	if len(parts) == 0 {
 		return Admission{}
@@ -34,7 +34,8 @@
 	a := t.check(parts, now)
 	if a.Trial {
 		for _, id := range a.Parts {
-			t.addLoss(id, loss{Engine{trialAddress, t.id}, now})
+			t.parts[id].trialAt = now
+			t.touch(t.parts[id])
 		}
 	}
 	return a
@@ -69,12 +70,19 @@
 func (t *Table) check(parts []string, now time.Time) Admission {
 	var refusal, trial Admission
 	for _, id := range parts {
-		losses := t.unexplained(id, parts)
-		if len(losses) < minLosses {
+		p := t.suspects[id]
+		if p == nil {
 			continue
 		}
-		wait := losses[len(losses)-1].at.Add(t.period(len(losses))).Sub(now)
-		if wait > 0 {
+		losses := distinctTimes(p.losses)
+		if len(losses) < minLosses || t.isExplained(p, losses, parts) {
+			continue
+		}
+		end := losses[len(losses)-1].at.Add(t.period(len(losses)))
+		if !p.trialAt.IsZero() {
+			end = later(end, p.trialAt.Add(trialPeriod))
+		}
+		if wait := end.Sub(now); wait > 0 {
 			refusal.Refused, refusal.Wait = true, max(refusal.Wait, wait)
 			refusal.Parts = append(refusal.Parts, id)
 		} else {
@@ -96,26 +104,26 @@
 	return time.Duration(float64(period) * t.spread)
 }
 
-// unexplained returns the losses of a part at different times that no part outside of the
-// request explains. If two parts were always in the same requests, either may be the one
-// that crashes engines: requests with both are refused, and a request with one of them
-// shows which it is. The caller holds mu.
-func (t *Table) unexplained(id string, request []string) []loss {
-	p := t.parts[id]
-	if p == nil || len(p.losses) < minLosses {
-		return nil
-	}
-	losses := distinctTimes(p.losses)
-	if len(losses) < minLosses {
-		return nil
-	}
-	required := max(minLosses, len(losses)-otherCauses)
-	for other, q := range t.parts {
-		if q != p && len(distinctTimes(q.losses)) >= required && !slices.Contains(request, other) {
-			losses = slices.DeleteFunc(losses, q.has)
+// isExplained reports whether another part that is not in the request was lost together with
+// p. If two parts were always in the same requests, either may be the one that crashes
+// engines: requests with both are refused, and a request with one of them shows which it is.
+// The caller holds mu.
+func (t *Table) isExplained(p *part, losses []loss, request []string) bool {
+	for other, q := range t.suspects {
+		if q == p || slices.Contains(request, other) || len(distinctTimes(q.losses)) < minLosses {
+			continue
+		}
+		shared := 0
+		for _, l := range losses {
+			if q.has(l) {
+				shared++
+			}
+		}
+		if shared >= len(losses)-otherCauses {
+			return true
 		}
 	}
-	return losses
+	return false
 }
 
 // distinctTimes returns the losses without those that coincide with the one before.
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -1,14 +1,16 @@
 // Package quarantine finds parts of prompts that crash engines, and refuses requests that
 // contain one.
 //
-// A part that crashes engines is in every request whose engine is lost before the answer
-// begins, and no answer to a request with it ever begins. Each loss also ends the other
+// A part that crashes engines is in every request whose engine it ends, and no answer to a
+// request with it gets beyond its first event. Each loss also ends the other
 // requests on that engine, so every part of each of them is a suspect; a part is cleared
 // when an answer to a request with it begins. Entry VMs share losses and cleared parts
 // through the control VMs, since the requests with one part come to all of them.
 package quarantine
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,47 +23,48 @@
 	// availability zone that fail together say nothing about a part.
 	coincidence = 500 * time.Millisecond
 	// sameLoss is the time within which reports of the loss of one engine start are about
-	// the same loss. An engine may start again under its ID.
-	sameLoss = time.Second
+	// the same loss: a VM may report late. An engine may start again under its ID, and takes
+	// longer to be lost again.
+	sameLoss = 2 * time.Second
 	// minPeriod is the length of the quarantine after minLosses losses. Each further loss
 	// doubles it, up to maxPeriod.
 	minPeriod = time.Minute
 	maxPeriod = 8 * time.Minute
+	// trialPeriod is the time for which further requests wait for the result of a trial.
+	trialPeriod = 30 * time.Second
 	// retention is the time after which a further loss begins a new count. It is longer than
 	// any quarantine.
 	retention = 2 * maxPeriod
 	// maxParts and maxLossesPerPart limit the memory; the oldest are removed.
-	maxParts         = 1024
+	maxParts         = 4096
 	maxLossesPerPart = 16
 )
 
 // Engine identifies one start of an engine.
 type Engine struct{ Address, Instance string }
 
-// trialAddress is the address of the losses that stand for trials.
-const trialAddress = "trial"
-
-// Options configures a Table. All fields are required.
+// Options configures a Table.
 type Options struct {
-	// ID identifies this VM.
-	ID string
 	// Random returns uniformly distributed numbers from 0 up to 1. It spreads the ends of
-	// a quarantine over the entry VMs.
+	// a quarantine over the entry VMs. Required.
 	Random func() float64
 }
 
 // Table holds the suspect parts and their losses. It is safe for concurrent use.
 type Table struct {
-	id string
 	// spread is the factor by which this VM extends each quarantine, so that few VMs send
 	// a trial before its result is known to all.
 	spread float64
 
 	mu    sync.Mutex // guards the fields below
 	parts map[string]*part
+	// suspects holds the parts with minLosses losses or more.
+	suspects map[string]*part
+	// begins holds when answers began here to requests with parts that are no suspects yet.
+	begins beginTimes
 	// version increases with every change of a part.
 	version uint64
-	// changed is closed at the next loss.
+	// changed is closed when another part is a suspect.
 	changed chan struct{}
 }
 
@@ -69,59 +72,64 @@
 type part struct {
 	// losses are the losses since the last answer that began, in order of their times.
 	losses []loss
+	// trialAt is when a request with the part was last admitted as a trial.
+	trialAt time.Time
 	// begunAt is when an answer to a request with the part last began; the zero time if
-	// none has since the first loss.
-	begunAt time.Time
+	// none has since the first loss. begunHere: this VM has seen it.
+	begunAt   time.Time
+	begunHere bool
 	// version is the version of the table at the last change of the part.
 	version uint64
-	// recurrent: the part had several losses, and other VMs may know it.
+	// recurrent: the part had losses at different times, and other VMs may know it.
 	recurrent bool
 }
 
 // loss is the loss of an engine with a request whose answer had not begun.
 type loss struct {
+	// id is random and identifies the report of the loss.
+	id     uint64
 	engine Engine
 	at     time.Time
+	// here: this VM has seen the loss.
+	here bool
 }
 
+// isSame reports whether two reports are about one loss. The time of a report grows by its
+// delay with each VM that passes it on.
 func (l loss) isSame(other loss) bool {
-	return l.engine == other.engine && l.at.Sub(other.at).Abs() < sameLoss
+	return l.id == other.id || l.engine == other.engine && l.at.Sub(other.at).Abs() < sameLoss
 }
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
 	return &Table{
-		id:      opts.ID,
-		spread:  1 + opts.Random()/2,
-		parts:   map[string]*part{},
-		changed: make(chan struct{}),
+		spread:   1 + opts.Random()/2,
+		parts:    map[string]*part{},
+		suspects: map[string]*part{},
+		changed:  make(chan struct{}),
 	}
 }
 
 // RecordLoss records the loss of an engine with a request that contains parts and whose
 // answer had not begun.
 func (t *Table) RecordLoss(parts []string, engine Engine, at time.Time) {
-	if len(parts) == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range parts {
-		t.addLoss(id, loss{engine, at})
+		t.addLoss(id, loss{id: rand.Uint64(), engine: engine, at: at, here: true})
 	}
-	t.notify()
 }
 
 // RecordBegun records that an answer to a request that contains parts has begun, which
 // clears them.
 func (t *Table) RecordBegun(parts []string, at time.Time) {
-	if len(parts) == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range parts {
-		t.clear(id, at)
+		t.begins.set(id, at)
+		if p := t.parts[id]; p != nil && t.clear(id, p, at) {
+			p.begunHere = true
+		}
 	}
 }
 
@@ -130,31 +138,46 @@
 func (t *Table) addLoss(id string, l loss) {
 	p := t.parts[id]
 	if p == nil {
-		t.removeOld(l.at)
-		p = &part{}
-		t.parts[id] = p
+		p = t.newPart(id, l.at)
+	}
+	if begun := t.begins.get(id); !l.at.After(begun) {
+		// Another VM doesn't know of the answer that began here.
+		t.clear(id, p, begun)
+		p.begunAt, p.begunHere = later(p.begunAt, begun), true
+		t.touch(p)
+		return
 	}
 	if !l.at.After(p.begunAt) || p.has(l) {
 		return
 	}
 	p.insert(l)
-	p.recurrent = p.recurrent || len(p.losses) > 1
+	p.recurrent = p.recurrent || len(distinctTimes(p.losses)) > 1
 	t.touch(p)
+	if _, known := t.suspects[id]; !known && len(p.losses) >= minLosses {
+		t.suspects[id] = p
+	}
+	if len(p.losses) >= minLosses {
+		t.notify()
+	}
 }
 
-// clear removes the losses of a part up to the time at which an answer began. The caller
-// holds mu.
-func (t *Table) clear(id string, at time.Time) {
-	p := t.parts[id]
-	if p == nil || !at.After(p.begunAt) {
-		return
+// clear removes the losses of a part up to the time at which an answer began, and reports
+// whether there were any. The caller holds mu.
+func (t *Table) clear(id string, p *part, at time.Time) bool {
+	if !at.After(p.begunAt) {
+		return false
 	}
 	before := len(p.losses)
-	p.begunAt = at
 	p.losses = lossesAfter(p.losses, at)
-	if len(p.losses) != before {
-		t.touch(p)
+	if len(p.losses) == before {
+		return false
 	}
+	p.begunAt, p.begunHere, p.trialAt = at, false, time.Time{}
+	if len(p.losses) < minLosses {
+		delete(t.suspects, id)
+	}
+	t.touch(p)
+	return true
 }
 
 func (t *Table) touch(p *part) {
@@ -169,12 +192,7 @@
 }
 
 func (p *part) has(l loss) bool {
-	for _, known := range p.losses {
-		if known.isSame(l) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.losses, l.isSame)
 }
 
 // insert adds a loss in order of its time, and removes the oldest beyond the limit.
@@ -186,21 +204,14 @@
 	for i > 0 && l.at.Before(p.losses[i-1].at) {
 		i--
 	}
-	p.losses = append(p.losses, loss{})
-	copy(p.losses[i+1:], p.losses[i:])
-	p.losses[i] = l
+	p.losses = slices.Insert(p.losses, i, l)
 	if excess := len(p.losses) - maxLossesPerPart; excess > 0 {
-		p.losses = append([]loss(nil), p.losses[excess:]...)
+		p.losses = slices.Delete(p.losses, 0, excess)
 	}
 }
 
 func lossesAfter(losses []loss, at time.Time) []loss {
-	for i, l := range losses {
-		if l.at.After(at) {
-			return append([]loss(nil), losses[i:]...)
-		}
-	}
-	return nil
+	return slices.DeleteFunc(losses, func(l loss) bool { return !l.at.After(at) })
 }
 
 // lastChange is the time of the last loss or, if there is none left, of the answer that
@@ -212,31 +223,49 @@
 	return p.begunAt
 }
 
-// removeOld makes room for one part. The caller holds mu.
-func (t *Table) removeOld(now time.Time) {
-	if len(t.parts) < maxParts {
-		return
+// newPart adds a part, and removes another one if there are too many. The caller holds mu.
+func (t *Table) newPart(id string, now time.Time) *part {
+	if len(t.parts) >= maxParts {
+		t.removeOld(now)
 	}
+	p := &part{}
+	t.parts[id] = p
+	return p
+}
+
+// removeOld removes the parts that have no losses or were lost long ago and, if there are
+// none, the least suspect one. The caller holds mu.
+func (t *Table) removeOld(now time.Time) {
 	oldest := ""
 	for id, p := range t.parts {
-		if now.Sub(p.lastChange()) > retention {
-			delete(t.parts, id)
-			continue
-		}
-		if oldest == "" || t.isOlder(p, t.parts[oldest]) {
+		switch {
+		case len(p.losses) == 0 || now.Sub(p.lastChange()) > retention:
+			t.remove(id)
+		case oldest == "" || p.isLessSuspect(t.parts[oldest]):
 			oldest = id
 		}
 	}
 	if len(t.parts) >= maxParts {
-		delete(t.parts, oldest)
+		t.remove(oldest)
+	}
+}
+
+func (t *Table) remove(id string) {
+	delete(t.parts, id)
+	delete(t.suspects, id)
+}
+
+// isLessSuspect orders parts by whether they are recurrent, and then by their last change.
+func (p *part) isLessSuspect(other *part) bool {
+	if p.recurrent != other.recurrent {
+		return other.recurrent
 	}
+	return p.lastChange().Before(other.lastChange())
 }
 
-// isOlder reports whether a is removed before b: a part with one loss before one that other
-// VMs may know, and then the one whose last change is longer ago.
-func (t *Table) isOlder(a, b *part) bool {
-	if a.recurrent != b.recurrent {
-		return b.recurrent
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return a.lastChange().Before(b.lastChange())
+	return a
 }
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -12,8 +12,8 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 )
 
-func newTestTable(id string) *Table {
-	return NewTable(Options{ID: id, Random: func() float64 { return 0 }})
+func newTestTable() *Table {
+	return NewTable(Options{Random: func() float64 { return 0 }})
 }
 
 // crash is the loss of one engine with all requests on it whose answers had not begun.
@@ -30,7 +30,7 @@
 
 // One request after another crashes an engine that begins to answer it.
 func TestPartThatCrashesEnginesIsRefusedAfterThreeCrashes(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	deadly := func(i int) []string { return []string{fmt.Sprint("first-", i), "deadly"} }
 	for i := range 3 {
 		assert.Assert(t, !tb.Admit(deadly(i), second(float64(i))).Refused, "crash %d", i)
@@ -45,7 +45,7 @@
 
 // A rule that blames every part of a lost request refuses the sound requests that share one.
 func TestSoundRequestsWithTheSameFirstPartAreNotRefused(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 5 {
 		crash(tb, i, second(float64(i)), []string{"first", "deadly"}, []string{"first"})
 	}
@@ -61,7 +61,7 @@
 // An engine that a sound request loses for another reason must not turn the suspicion to the
 // part that it shares with the requests that crash engines.
 func TestLossForAnotherReasonDoesNotRefuseASharedPart(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 3 {
 		crash(tb, i, second(float64(i)), []string{"first", "deadly"})
 	}
@@ -72,7 +72,7 @@
 
 // Two parts that were always together: a request with one of them shows which one it is.
 func TestPartsThatWereAlwaysTogetherAreToldApart(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 3 {
 		crash(tb, i, second(float64(i)), []string{"first", "deadly"})
 	}
@@ -87,7 +87,7 @@
 // Engines of an availability zone that fail at one moment say nothing about the parts of
 // their requests.
 func TestEnginesThatFailTogetherCountAsOneLoss(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 30 {
 		crash(tb, i, second(float64(i)/100), []string{"popular"})
 	}
@@ -96,7 +96,7 @@
 
 // A zone's engines fail every few seconds while answers begin elsewhere.
 func TestBegunAnswerClearsAPart(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 20 {
 		at := float64(i) * 7
 		crash(tb, i, second(at), []string{"popular"})
@@ -108,7 +108,7 @@
 
 // A part that was refused for good would never be served again after its fault is mended.
 func TestQuarantineEndsWithATrial(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 3 {
 		crash(tb, i, second(float64(i)), []string{"p"})
 	}
@@ -125,7 +125,7 @@
 
 // A part that still crashes engines is tried less and less often.
 func TestEachFailedTrialDoublesTheQuarantine(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 3 {
 		crash(tb, i, second(float64(i)), []string{"p"})
 	}
@@ -143,7 +143,7 @@
 // Requests with the part wait at several engines when the third crash is seen.
 func TestWaitingRequestLearnsOfTheQuarantine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tb, other := newTestTable("e1"), newTestTable("e2")
+		tb, other := newTestTable(), newTestTable()
 		refused := make(chan bool, 1)
 		go func() {
 			_, ok := tb.AwaitRefusal(t.Context(), []string{"p"})
@@ -153,7 +153,7 @@
 			time.Sleep(time.Second)
 			crash(other, i, time.Now(), []string{"p"})
 		}
-		changes, _ := other.ChangesSince(0, true, time.Now())
+		changes, _ := other.RecurrentChanges(0, time.Now())
 		tb.Merge(changes, time.Now())
 		assert.Assert(t, <-refused)
 
@@ -166,7 +166,7 @@
 
 // A part that is used now and then is lost with an engine now and then.
 func TestLossesFarApartDoNotAddUp(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 10 {
 		at := start.Add(time.Duration(i) * (retention + time.Second))
 		crash(tb, i, at, []string{"rare"})
@@ -176,16 +176,16 @@
 
 // Five crashes are seen by five VMs, none of which sees enough.
 func TestCrashesSeenByDifferentVMsAreCountedTogether(t *testing.T) {
-	leader := newTestTable("c1")
+	leader := newTestTable()
 	entries := make([]*Table, 5)
 	for i := range entries {
-		entries[i] = newTestTable(fmt.Sprint("e", i))
+		entries[i] = newTestTable()
 		crash(entries[i], i, second(float64(i)), []string{fmt.Sprint("first-", i), "deadly"})
 		share(entries[i], leader, second(float64(i)+0.1))
 	}
-	late := newTestTable("late")
+	late := newTestTable()
 	for _, e := range append(entries, late) {
-		changes, _ := leader.ChangesSince(0, true, second(6))
+		changes, _ := leader.RecurrentChanges(0, second(6))
 		assert.Equal(t, len(changes), 1, "parts lost once are kept to the leader")
 		e.Merge(changes, second(6.1))
 		assert.Assert(t, e.Admit([]string{"x", "deadly"}, second(6.2)).Refused)
@@ -193,28 +193,28 @@
 }
 
 func share(from, to *Table, now time.Time) {
-	changes, _ := from.ChangesSince(0, false, now)
+	changes, _ := from.All(now)
 	to.Merge(changes, now)
 }
 
 // Reports of one crash by several VMs, or sent again to a new leader, are one loss.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
-	leader := newTestTable("c1")
+	leader := newTestTable()
 	for i := range 4 {
-		e := newTestTable(fmt.Sprint("e", i))
+		e := newTestTable()
 		crash(e, 7, second(float64(i)/10), []string{"p"})
 		share(e, leader, second(1))
 		share(e, leader, second(2))
 	}
-	changes, version := leader.ChangesSince(0, false, second(2))
+	changes, version := leader.All(second(2))
 	assert.Equal(t, len(changes[0].GetLosses()), 1)
-	changes, _ = leader.ChangesSince(version, false, second(2))
+	changes, _ = leader.RecurrentChanges(version, second(2))
 	assert.Equal(t, len(changes), 0)
 }
 
 // An engine may start again under the ID that it had.
 func TestEngineThatStartsAgainUnderItsIDIsANewLoss(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 3 {
 		crash(tb, 1, second(float64(2*i)), []string{"p"})
 	}
@@ -223,7 +223,7 @@
 
 // A VM that learns late of a loss must not suspect a part that was cleared since.
 func TestClearedPartIsClearedOnAllVMs(t *testing.T) {
-	leader, a, b := newTestTable("c1"), newTestTable("a"), newTestTable("b")
+	leader, a, b := newTestTable(), newTestTable(), newTestTable()
 	for i := range 3 {
 		crash(a, i, second(float64(i)), []string{"p"})
 	}
@@ -241,7 +241,7 @@
 
 // A suspect that several VMs know outlasts many parts that were lost once.
 func TestRecurrentPartOutlastsPartsLostOnce(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	for i := range 3 {
 		crash(tb, i, second(float64(i)), []string{"deadly"})
 	}
@@ -253,7 +253,7 @@
 }
 
 func TestMergeIgnoresLossesBeyondRetention(t *testing.T) {
-	tb := newTestTable("e1")
+	tb := newTestTable()
 	s := &chicoryv1.SuspectPart{Part: "p"}
 	for i := range 4 {
 		s.Losses = append(s.Losses, &chicoryv1.EngineLoss{Address: fmt.Sprint(i), AgeMs: uint32(retention.Milliseconds()) + uint32(1000*(i+1))})
@@ -261,3 +261,144 @@
 	tb.Merge([]*chicoryv1.SuspectPart{s}, second(0))
 	assert.Assert(t, !tb.Admit([]string{"p"}, second(0)).Refused)
 }
+
+// deliver sends what from has changed since version, as an entry VM to its leader or the
+// other way, and returns the next version.
+func deliver(from, to *Table, toLeader bool, version uint64, at, delay float64) uint64 {
+	changes := from.RecurrentChanges
+	if toLeader {
+		changes = from.LocalChanges
+	}
+	suspects, next := changes(version, second(at))
+	to.Merge(suspects, second(at+delay))
+	return next
+}
+
+// A VM that is cut off from its engines reports the losses when it is back. Meanwhile the
+// answers with the part begin on another VM.
+func TestPartWhoseAnswersBeginElsewhereIsNotRefused(t *testing.T) {
+	leader, cutOff, other := newTestTable(), newTestTable(), newTestTable()
+	for i := range 3 {
+		crash(cutOff, i, second(float64(i)*0.7), []string{"popular"})
+	}
+	for i := range 100 {
+		other.RecordBegun([]string{"popular"}, second(float64(i)*0.1))
+	}
+	deliver(cutOff, leader, true, 0, 10, 0.01)
+	deliver(leader, other, false, 0, 10.1, 0.01)
+	assert.Assert(t, !other.Admit([]string{"popular"}, second(10.2)).Refused)
+
+	deliver(other, leader, true, 0, 10.2, 0.01)
+	deliver(leader, cutOff, false, 0, 10.3, 0.01)
+	assert.Assert(t, !cutOff.Admit([]string{"popular"}, second(10.4)).Refused)
+}
+
+// Messages that take longer than the time between two losses must not turn one into several.
+func TestSlowMessagesDoNotMultiplyALoss(t *testing.T) {
+	leader, slow, other := newTestTable(), newTestTable(), newTestTable()
+	crash(slow, 1, second(0), []string{"sound"})
+	crash(other, 2, second(0.7), []string{"sound"})
+	var fromSlow, fromOther, toSlow, toOther uint64
+	for i := range 20 {
+		at := 1 + 8*float64(i)
+		fromOther = deliver(other, leader, true, fromOther, at, 0.01)
+		fromSlow = deliver(slow, leader, true, fromSlow, at, 3)
+		toSlow = deliver(leader, slow, false, toSlow, at+3.1, 3)
+		toOther = deliver(leader, other, false, toOther, at+3.1, 0.01)
+	}
+	for _, tb := range []*Table{leader, slow, other} {
+		assert.Assert(t, len(tb.parts["sound"].losses) <= 2, "%v", tb.parts["sound"].losses)
+	}
+}
+
+// A VM that was frozen with the leader's message in its socket must not revive losses of a
+// part that was cleared meanwhile.
+func TestFrozenVMDoesNotReviveClearedLosses(t *testing.T) {
+	leader, a, frozen := newTestTable(), newTestTable(), newTestTable()
+	for i := range 3 {
+		crash(a, i, second(float64(i)), []string{"p"})
+	}
+	fromA := deliver(a, leader, true, 0, 2.1, 0.01)
+	toFrozen := deliver(leader, frozen, false, 0, 2.2, 5)
+	a.RecordBegun([]string{"p"}, second(2.5))
+	deliver(a, leader, true, fromA, 2.6, 0.01)
+	deliver(leader, frozen, false, toFrozen, 7.2, 0.01)
+	deliver(frozen, leader, true, 0, 7.3, 0.01)
+	deliver(leader, a, false, 0, 7.4, 0.01)
+	assert.Assert(t, !a.Admit([]string{"p"}, second(7.5)).Refused)
+	assert.Assert(t, !leader.Admit([]string{"p"}, second(7.5)).Refused)
+}
+
+// What a VM learned from the leader is not sent back: with many VMs, this would multiply the
+// messages of each crash.
+func TestLearnedLossesAreNotSentBack(t *testing.T) {
+	leader, a, b := newTestTable(), newTestTable(), newTestTable()
+	for i := range 2 {
+		crash(a, i, second(float64(i)), []string{"p"})
+	}
+	deliver(a, leader, true, 0, 2, 0.01)
+	deliver(leader, b, false, 0, 2.1, 0.01)
+	suspects, _ := b.LocalChanges(0, second(3))
+	assert.Equal(t, len(suspects), 0)
+	suspects, _ = b.All(second(3))
+	assert.Equal(t, len(suspects), 1, "a new leader learns it")
+}
+
+// Thousands of parts that were lost with a zone and cleared leave no room for a new suspect.
+func TestPartThatCrashesEnginesIsFoundAfterManyCleared(t *testing.T) {
+	tb := newTestTable()
+	for i := range maxParts {
+		id := fmt.Sprint("p", i)
+		crash(tb, i%200, second(0), []string{id})
+		crash(tb, 200+i%200, second(1), []string{id})
+		tb.RecordBegun([]string{id}, second(5))
+	}
+	n := 0
+	for ; n < 100; n++ {
+		now := second(20 + float64(n))
+		if tb.Admit([]string{fmt.Sprint("f", n%3), "deadly"}, now).Refused {
+			break
+		}
+		crash(tb, 1000+n, now, []string{fmt.Sprint("f", n%3), "deadly"}, []string{fmt.Sprint("b", n)})
+	}
+	assert.Assert(t, n <= 5, "%d crashes", n)
+}
+
+// A trial that no engine takes, or whose caller leaves, must not extend the quarantine.
+func TestTrialWithoutAResultIsRepeated(t *testing.T) {
+	tb := newTestTable()
+	for i := range 3 {
+		crash(tb, i, second(float64(i)), []string{"p"})
+	}
+	end := second(2).Add(minPeriod)
+	assert.Assert(t, tb.Admit([]string{"p"}, end).Trial)
+	assert.Assert(t, tb.Admit([]string{"p"}, end.Add(trialPeriod-1)).Refused)
+	assert.Assert(t, tb.Admit([]string{"p"}, end.Add(trialPeriod)).Trial)
+}
+
+// All VMs would send a trial at the end of a quarantine.
+func TestTrialIsKnownToOtherVMs(t *testing.T) {
+	leader, a, b := newTestTable(), newTestTable(), newTestTable()
+	for i := range 3 {
+		crash(a, i, second(float64(i)), []string{"p"})
+	}
+	fromA := deliver(a, leader, true, 0, 2.1, 0.01)
+	toB := deliver(leader, b, false, 0, 2.2, 0.01)
+	end := second(2.1).Add(minPeriod)
+	assert.Assert(t, a.Admit([]string{"p"}, end).Trial)
+	deliver(a, leader, true, fromA, 62.2, 0.01)
+	deliver(leader, b, false, toB, 62.3, 0.01)
+	assert.Assert(t, b.Admit([]string{"p"}, second(62.4)).Refused)
+}
+
+// Losses that different parts explain, each some of them, are not explained by any.
+func TestSeveralPartsTogetherExplainNothing(t *testing.T) {
+	tb := newTestTable()
+	for i := range 3 {
+		subject := fmt.Sprint("subject-", i)
+		crash(tb, 10*i, second(float64(10*i)), []string{subject}, []string{"deadly"})
+		crash(tb, 10*i+1, second(float64(10*i)+1), []string{subject})
+		crash(tb, 10*i+2, second(float64(10*i)+2), []string{subject})
+	}
+	assert.Assert(t, tb.Admit([]string{"deadly"}, second(30)).Refused)
+}
--- a/internal/request/quarantine/shared.go
+++ b/internal/request/quarantine/shared.go
@@ -6,34 +6,64 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 )
 
-// ChangesSince returns the parts that changed after version, and the version to pass to the
-// next call. With recurrentOnly, parts that were lost only once are left out: most are
-// those of requests that happened to be on the same engine.
-func (t *Table) ChangesSince(version uint64, recurrentOnly bool, now time.Time) (changes []*chicoryv1.SuspectPart, next uint64) {
+// LocalChanges returns what this VM itself has seen of the parts that changed after version,
+// and the version to pass to the next call.
+func (t *Table) LocalChanges(version uint64, now time.Time) (changes []*chicoryv1.SuspectPart, next uint64) {
+	return t.changes(version, now, func(p *part) (begun bool, losses func(loss) bool) {
+		return p.begunHere, func(l loss) bool { return l.here }
+	})
+}
+
+// All returns all parts, and the version to pass to the next call of LocalChanges.
+func (t *Table) All(now time.Time) (parts []*chicoryv1.SuspectPart, next uint64) {
+	return t.changes(0, now, func(*part) (begun bool, losses func(loss) bool) {
+		return true, func(loss) bool { return true }
+	})
+}
+
+// RecurrentChanges returns the parts that changed after version and had losses at different
+// times, and the version to pass to the next call. Most other parts are those of requests
+// that happened to be on the same engine.
+func (t *Table) RecurrentChanges(version uint64, now time.Time) (changes []*chicoryv1.SuspectPart, next uint64) {
+	return t.changes(version, now, func(p *part) (begun bool, losses func(loss) bool) {
+		return p.recurrent, func(loss) bool { return p.recurrent }
+	})
+}
+
+// changes returns the parts that changed after version, as far as include selects them.
+func (t *Table) changes(version uint64, now time.Time, include func(*part) (begun bool, losses func(loss) bool)) (changes []*chicoryv1.SuspectPart, next uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.version == version {
 		return nil, version
 	}
 	for id, p := range t.parts {
-		if p.version <= version || recurrentOnly && !p.recurrent || now.Sub(p.lastChange()) > retention {
+		if p.version <= version || now.Sub(p.lastChange()) > retention {
 			continue
 		}
-		changes = append(changes, p.encode(id, now))
+		begun, losses := include(p)
+		if s := p.encode(id, now, begun, losses); len(s.GetLosses()) > 0 || s.GetBegunAgeMs() > 0 || s.GetTrialAgeMs() > 0 {
+			changes = append(changes, s)
+		}
 	}
 	return changes, t.version
 }
 
-func (p *part) encode(id string, now time.Time) *chicoryv1.SuspectPart {
+func (p *part) encode(id string, now time.Time, begun bool, include func(loss) bool) *chicoryv1.SuspectPart {
 	s := &chicoryv1.SuspectPart{Part: id}
 	for _, l := range p.losses {
-		s.Losses = append(s.Losses, &chicoryv1.EngineLoss{
-			Address: l.engine.Address, Instance: l.engine.Instance, AgeMs: ageMs(now, l.at),
-		})
+		if include(l) {
+			s.Losses = append(s.Losses, &chicoryv1.EngineLoss{
+				Address: l.engine.Address, Instance: l.engine.Instance, AgeMs: ageMs(now, l.at), Id: l.id,
+			})
+		}
 	}
-	if !p.begunAt.IsZero() {
+	if begun && !p.begunAt.IsZero() {
 		s.BegunAgeMs = ageMs(now, p.begunAt) + 1
 	}
+	if !p.trialAt.IsZero() {
+		s.TrialAgeMs = ageMs(now, p.trialAt) + 1
+	}
 	return s
 }
 
@@ -41,22 +71,32 @@
 
 // Merge adds what other VMs know about parts. Merging the same again changes nothing.
 func (t *Table) Merge(suspects []*chicoryv1.SuspectPart, now time.Time) {
-	if len(suspects) == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range suspects {
-		if s.GetBegunAgeMs() > 0 {
-			t.clear(s.GetPart(), before(now, s.GetBegunAgeMs()-1))
-		}
-		for _, l := range s.GetLosses() {
-			if at := before(now, l.GetAgeMs()); now.Sub(at) <= retention {
-				t.addLoss(s.GetPart(), loss{Engine{l.GetAddress(), l.GetInstance()}, at})
-			}
+		t.merge(s, now)
+	}
+}
+
+// merge adds what another VM knows about one part. The caller holds mu.
+func (t *Table) merge(s *chicoryv1.SuspectPart, now time.Time) {
+	id := s.GetPart()
+	if p := t.parts[id]; p != nil && s.GetBegunAgeMs() > 0 {
+		t.clear(id, p, before(now, s.GetBegunAgeMs()-1))
+	}
+	for _, l := range s.GetLosses() {
+		if at := before(now, l.GetAgeMs()); now.Sub(at) <= retention {
+			t.addLoss(id, loss{id: l.GetId(), engine: Engine{l.GetAddress(), l.GetInstance()}, at: at})
 		}
 	}
-	t.notify()
+	p := t.parts[id]
+	if p == nil || s.GetTrialAgeMs() == 0 {
+		return
+	}
+	if at := before(now, s.GetTrialAgeMs()-1); len(p.losses) > 0 && at.Sub(p.trialAt) > trialPeriod/2 {
+		p.trialAt = at
+		t.touch(p)
+	}
 }
 
 func before(now time.Time, ms uint32) time.Time {
