exchange: a stream without a length that ends before its first event is lost

An engine that crashed after the head of a response without length or chunks reached the caller as a complete, empty stream. Its end can't be told from that of an empty stream; no engine answers a new request without an event.

TestResponseWithoutLengthThatEndsBeforeItsFirstEventIsLost failed before: 8 of 8 requests reached an engine and returned 200 with an empty body.

--- a/internal/request/exchange/crash_evidence_test.go
+++ b/internal/request/exchange/crash_evidence_test.go
@@ -44,6 +44,23 @@
 	})
 }
 
+// TestResponseWithoutLengthThatEndsBeforeItsFirstEventIsLost guards against a crash that reaches
+// the caller as a complete, empty stream and clears the prompt.
+func TestResponseWithoutLengthThatEndsBeforeItsFirstEventIsLost(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := sameEngines(func(_ *testNetwork, c net.Conn, r *http.Request) {
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedBy+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+		})
+		for range 8 {
+			rec := httptest.NewRecorder()
+			err := s.Serve(t.Context(), rec, withParts("first", "deadly"))
+			t.Log(err, rec.Code, rec.Body.Len())
+		}
+		assert.Assert(t, w.runs() <= 5, "%d runs", w.runs())
+	})
+}
+
 // TestResponseWithoutLengthAndOneEventClearsNoPart guards against a crash after the first event
 // that clears the prompt.
 func TestResponseWithoutLengthAndOneEventClearsNoPart(t *testing.T) {
--- a/internal/request/exchange/event_relay.go
+++ b/internal/request/exchange/event_relay.go
@@ -33,6 +33,9 @@
 	events := newEventReader(r.response)
 	for {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) && r.endedEarly() {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			r.response.Finish()
 			r.result.final = r.st.finishStream(r.response)
@@ -49,6 +52,12 @@
 	}
 }
 
+// endedEarly reports whether a response that ends with its connection ended before its first
+// event: an engine that crashes leaves the same bytes.
+func (r *eventRelay) endedEarly() bool {
+	return !r.response.SelfDelimited && r.result.events == 0 && r.st.lastEvent == 0 && r.st.eventsSent == 0
+}
+
 // relay forwards one event. The watchdog is paused meanwhile: a caller that reads slowly is no
 // silence of the engine.
 func (r *eventRelay) relay(e event) error {
