http1: keep what a response announced about its connection

A connection whose target had announced its end in the response to a stream, or an idle time, was put back into the pool as if nothing had been announced. The next request could be written while the target closed it; a stream or a call that may run once then ends with an unknown outcome.

Cause: the pool's decision read Connection and Keep-Alive when the response ended, and the relay of events had removed the hop-by-hop headers from the same map when it wrote the response header to the caller. Both are now read once, when the head is parsed.

Ruled out: a connection that is already closed is found by the check of idle connections; the request is at risk only in between.

--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -33,6 +33,11 @@
 	// chunks or because there is none. Any other body ends when the target closes the
 	// connection.
 	SelfDelimited bool
+	// closes: the target announced that it closes the connection. keepAlive is how long it
+	// keeps an idle one, or 0 if it announced no time. Both outlast a Header that its reader
+	// changes.
+	closes    bool
+	keepAlive time.Duration
 	// length is the announced length of the body in bytes, or -1.
 	length   int64
 	body     io.ReadCloser
@@ -155,10 +160,6 @@
 func (x *Exchange) response(resp *http.Response) *Response {
 	chunked := len(resp.TransferEncoding) > 0
 	noBody := x.method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
-	if resp.Close {
-		// http.ReadResponse removes the Connection header; closes needs it.
-		resp.Header.Set("Connection", "close")
-	}
 	length := resp.ContentLength
 	if noBody {
 		length = 0
@@ -167,6 +168,8 @@
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		SelfDelimited: chunked || noBody || resp.ContentLength >= 0,
+		closes:        resp.Close,
+		keepAlive:     keepAliveTimeout(resp.Header),
 		length:        length,
 		body:          resp.Body,
 		exchange:      x,
@@ -196,12 +199,12 @@
 		return
 	}
 	x.ended = true
-	x.pool.put(x.address, x.conn, keepAliveTimeout(r.Header))
+	x.pool.put(x.address, x.conn, r.keepAlive)
 }
 
 // reusable reports whether the connection may carry another request.
 func (x *Exchange) reusable(r *Response) bool {
-	if !r.SelfDelimited || x.conn.reader.Buffered() > 0 || r.closes() {
+	if !r.SelfDelimited || x.conn.reader.Buffered() > 0 || r.closes {
 		return false
 	}
 	if x.bodyWritten == nil {
@@ -215,11 +218,6 @@
 	}
 }
 
-// closes reports whether the target announced that it closes the connection.
-func (r *Response) closes() bool {
-	return strings.EqualFold(r.Header.Get("Connection"), "close")
-}
-
 func (x *Exchange) abandon() {
 	if x.ended {
 		return
--- a/internal/request/exchange/endless_test.go
+++ b/internal/request/exchange/endless_test.go
@@ -19,7 +19,6 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
-	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
@@ -118,15 +117,8 @@
 // is sound. The sound one is listed as an engine once the faulty one has got a request.
 func serviceWithFaultyTarget(pool *http1.Pool, x *endlessTarget, sound string) *Service {
 	s, engines := loopbackService(pool, x.address, sound)
-	list := func(addresses ...string) {
-		var listed []*chicoryv1.ListedTarget
-		for _, a := range addresses {
-			listed = append(listed, &chicoryv1.ListedTarget{Address: a, Instance: "i-" + a, Service: "s", AvailabilityZone: "a"})
-		}
-		engines.Update(listed, func(string) int { return 50_000 })
-	}
-	list(x.address)
-	x.onRequest = func() { list(x.address, sound) }
+	listEngines(engines, x.address)
+	x.onRequest = func() { listEngines(engines, x.address, sound) }
 	return s
 }
 
