exchange: read events whose lines end with a CR

An event stream may end its lines with a LF, a CRLF or a CR. A stream with CRs was held back to its end and then taken for one that had been broken off inside an event: it ran again on other engines, or its caller got an unknown outcome.

Cause: the reader of events looked for LFs only. It now ends a line at any of the three. It doesn't wait for the LF that may follow a CR, which would hold each event back until the next one; a LF that arrives late is forwarded as it comes and ends no second line.

No engine on the platform is known to send CRs alone.

--- a/internal/request/exchange/event_reader.go
+++ b/internal/request/exchange/event_reader.go
@@ -31,6 +31,8 @@
 // eventReader reads the events of a stream.
 type eventReader struct {
 	source *bufio.Reader
+	// afterCR: the last line ended with a CR, and a LF that belongs to it may follow.
+	afterCR bool
 }
 
 func newEventReader(source io.Reader) *eventReader {
@@ -42,6 +44,7 @@
 func (r *eventReader) next() (event, error) {
 	var e event
 	for {
+		afterCR := r.afterCR
 		line, err := r.readLine(len(e.raw))
 		e.raw = append(e.raw, line...)
 		switch {
@@ -49,6 +52,8 @@
 			return event{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return event{}, err
+		case afterCR && string(line) == "\n" && len(e.raw) > 1:
+			continue // the end of the line before
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
@@ -61,21 +66,44 @@
 }
 
 // readLine returns the next line with its end. before is the number of bytes of the event
-// that precede the line. The line is valid until the next call.
+// that precede the line. The line is valid until the next call. It does not wait for the LF
+// that may follow a CR, as an event would be held back until the next one arrives: such a LF
+// is returned as a line of its own.
 func (r *eventReader) readLine(before int) ([]byte, error) {
 	var long []byte
 	for {
-		line, err := r.source.ReadSlice('\n')
-		if before+len(long)+len(line) > maxEventBytes {
+		if _, err := r.source.Peek(1); err != nil {
+			return long, err
+		}
+		buffered, _ := r.source.Peek(r.source.Buffered()) // what is buffered needs no read
+		n, ended := lineLength(buffered)
+		if before+len(long)+n > maxEventBytes {
 			return nil, &http1.LimitError{Limit: http1.LimitEvent, Max: maxEventBytes}
 		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			if long != nil {
-				line = append(long, line...)
-			}
-			return line, err
+		line := buffered[:n]
+		if long != nil || !ended {
+			long = append(long, line...)
+			line = long
+		}
+		_, _ = r.source.Discard(n) // what is buffered needs no read
+		if ended {
+			r.afterCR = line[len(line)-1] == '\r'
+			return line, nil
 		}
-		long = append(long, line...)
+	}
+}
+
+// lineLength returns the length of the line at the start of b, with its end, and whether b
+// holds the end: a LF, a CR or both.
+func lineLength(b []byte) (n int, ended bool) {
+	i := bytes.IndexAny(b, "\r\n")
+	switch {
+	case i < 0:
+		return len(b), false
+	case b[i] == '\r' && i+1 < len(b) && b[i+1] == '\n':
+		return i + 2, true
+	default:
+		return i + 1, true
 	}
 }
 
