--- a/internal/request/exchange/raw_target_test.go
+++ b/internal/request/exchange/raw_target_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
@@ -16,6 +17,9 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 )
 
+// settleTime lets bytes arrive before the connection is reset, which discards unread ones.
+const settleTime = 50 * time.Millisecond
+
 // rawTarget answers each request with the same bytes, over real connections.
 type rawTarget struct {
 	address string
@@ -69,6 +73,13 @@
 	}
 }
 
+func endNormally(c *net.TCPConn) { _ = c.CloseWrite() }
+
+func resetConnection(c *net.TCPConn) {
+	time.Sleep(settleTime)
+	_ = c.SetLinger(0)
+}
+
 // listEngines makes the engines at the addresses available, and no others.
 func listEngines(engines *placement.EngineTable, addresses ...string) {
 	var listed []*chicoryv1.ListedTarget
