exchange: state no length of 0 in answers to HEAD

An answer to HEAD without a length came to the caller with Content-Length: 0, which says that the resource is empty. Cause: a missing length was always replaced by that of the body. It is now set only where there is a body; the server of the caller's connection adds a 0 where that is right.

Evidence: TestAnswerToHEADStatesNoLengthOfItsOwn fails before and passes after; the tests with 204, 304 and an empty body pass as before.

--- a/internal/request/exchange/response.go
+++ b/internal/request/exchange/response.go
@@ -28,7 +28,8 @@
 // writeTo writes the target's response to the caller unchanged.
 func (t *attempt) writeTo(w http.ResponseWriter) {
 	copyHeader(w.Header(), t.header)
-	if t.status != http.StatusNoContent && t.status != http.StatusNotModified && w.Header().Get("Content-Length") == "" {
+	// Without a body, only the server of the caller's connection knows whether a length is due.
+	if t.body.Len() > 0 && w.Header().Get("Content-Length") == "" {
 		w.Header().Set("Content-Length", strconv.FormatInt(t.body.Len(), 10))
 	}
 	w.WriteHeader(t.status)
--- a/internal/request/exchange/unframed_test.go
+++ b/internal/request/exchange/unframed_test.go
@@ -169,3 +169,22 @@
 		})
 	}
 }
+
+// TestAnswerToHEADStatesNoLengthOfItsOwn guards against a length of 0 for a resource that has
+// one: a target may leave the length out of its answer.
+func TestAnswerToHEADStatesNoLengthOfItsOwn(t *testing.T) {
+	for name, c := range map[string]struct{ header, length string }{
+		"no length": {"", ""},
+		"length":    {"Content-Length: 9\r\n", "9"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := startRawTarget(t, okHead+signedBy+c.header+"\r\n", nil)
+			s, _ := loopbackService(http1.NewPool(http1.Defaults(), metrics.NewRegistry()), x.address)
+			a := admitted(declared.AtMostOnce, false)
+			a.Method = http.MethodHead
+			rec := httptest.NewRecorder()
+			assert.NilError(t, s.Serve(t.Context(), rec, a))
+			assert.Equal(t, rec.Header().Get("Content-Length"), c.length)
+		})
+	}
+}
