--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -42,6 +42,9 @@
 const (
 	targetSlots = 8
 	deskTargets = 3
+	// unframedEvery is how often a target's response ends with its connection, without a
+	// length or chunks.
+	unframedEvery = 8
 )
 
 var availabilityZones = []string{"a", "b", "c"}
@@ -168,7 +171,11 @@
 		Instance: fmt.Sprintf("%s start %d", host.name, host.starts), Service: host.service, AvailabilityZone: host.zone,
 		Address: host.backend, Listed: host.proxy.listener.Addr().String(), Slots: targetSlots,
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	host.target.Change(func(b *standin.Behavior) { b.UnframedEvery = unframedEvery })
+	return nil
 }
 
 // closeTarget closes the host's target without a graceful stop.
