frontend: log what ends a response, and under which configurations

A truncated response, a handler that panics and a connection that net/http closes look the same to a caller. The log had no line for a panic, and the line for a truncated response didn't show whether the configuration had changed while the request ran.

request_broken names the configuration in force and the one that admitted the request, attempt_ended the latter. request_panicked has the stack; the connection is closed as before. request.stream.broken_off.KIND counts interrupted streams by the reason.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -10,6 +10,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -115,6 +116,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	defer f.logPanic(r)
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -136,6 +138,7 @@
 	case errors.As(err, &broken):
 		f.opts.Logger.Warn(logging.RequestBroken, logging.Fields{
 			"request": req.ID, "route": a.Route.Name, "reason": broken.Reason, "ms": time.Since(arrived).Milliseconds(),
+			"version": f.opts.Holder.Version(), "admitted_version": a.Version,
 		})
 		panic(http.ErrAbortHandler) // closes the connection, so the response stays incomplete
 	case err != nil:
@@ -143,6 +146,21 @@
 	}
 }
 
+// logPanic logs a panic of the handler and closes the connection. net/http would close it
+// without a line in this log.
+func (f *Frontend) logPanic(r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		f.opts.Logger.Error(logging.RequestPanicked, logging.Fields{
+			"host": r.Host, "path": r.URL.Path, "reason": v, "stack": string(debug.Stack()), "version": f.opts.Holder.Version(),
+		})
+	}
+	panic(http.ErrAbortHandler)
+}
+
 const (
 	// maxStartWait limits how long a request waits for the process to receive its
 	// configuration and targets, for example after a restart. Control VMs usually send
@@ -219,7 +237,7 @@
 	if route == nil {
 		return nil, fault.New(fault.UnknownRoute, "no route for host %q and path %q", host, path)
 	}
-	a := &exchange.AdmittedRequest{Request: req, Route: route}
+	a := &exchange.AdmittedRequest{Request: req, Route: route, Version: view.Version()}
 	if view.HasTeams() && !route.Public {
 		team := view.TeamByKey(req.APIKey)
 		if team == nil {
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -56,6 +56,7 @@
 	StreamResumed        Event = "stream_resumed"
 	RequestAnswered      Event = "request_answered"
 	RequestBroken        Event = "request_broken"
+	RequestPanicked      Event = "request_panicked"
 	EngineProbed         Event = "engine_probed"
 	DeclarationAccepted  Event = "declaration_accepted"
 	DeclarationRefused   Event = "declaration_refused"
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -59,6 +59,8 @@
 	*Request
 	Route   *declared.Route
 	Service *declared.Service
+	// Version is the version of the configuration that admitted the request.
+	Version uint64
 	// Team is empty if the configuration has no teams or the route is public.
 	Team string
 	// Deadline is the earlier of the caller's and the route's deadline.
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
@@ -115,6 +116,7 @@
 	switch {
 	case st.headerSent:
 		st.s.metrics.truncated.Inc(1)
+		metrics.GetOrRegisterCounter("request.stream.broken_off."+string(fault.Of(err).Kind), st.s.opts.Registry).Inc(1)
 		return &TruncatedError{Reason: err.Error()}
 	case st.errorResponse != nil && ctx.Err() == nil:
 		st.errorResponse.writeTo(st.w)
--- a/internal/request/exchange/stream_log.go
+++ b/internal/request/exchange/stream_log.go
@@ -33,7 +33,7 @@
 	fields := logging.Fields{
 		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
 		"ending": string(result.outcome), "status": result.status, "events": result.events, "last_event": st.lastEvent,
-		"copy": from != nil, "ms": time.Since(st.a.ReceivedAt).Milliseconds(),
+		"version": st.a.Version, "copy": from != nil, "ms": time.Since(st.a.ReceivedAt).Milliseconds(),
 	}
 	if result.err != nil {
 		fields["reason"] = result.err
