exchange: give up a silent engine only for another one

Callers saw a stream end without its end, or a 502, although its engine was sound: an engine may pause for a second or so and go on. The silence timeout (280 to 420 ms for a gap of 700 ms), one probe without a response, or another stream that found the engine silent ended the attempt. Where the stream could not continue elsewhere, because its route is not resumable, its attempts or the retry budget were used up, or no other engine is listed, the response was truncated although the engine's connection was open and the deadline far off.

An attempt is now given up only when the stream can continue on another engine: the route allows another attempt, another engine is listed and the retry budget has allowed it. Otherwise it goes on until the engine's connection ends, the caller leaves or the deadline passes, and is checked again every 250 ms. New runs avoid the engine as before. engine_silent is logged once for an attempt.

Ruled out: raising the timeouts. A stream with a copy of its KV cache would miss its longest gap, and a longer pause would still truncate the others.

Package generation reattaches to a silent engine instead, and is unchanged.

--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -58,6 +58,7 @@
 	RequestBroken        Event = "request_broken"
 	RequestPanicked      Event = "request_panicked"
 	EngineProbed         Event = "engine_probed"
+	EngineSilent         Event = "engine_silent"
 	DeclarationAccepted  Event = "declaration_accepted"
 	DeclarationRefused   Event = "declaration_refused"
 	DeclarationApplied   Event = "declaration_applied"
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -150,6 +150,9 @@
 	ProbeInterval         time.Duration
 	ProbeTimeout          time.Duration
 	MaxProbes             int
+	// GiveUpInterval is the time after which giving up an engine is tried again while the
+	// stream can't continue elsewhere.
+	GiveUpInterval time.Duration
 	// MinSilenceShare and MaxSilenceShare bound the learned silence timeout, as shares of
 	// the longest gap between events that the route allows.
 	MinSilenceShare, MaxSilenceShare float64
@@ -169,7 +172,8 @@
 		ProbeInterval:         time.Second,
 		ProbeTimeout:          250 * time.Millisecond, // about 100 round trips within a region
 		MaxProbes:             8,                      // times the interval, more than several prompts in a row take
-		MinSilenceShare:       0.4,                    // leaves more than half of the gap for the first event from another engine
+		GiveUpInterval:        250 * time.Millisecond,
+		MinSilenceShare:       0.4, // leaves more than half of the gap for the first event from another engine
 		MaxSilenceShare:       0.6,
 		DefaultMaxEventGap:    time.Second,
 		DefaultSize:           placement.Size{Prompt: 1000, Output: 500},
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -41,6 +41,8 @@
 	// possibleRuns counts the engines that may have run the request, refused those that
 	// did not run it.
 	possibleRuns, refused int
+	// nextAllowed: the retry budget has allowed the next attempt.
+	nextAllowed bool
 	// errorResponse is the last error that an engine returned before the stream began.
 	errorResponse *attempt
 }
@@ -99,6 +101,8 @@
 		return fault.New(fault.OutcomeUnknown, "%d engines were lost", st.possibleRuns)
 	case st.refused >= st.s.opts.Settings.MaxRefusals:
 		return st.s.noTargetError(st.a, st.refused)
+	case st.nextAllowed:
+		return nil
 	}
 	for {
 		ok, wait := st.s.opts.Budget(st.a.Service.Name).Allow(request.ResumeGeneration)
@@ -145,7 +149,9 @@
 		st.backup = backup
 	}
 	st.logPlaced(run, d)
-	result := st.dispatch(ctx, cancel, run, d)
+	g := st.newAttemptGuard(run, cancel)
+	result := st.dispatch(ctx, g, run, d)
+	st.nextAllowed = g.allowed()
 	if result.final {
 		return true, result.err
 	}
--- /dev/null
+++ b/internal/request/exchange/stream_guard.go
@@ -0,0 +1,80 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
+)
+
+// attemptGuard gives up an attempt at an engine that appears to be lost, but only if the
+// stream can continue on another engine at once. A sound engine may pause for a second or
+// more, and a stream that can't continue elsewhere would be truncated.
+type attemptGuard struct {
+	st     *stream
+	run    *placement.Run
+	cancel context.CancelCauseFunc
+	// movable: the route allows another attempt after this one.
+	movable bool
+
+	mu sync.Mutex // guards the fields below
+	// granted: the retry budget has allowed the next attempt.
+	granted bool
+	// suspected: the engine was marked as lost.
+	suspected bool
+}
+
+func (st *stream) newAttemptGuard(run *placement.Run, cancel context.CancelCauseFunc) *attemptGuard {
+	return &attemptGuard{
+		st: st, run: run, cancel: cancel,
+		movable: st.a.Route.RetryPolicy == declared.Resumable && st.possibleRuns+1 < st.a.maxAttempts() &&
+			st.refused < st.s.opts.Settings.MaxRefusals,
+	}
+}
+
+// onSilence is called while the engine is silent. New runs avoid the engine even if this one
+// stays there.
+func (g *attemptGuard) onSilence() bool {
+	g.suspect()
+	return g.giveUp(pace.ErrSilenceTimeout)
+}
+
+func (g *attemptGuard) suspect() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.suspected {
+		return
+	}
+	g.suspected = true
+	g.run.MarkLost()
+	g.st.s.opts.Logger.Warn(logging.EngineSilent, logging.Fields{
+		"request": g.st.a.ID, "route": g.st.a.Route.Name, "target": g.run.Target.GetAddress(), "movable": g.movable,
+	})
+}
+
+// giveUp ends the attempt if the stream can continue elsewhere, and reports whether it did.
+func (g *attemptGuard) giveUp(cause error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.granted {
+		if !g.movable || !g.st.s.opts.Engines.HasOther(g.run.Target) {
+			return false
+		}
+		if g.granted, _ = g.st.s.opts.Budget(g.st.a.Service.Name).Allow(request.ResumeGeneration); !g.granted {
+			return false
+		}
+	}
+	g.cancel(cause)
+	return true
+}
+
+// allowed reports whether the retry budget has allowed the next attempt.
+func (g *attemptGuard) allowed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.granted
+}
--- a/internal/request/exchange/stream_probe.go
+++ b/internal/request/exchange/stream_probe.go
@@ -29,9 +29,12 @@
 	return st.firstProbeDelay(d) + time.Duration(s.MaxProbes)*s.ProbeInterval
 }
 
-// probeEngine probes the engine until the first event arrives, and cancels the attempt if
+// probeEngine probes the engine until the first event arrives, and gives the attempt up if
 // the engine does not work on the request.
-func (st *stream) probeEngine(ctx context.Context, cancel context.CancelCauseFunc, run *placement.Run, d Dispatch) {
+func (st *stream) probeEngine(ctx context.Context, g *attemptGuard, run *placement.Run, d Dispatch) {
+	if !g.movable {
+		return
+	}
 	s := st.s.opts.Settings
 	for wait := st.firstProbeDelay(d); pause.For(ctx, wait) && !run.HasFirstEvent(); wait = s.ProbeInterval {
 		probeCtx, stop := context.WithTimeout(ctx, s.ProbeTimeout)
@@ -47,7 +50,8 @@
 			"ms": time.Since(st.dispatchedAt).Milliseconds(),
 		})
 		if !alive {
-			cancel(pace.ErrSilenceTimeout)
+			for !g.giveUp(pace.ErrSilenceTimeout) && pause.For(ctx, s.GiveUpInterval) && !run.HasFirstEvent() {
+			}
 			return
 		}
 	}
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -14,10 +14,10 @@
 )
 
 // dispatch sends the request to the engine and forwards its events.
-func (st *stream) dispatch(ctx context.Context, cancel context.CancelCauseFunc, run *placement.Run, d Dispatch) attemptResult {
-	watchdog := pace.NewWatchdog(cancel, st.firstEventTimeout(d))
+func (st *stream) dispatch(ctx context.Context, g *attemptGuard, run *placement.Run, d Dispatch) attemptResult {
+	watchdog := pace.NewWatchdogFunc(g.onSilence, st.firstEventTimeout(d))
 	defer watchdog.Pause()
-	go st.probeEngine(ctx, cancel, run, d)
+	go st.probeEngine(ctx, g, run, d)
 	x, err := st.s.opts.Pool.Send(ctx, run.Target.GetAddress(), st.s.targetRequest(st.a, d))
 	if err != nil {
 		if http1.IsNotSent(err) {
@@ -25,7 +25,7 @@
 		}
 		return attemptResult{outcome: outcomeLost, err: err}
 	}
-	go st.watchEngineLoss(ctx, cancel, run)
+	go st.watchEngineLoss(ctx, g, run)
 	response, meta, err := st.s.readResponse(x, st.a.ID)
 	if err != nil {
 		return attemptResult{outcome: outcomeLost, err: err}
@@ -40,13 +40,13 @@
 	return relay.relayAll()
 }
 
-// watchEngineLoss cancels the attempt if another run finds the engine lost before this
+// watchEngineLoss gives the attempt up if another run finds the engine lost before this
 // one has received an event.
-func (st *stream) watchEngineLoss(ctx context.Context, cancel context.CancelCauseFunc, run *placement.Run) {
+func (st *stream) watchEngineLoss(ctx context.Context, g *attemptGuard, run *placement.Run) {
 	select {
 	case <-run.EngineLost:
 		if !run.HasFirstEvent() {
-			cancel(errEngineLost)
+			g.giveUp(errEngineLost)
 		}
 	case <-ctx.Done():
 	}
--- a/internal/request/pace/pace_test.go
+++ b/internal/request/pace/pace_test.go
@@ -58,3 +58,20 @@
 		assert.Equal(t, context.Cause(ctx), ErrSilenceTimeout)
 	})
 }
+
+// TestWatchdogReportsSilenceUntilTheStreamIsGivenUp guards against a stream that stays at a
+// silent target although it can be given up some time later.
+func TestWatchdogReportsSilenceUntilTheStreamIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reports := 0
+		NewWatchdogFunc(func() bool {
+			reports++
+			return reports == 3
+		}, time.Second)
+		time.Sleep(time.Second + 2*recheckInterval + time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, reports, 3)
+		time.Sleep(time.Minute)
+		assert.Equal(t, reports, 3)
+	})
+}
--- a/internal/request/pace/watchdog.go
+++ b/internal/request/pace/watchdog.go
@@ -16,12 +16,16 @@
 // enough processor time.
 const maxTimerDelay = 50 * time.Millisecond
 
-// Watchdog cancels a stream that is silent for longer than its timeout. If the router was
+// recheckInterval is the time after which a stream that is still silent is reported again.
+const recheckInterval = 250 * time.Millisecond
+
+// Watchdog reports a stream that is silent for longer than its timeout. If the router was
 // paused or is short of processor time, its own timers fire late, and data that the
 // engine sent in the meantime may still wait to be read. A timer that fires late
-// therefore restarts the timeout instead of cancelling the stream.
+// therefore restarts the timeout.
 type Watchdog struct {
-	cancel context.CancelCauseFunc
+	// onSilence reports whether the stream was given up.
+	onSilence func() bool
 
 	mu      sync.Mutex // guards the fields below
 	timer   *time.Timer
@@ -32,9 +36,19 @@
 	left time.Duration
 }
 
-// NewWatchdog starts a watchdog with an initial timeout.
+// NewWatchdog starts a watchdog with an initial timeout. It cancels the stream with the cause
+// ErrSilenceTimeout.
 func NewWatchdog(cancel context.CancelCauseFunc, timeout time.Duration) *Watchdog {
-	w := &Watchdog{cancel: cancel, timeout: timeout}
+	return NewWatchdogFunc(func() bool {
+		cancel(ErrSilenceTimeout)
+		return true
+	}, timeout)
+}
+
+// NewWatchdogFunc starts a watchdog with an initial timeout. It calls onSilence, which must not
+// call the watchdog, every recheckInterval until onSilence returns true or the silence ends.
+func NewWatchdogFunc(onSilence func() bool, timeout time.Duration) *Watchdog {
+	w := &Watchdog{onSilence: onSilence, timeout: timeout}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.deadline = time.Now().Add(timeout)
@@ -81,6 +95,9 @@
 		w.deadline = time.Now().Add(w.timeout)
 		w.timer.Reset(w.timeout)
 	default:
-		w.cancel(ErrSilenceTimeout)
+		if !w.onSilence() {
+			w.deadline = time.Now().Add(recheckInterval)
+			w.timer.Reset(recheckInterval)
+		}
 	}
 }
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -124,6 +124,14 @@
 	return r, nil
 }
 
+// HasOther reports whether a run can be placed on another engine of t's service.
+func (e *EngineTable) HasOther(t *chicoryv1.ListedTarget) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := PlaceRequest{Service: t.GetService(), Exclude: []string{t.GetAddress()}}
+	return len(e.eligible(w, "", time.Now())) > 0
+}
+
 // PlaceOnBackup places a run on the engine that keeps its backup. It returns nil if the
 // engine is no longer listed, was restarted or is in cooldown.
 func (e *EngineTable) PlaceOnBackup(backup *chicoryv1.ListedTarget, prompt string, size Size) *Run {
