exchange: a stream that has begun waits for an engine

Callers saw a stream cut although an engine was there a moment later. When its engine was lost, the stream was truncated at once if no engine could be selected at that moment, as while a list of targets is replaced or all engines leave, or after 12 engines in a row had refused it because they were full.

A stream that has begun can't be refused any more, so it now waits for an engine until its deadline, looks for one every 50 ms, and after 12 refusals asks one engine a second, within the retry budget. A request that has not begun is refused at once as before.

Ruled out: sending the stream to an engine that is leaving, which may not get new work.

Failed before: TestBegunStreamWaitsForAnEngine, TestBegunStreamWithoutAnEngineEndsAtItsDeadline (truncated after 0.62 s of 10 s), TestBegunStreamOutlastsRefusals. TestRequestWithoutAnEngineIsRefusedAtOnce passed before.

--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -139,8 +139,13 @@
 	// before it is forwarded.
 	MaxResponseBytes int64
 	// MaxRefusals is how many targets may refuse a request or be unreachable before the
-	// request is refused.
-	MaxRefusals int
+	// request is refused. A stream that has begun is then sent to one target in each
+	// RefusalInterval.
+	MaxRefusals     int
+	RefusalInterval time.Duration
+	// PlaceInterval is the time after which the selection of an engine is tried again for a
+	// stream that has begun.
+	PlaceInterval time.Duration
 	// FirstEventTimeout is the time without a first event after which the engine is
 	// probed, for a stream without a prompt; a prompt adds its length divided by
 	// PromptTokensPerSecond. An engine that still works on the request is probed again
@@ -167,6 +172,8 @@
 	return Settings{
 		MaxResponseBytes:      6 << 20, // above the largest body that routes accept, 4 MiB
 		MaxRefusals:           12,      // twice the number of targets in a zone; each costs a round trip
+		RefusalInterval:       time.Second,
+		PlaceInterval:         50 * time.Millisecond,
 		FirstEventTimeout:     600 * time.Millisecond,
 		PromptTokensPerSecond: 2500, // half of the rate of an idle engine
 		ProbeInterval:         time.Second,
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -55,7 +55,7 @@
 		st.size = s.opts.Settings.DefaultSize
 	}
 	for {
-		run, from, err := st.place()
+		run, from, err := st.awaitEngine(ctx)
 		if err != nil {
 			return st.finish(ctx, err)
 		}
@@ -72,6 +72,20 @@
 	}
 }
 
+// awaitEngine selects an engine. A stream that has begun waits for one until its deadline:
+// engines may be listed or able to take it a moment later, and its caller can't be refused.
+func (st *stream) awaitEngine(ctx context.Context) (*placement.Run, *chicoryv1.ListedTarget, error) {
+	for {
+		run, from, err := st.place()
+		if err == nil || !st.headerSent {
+			return run, from, err
+		}
+		if !pause.For(ctx, st.s.opts.Settings.PlaceInterval) {
+			return nil, nil, contextError(ctx, true)
+		}
+	}
+}
+
 // place selects the engine on which the stream starts or continues. If that engine keeps
 // a copy of the run's memory, it is also returned as from.
 func (st *stream) place() (*placement.Run, *chicoryv1.ListedTarget, error) {
@@ -99,8 +113,10 @@
 		return fault.New(fault.OutcomeUnknown, "engine lost and route %q is not resumable", st.a.Route.Name)
 	case st.possibleRuns >= st.a.maxAttempts():
 		return fault.New(fault.OutcomeUnknown, "%d engines were lost", st.possibleRuns)
-	case st.refused >= st.s.opts.Settings.MaxRefusals:
+	case st.refused >= st.s.opts.Settings.MaxRefusals && !st.headerSent:
 		return st.s.noTargetError(st.a, st.refused)
+	case st.refused >= st.s.opts.Settings.MaxRefusals && !pause.For(ctx, st.s.opts.Settings.RefusalInterval):
+		return contextError(ctx, true)
 	case st.nextAllowed:
 		return nil
 	}
--- a/internal/request/exchange/stream_guard.go
+++ b/internal/request/exchange/stream_guard.go
@@ -32,7 +32,7 @@
 	return &attemptGuard{
 		st: st, run: run, cancel: cancel,
 		movable: st.a.Route.RetryPolicy == declared.Resumable && st.possibleRuns+1 < st.a.maxAttempts() &&
-			st.refused < st.s.opts.Settings.MaxRefusals,
+			(st.headerSent || st.refused < st.s.opts.Settings.MaxRefusals),
 	}
 }
 
