entry: a removed service serves the requests admitted before

Callers could see a stream truncated, or a call fail, beside a change of the configuration that removes a service: the tables of targets hold the services of the current configuration only, so a request that was admitted before and whose target is lost found no other target.

The targets of a removed service now stay in use for the longest timeout of the configuration that had it, which is the latest deadline of such a request. No later request is sent to them, since routes choose among the services of the current configuration. Route, attempts, timeout and retry policy of an admitted request don't change; that was so before.

Failed before: TestRemovedServiceServesEarlierRequests. TestRemovedServiceReturns guards the new table and passed before.

--- /dev/null
+++ b/internal/process/entry/removed_services_test.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
+)
+
+// serviceDecoder decodes documents whose first byte is the version and whose rest is the name
+// of the only service.
+type serviceDecoder struct{}
+
+const routeTimeout = 25 * time.Second
+
+func (serviceDecoder) DecodeConfiguration(document []byte) (*declared.Configuration, error) {
+	return &declared.Configuration{
+		Version:  uint64(document[0]),
+		Routes:   []declared.Route{{Name: "r", Timeout: routeTimeout}},
+		Services: []declared.Service{{Name: string(document[1:]), Engine: &declared.Engine{KVCapacityTokens: 1000}}},
+	}, nil
+}
+
+func (r *routingState) declare(version byte, service string) {
+	r.ApplyDeclaration(&chicoryv1.Declaration{Version: uint64(version), Document: append([]byte{version}, service...)}, "c1")
+}
+
+// TestRemovedServiceServesEarlierRequests guards against a stream that is truncated, or a call
+// that fails, because its service left the configuration while it ran.
+func TestRemovedServiceServesEarlierRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRoutingState()
+		r.decoder = serviceDecoder{}
+		place := func() error {
+			_, err := r.engines.Place(placement.PlaceRequest{Service: "desk"})
+			return err
+		}
+		r.declare(1, "desk")
+		r.SetTargets(targetList(target("1", false), target("2", false)))
+		r.declare(2, "other")
+		assert.NilError(t, place())
+		assert.DeepEqual(t, r.instancesInUse(), []string{"1", "2"})
+
+		time.Sleep(routeTimeout - time.Second)
+		r.declare(3, "third")
+		r.SetTargets(targetList(target("1", true), target("2", false)))
+		assert.NilError(t, place())
+		assert.DeepEqual(t, r.instancesInUse(), []string{"2"})
+
+		time.Sleep(2 * time.Second)
+		r.SetTargets(targetList(target("2", false)))
+		assert.Assert(t, place() != nil)
+		assert.DeepEqual(t, r.instancesInUse(), []string(nil))
+	})
+}
+
+// TestRemovedServiceReturns guards against forgetting a service that a later configuration has
+// again.
+func TestRemovedServiceReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRoutingState()
+		r.decoder = serviceDecoder{}
+		r.SetTargets(targetList(target("1", false)))
+		r.declare(1, "desk")
+		r.declare(2, "other")
+		r.declare(3, "desk")
+		time.Sleep(2 * routeTimeout)
+		r.SetTargets(targetList(target("1", false)))
+		assert.DeepEqual(t, r.instancesInUse(), []string{"1"})
+	})
+}
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -48,6 +48,9 @@
 	// removed from it.
 	listed    map[feed.TargetInstance]bool
 	removedAt map[feed.TargetInstance]time.Time
+	// removedServices keeps the targets of removed services in use for the requests that were
+	// admitted before.
+	removedServices removedServices
 }
 
 func newRoutingState(decoder Decoder, engines *placement.EngineTable, budgets *retryBudgets, logger *logging.Logger) *routingState {
@@ -62,6 +65,8 @@
 		leaving:      map[feed.TargetInstance]bool{},
 		listed:       map[feed.TargetInstance]bool{},
 		removedAt:    map[feed.TargetInstance]time.Time{},
+
+		removedServices: removedServices{},
 	}
 }
 
@@ -76,12 +81,14 @@
 		r.logger.Error(logging.DeclarationRefused, logging.Fields{"version": d.GetVersion(), "control": from, "reason": err})
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	previous := r.declared.Current()
 	if !r.declared.Update(c) {
 		return
 	}
 	r.logger.Info(logging.DeclarationApplied, logging.Fields{"version": c.Version, "control": from, "routes": len(c.Routes)})
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.removedServices.update(previous, r.declared.Current(), time.Now())
 	r.updateTargets()
 }
 
@@ -214,13 +221,23 @@
 		defer close(r.initialized)
 	}
 	r.revision++
+	r.removedServices.expire(time.Now())
 	next := &chicoryv1.Configuration{Revision: r.revision}
 	for _, s := range view.Configuration().Services {
 		next.Services = append(next.Services, &chicoryv1.Service{Name: s.Name})
 	}
+	service := func(name string) *declared.Service {
+		if s := view.Service(name); s != nil {
+			return s
+		}
+		return r.removedServices.service(name)
+	}
+	for name := range r.removedServices {
+		next.Services = append(next.Services, &chicoryv1.Service{Name: name})
+	}
 	var listed []*chicoryv1.ListedTarget
 	for _, t := range r.list.GetTargets() {
-		if view.Service(t.GetService()) == nil || r.isExcluded(t) {
+		if service(t.GetService()) == nil || r.isExcluded(t) {
 			continue
 		}
 		listed = append(listed, t)
@@ -236,8 +253,8 @@
 		r.logger.Error(logging.TargetListLost, logging.Fields{"reason": err})
 		return
 	}
-	r.engines.Update(listed, func(service string) int {
-		if s := view.Service(service); s != nil && s.Engine != nil {
+	r.engines.Update(listed, func(name string) int {
+		if s := service(name); s != nil && s.Engine != nil {
 			return s.Engine.KVCapacityTokens
 		}
 		return 0
