frontend: keep the configured limits on headers and idle connections

Callers reuse a connection that was idle for up to four fifths of the configured limit. header_timeout_ms and idle_timeout_ms were decoded and used nowhere: the frontend closed a connection after 10 s without headers and 90 s of idleness, so with a limit above 112 s a request could be on its way to a connection that was being closed, and get no response.

The configured limits are in force now, with the constants as the minimum, so no connection is closed earlier than before. http.Server reads its timeouts without synchronisation, so it keeps the constants; a connection whose read deadline has passed asks the current configuration, and waits on if that allows more time. So a changed limit also applies to connections that are open.

Ruled out: closing connections when a change shortens a limit. A caller may have sent a request within the old one.

Failed before (with the constants alone): TestIdleConnectionIsKeptForTheConfiguredTime, TestHeadersMayTakeTheConfiguredTime, TestIdleConnectionIsClosedAfterTheConfiguredTime. TestSlowHandlerOutlastsTheTimeouts guards the change and passed before.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -47,13 +47,12 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyBytes applies if the configuration sets no limit.
 	maxBodyBytes = 8 << 20
-	// headerTimeout and idleTimeout apply regardless of the configuration. They are
-	// generous because callers may reuse a connection that was idle for most of the
-	// configured time.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 90 * time.Second
 )
 
+// minTimeouts apply where the configuration sets no limit or a shorter one. They are generous
+// because callers may reuse a connection that was idle for most of the configured time.
+var minTimeouts = timeouts{header: 10 * time.Second, idle: 90 * time.Second}
+
 // Options configure a Frontend. All fields are required.
 type Options struct {
 	Codec   Codec
@@ -81,16 +80,31 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "listen on caller address")
 	}
+	return serve(ln, opts, minTimeouts), nil
+}
+
+func serve(ln net.Listener, opts Options, shortest timeouts) *Frontend {
 	f := &Frontend{opts: opts}
 	f.http = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: shortest.header,
+		IdleTimeout:       shortest.idle,
+		ConnState:         trackState,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // requests are logged individually
 	}
-	go func() { _ = f.http.Serve(ln) }() // returns on Shutdown or Close
-	return f, nil
+	go func() { _ = f.http.Serve(&callerListener{ln, f.timeouts}) }() // returns on Shutdown or Close
+	return f
+}
+
+// timeouts returns the limits of the current configuration.
+func (f *Frontend) timeouts() timeouts {
+	view := f.opts.Holder.Current()
+	if view == nil {
+		return timeouts{}
+	}
+	l := view.Configuration().Limits
+	return timeouts{header: l.HeaderTimeout, idle: l.IdleTimeout}
 }
 
 // drainRetryAfter is the retry delay of requests that are refused during shutdown. It
--- a/internal/connection/frontend/frontend_test.go
+++ b/internal/connection/frontend/frontend_test.go
@@ -67,20 +67,20 @@
 	log     *lines
 }
 
+// testTimeouts apply where a test configures no limit.
+var testTimeouts = timeouts{header: 100 * time.Millisecond, idle: 100 * time.Millisecond}
+
 func listen(t *testing.T, h handlerFunc) *testFrontend {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	address := ln.Addr().String()
-	assert.NilError(t, ln.Close())
 	started := make(chan struct{})
 	close(started)
-	x := &testFrontend{address: address, holder: &declared.Holder{}, log: &lines{}}
-	x.Frontend, err = Listen(address, Options{
+	x := &testFrontend{address: ln.Addr().String(), holder: &declared.Holder{}, log: &lines{}}
+	x.Frontend = serve(ln, Options{
 		Codec: testCodec{}, Handler: h, Holder: x.holder, Started: started, Logger: logging.New(x.log, "entry", "e1"),
 		Registry: metrics.NewRegistry(), Random: func() uint64 { return 0 },
-	})
-	assert.NilError(t, err)
+	}, testTimeouts)
 	t.Cleanup(func() { _ = x.http.Close() })
 	x.apply(1, declared.Limits{})
 	return x
