frontend: answer a request whose body does not arrive

A caller that stopped in the middle of its body got no response, neither at its deadline nor at the route's: nothing limited the time in which a body is read. The same held for a request that was refused before its body: net/http reads up to 256 KB of it before it sends the response.

The body is now read until the request's deadline, and then refused as not run. The body of a refused request is read for 500 ms, then the response is sent and the connection closed. net/http removes the limit once the body has been read.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -10,6 +10,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -141,7 +142,7 @@
 	}
 	req.ReceivedAt = arrived
 	f.awaitStarted(r.Context(), req)
-	a, err := f.admit(r, req)
+	a, err := f.admit(w, r, req)
 	if err != nil {
 		f.refuse(w, r, req.ID, err)
 		return
@@ -214,11 +215,25 @@
 		"retry_after_ms": e.RetryAfter.Milliseconds(), "version": f.opts.Holder.Version(),
 	})
 	exchange.LimitWrites(w, time.Now())
+	if r.ContentLength != 0 {
+		limitReads(w, time.Now().Add(refusedBodyTimeout))
+	}
 	f.opts.Codec.Refuse(w, e)
 }
 
+// refusedBodyTimeout is how long the body of a refused request is read; net/http reads a part
+// of it before it sends the response.
+const refusedBodyTimeout = 500 * time.Millisecond
+
+// limitReads makes reads of the request's body fail after deadline. net/http removes the limit
+// once the body has been read.
+func limitReads(w http.ResponseWriter, deadline time.Time) {
+	// An error means that the caller has left, which the next read reports.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
 // admit checks a request against the current configuration and reads its body.
-func (f *Frontend) admit(r *http.Request, req *exchange.Request) (*exchange.AdmittedRequest, error) {
+func (f *Frontend) admit(w http.ResponseWriter, r *http.Request, req *exchange.Request) (*exchange.AdmittedRequest, error) {
 	view := f.opts.Holder.Current()
 	if view == nil {
 		return nil, fault.New(fault.NotReady, "there is no configuration yet")
@@ -231,6 +246,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.ContentLength != 0 {
+		limitReads(w, a.Deadline)
+	}
 	if err := readBody(r, req, limits.BodyBytes); err != nil {
 		return nil, err
 	}
@@ -290,7 +308,10 @@
 		return fault.New(fault.BodyTooLarge, "request body exceeds %d bytes", limit)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.New(fault.DeadlineNotRun, "request body not received before the deadline")
+	case err != nil:
 		return fault.New(fault.InvalidArgument, "read request body: %v", err)
 	}
 	if int64(len(body)) > limit {
--- a/internal/connection/frontend/frontend_test.go
+++ b/internal/connection/frontend/frontend_test.go
@@ -35,10 +35,10 @@
 }
 
 // handlerFunc implements Handler.
-type handlerFunc func(w http.ResponseWriter, a *exchange.AdmittedRequest) error
+type handlerFunc func(ctx context.Context, w http.ResponseWriter, a *exchange.AdmittedRequest) error
 
-func (h handlerFunc) Serve(_ context.Context, w http.ResponseWriter, a *exchange.AdmittedRequest) error {
-	return h(w, a)
+func (h handlerFunc) Serve(ctx context.Context, w http.ResponseWriter, a *exchange.AdmittedRequest) error {
+	return h(ctx, w, a)
 }
 
 // lines holds the log lines of a frontend.
@@ -108,7 +108,7 @@
 
 // exchangeOn sends one request on the connection and returns the body of the response.
 func exchangeOn(c net.Conn, r *bufio.Reader, body string) (string, error) {
-	if _, err := fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
+	if _, err := fmt.Fprintf(c, "POST /x HTTP/1.1\r\nHost: h\r\nId: r1\r\nTimeout: 1s\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 		return "", err
 	}
 	resp, err := http.ReadResponse(r, nil)
@@ -123,7 +123,7 @@
 // TestPanicIsLogged guards against a request that ends with neither a response nor a log
 // line: net/http closes the connection of a handler that panics.
 func TestPanicIsLogged(t *testing.T) {
-	x := listen(t, func(http.ResponseWriter, *exchange.AdmittedRequest) error { panic("no such engine") })
+	x := listen(t, func(context.Context, http.ResponseWriter, *exchange.AdmittedRequest) error { panic("no such engine") })
 	c, r := x.dial(t)
 	_, err := exchangeOn(c, r, "body")
 	assert.Assert(t, err != nil)
@@ -136,7 +136,7 @@
 // line doesn't show whether the configuration changed while the request ran.
 func TestTruncatedResponseIsLoggedWithBothVersions(t *testing.T) {
 	var x *testFrontend
-	x = listen(t, func(http.ResponseWriter, *exchange.AdmittedRequest) error {
+	x = listen(t, func(context.Context, http.ResponseWriter, *exchange.AdmittedRequest) error {
 		x.apply(2, declared.Limits{})
 		return &exchange.TruncatedError{Reason: "no engine"}
 	})
--- a/internal/connection/frontend/timeouts_test.go
+++ b/internal/connection/frontend/timeouts_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -12,7 +13,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
-func answerBody(w http.ResponseWriter, a *exchange.AdmittedRequest) error {
+func answerBody(_ context.Context, w http.ResponseWriter, a *exchange.AdmittedRequest) error {
 	_, err := w.Write(a.Body)
 	return err
 }
@@ -78,9 +79,9 @@
 // TestSlowHandlerOutlastsTheTimeouts guards against a timeout that ends a request whose
 // headers were read.
 func TestSlowHandlerOutlastsTheTimeouts(t *testing.T) {
-	x := listen(t, func(w http.ResponseWriter, a *exchange.AdmittedRequest) error {
+	x := listen(t, func(ctx context.Context, w http.ResponseWriter, a *exchange.AdmittedRequest) error {
 		time.Sleep(5 * testTimeouts.idle)
-		return answerBody(w, a)
+		return answerBody(ctx, w, a)
 	})
 	x.apply(2, declared.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Minute})
 	c, r := x.dial(t)
