exchange: events that wait to be read are no silence

On a VM that is short of processor time, events of a sound engine wait in the socket while the silence timeout, or a probe's, passes. The watchdog restarts only if its own timer is late by over 50 ms. The engine was then marked as lost and its stream moved, which costs another prefill and one of its attempts.

An attempt is no longer given up, nor its engine marked as lost, while bytes of the response wait in the socket. The check is one system call when a timeout has passed, none for an event. A target that sends without end is stopped by the limits on events, as before (TestTargetsThatSendWithoutEnd).

Ruled out: a longer tolerance for late timers; a pause of the process that ends shortly before the timer fires leaves no trace in it.

Failed before: TestUnreadEventsAreNoSilence.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -49,6 +49,26 @@
 // close closes the connection. No written data depends on it, so errors are ignored.
 func (c *conn) close() { _ = c.raw.Close() }
 
+// hasUnread reports whether the target has sent bytes that wait in the socket. Unlike isIdle, it
+// may be called while another goroutine reads.
+func (c *conn) hasUnread() bool {
+	sys, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
 // isIdle reports whether the idle connection is open and has no unread data. A late
 // second response to an earlier request must not be read as the next request's.
 func (c *conn) isIdle() bool {
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -114,6 +114,10 @@
 	return x, nil
 }
 
+// HasUnread reports whether the target has sent bytes that this process has not read yet. It
+// may be called while the response is read.
+func (x *Exchange) HasUnread() bool { return x.conn.hasUnread() }
+
 // head returns the request line and the headers.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
--- a/internal/request/exchange/stream_guard.go
+++ b/internal/request/exchange/stream_guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
@@ -26,6 +27,8 @@
 	granted bool
 	// suspected: the engine was marked as lost.
 	suspected bool
+	// exchange is nil until the request was sent.
+	exchange *http1.Exchange
 }
 
 func (st *stream) newAttemptGuard(run *placement.Run, cancel context.CancelCauseFunc) *attemptGuard {
@@ -36,9 +39,27 @@
 	}
 }
 
-// onSilence is called while the engine is silent. New runs avoid the engine even if this one
+// sent records the exchange that the attempt reads from.
+func (g *attemptGuard) sent(x *http1.Exchange) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.exchange = x
+}
+
+// hasUnread reports whether events wait to be read: this process is short of processor time,
+// and the engine is not silent.
+func (g *attemptGuard) hasUnread() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.exchange != nil && g.exchange.HasUnread()
+}
+
+// onSilence is called while no event is read. New runs avoid the engine even if this one
 // stays there.
 func (g *attemptGuard) onSilence() bool {
+	if g.hasUnread() {
+		return false
+	}
 	g.suspect()
 	return g.giveUp(pace.ErrSilenceTimeout)
 }
@@ -58,6 +79,9 @@
 
 // giveUp ends the attempt if the stream can continue elsewhere, and reports whether it did.
 func (g *attemptGuard) giveUp(cause error) bool {
+	if g.hasUnread() {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.granted {
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -25,6 +25,7 @@
 		}
 		return attemptResult{outcome: outcomeLost, err: err}
 	}
+	g.sent(x)
 	go st.watchEngineLoss(ctx, g, run)
 	response, meta, err := st.s.readResponse(x, st.a.ID)
 	if err != nil {
