frontend: refuse requests until the accepted ones are complete

During a planned stop, a caller that sent a whole request on an open connection got neither a response nor a refusal: net/http closes the connections on which it reads a request after http.Server.Shutdown has begun, and Shutdown began while accepted requests, such as streams, were still being served. A call that must not run twice is not retried after that.

What remains: a request that crosses the close of an idle connection after the last accepted request.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -20,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/exchange"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
@@ -73,6 +74,9 @@
 	http      *http.Server
 	draining  atomic.Bool // set by StartDraining
 	rejecting atomic.Bool // set by RejectRequests
+	// open is the number of requests that are being served.
+	open     atomic.Int64
+	listener net.Listener
 }
 
 // Listen starts serving on address (IP:port).
@@ -85,7 +89,7 @@
 }
 
 func serve(ln net.Listener, opts Options, shortest timeouts) *Frontend {
-	f := &Frontend{opts: opts}
+	f := &Frontend{opts: opts, listener: ln}
 	f.http = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: shortest.header,
@@ -119,9 +123,18 @@
 // RejectRequests refuses all further requests with the kind Draining.
 func (f *Frontend) RejectRequests() { f.rejecting.Store(true) }
 
-// Shutdown closes the listener and idle connections and waits for open requests until
-// ctx ends, then closes the remaining connections.
+// acceptedInterval is how often Shutdown checks whether accepted requests are complete.
+const acceptedInterval = 10 * time.Millisecond
+
+// Shutdown closes the listener and waits for open requests until ctx ends, then closes all
+// connections. RejectRequests must have been called: until the open requests are complete,
+// further ones are refused. net/http would close the connections on which it reads them.
 func (f *Frontend) Shutdown(ctx context.Context) error {
+	if err := f.listener.Close(); err != nil {
+		f.opts.Logger.Warn(logging.ProcessDraining, logging.Fields{"reason": err})
+	}
+	for f.open.Load() > 0 && pause.For(ctx, acceptedInterval) {
+	}
 	if err := f.http.Shutdown(ctx); err == nil {
 		return nil
 	}
@@ -131,6 +144,8 @@
 // ServeHTTP implements http.Handler.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	f.open.Add(1)
+	defer f.open.Add(-1)
 	defer f.logPanic(r)
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
