--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -115,9 +115,11 @@
 		return fault.New(fault.OutcomeUnknown, "%d engines were lost", st.possibleRuns)
 	case st.refused >= st.s.opts.Settings.MaxRefusals && !st.headerSent:
 		return st.s.noTargetError(st.a, st.refused)
-	case st.refused >= st.s.opts.Settings.MaxRefusals && !pause.For(ctx, st.s.opts.Settings.RefusalInterval):
+	}
+	if st.refused >= st.s.opts.Settings.MaxRefusals && !pause.For(ctx, st.s.opts.Settings.RefusalInterval) {
 		return contextError(ctx, true)
-	case st.nextAllowed:
+	}
+	if st.nextAllowed {
 		return nil
 	}
 	for {
