frontend: log whether a truncated response met a shutdown

A response that this process cuts at the end of its grace period was logged as `the caller went away`, like one whose caller left: a trial with rolling stops showed such a line 7.7 s after process_draining. request_broken now has draining.

TestTruncatedResponseIsLoggedWithBothVersions checks the field.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -168,7 +168,7 @@
 	case errors.As(err, &broken):
 		f.opts.Logger.Warn(logging.RequestBroken, logging.Fields{
 			"request": req.ID, "route": a.Route.Name, "reason": broken.Reason, "ms": time.Since(arrived).Milliseconds(),
-			"version": f.opts.Holder.Version(), "admitted_version": a.Version,
+			"version": f.opts.Holder.Version(), "admitted_version": a.Version, "draining": f.draining.Load(),
 		})
 		panic(http.ErrAbortHandler) // closes the connection, so the response stays incomplete
 	case err != nil:
--- a/internal/connection/frontend/frontend_test.go
+++ b/internal/connection/frontend/frontend_test.go
@@ -143,7 +143,7 @@
 	c, r := x.dial(t)
 	_, err := exchangeOn(c, r, "body")
 	assert.Assert(t, err != nil)
-	for _, want := range []string{"event=request_broken", "version=2", "admitted_version=1"} {
+	for _, want := range []string{"event=request_broken", "version=2", "admitted_version=1", "draining=false"} {
 		assert.Assert(t, strings.Contains(x.log.String(), want), "%s", x.log)
 	}
 }
