--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -10,6 +10,8 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/exchange"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
@@ -46,13 +49,12 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyBytes applies if the configuration sets no limit.
 	maxBodyBytes = 8 << 20
-	// headerTimeout and idleTimeout apply regardless of the configuration. They are
-	// generous because callers may reuse a connection that was idle for most of the
-	// configured time.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 90 * time.Second
 )
 
+// minTimeouts apply where the configuration sets no limit or a shorter one. They are generous
+// because callers may reuse a connection that was idle for most of the configured time.
+var minTimeouts = timeouts{header: 10 * time.Second, idle: 90 * time.Second}
+
 // Options configure a Frontend. All fields are required.
 type Options struct {
 	Codec   Codec
@@ -72,6 +74,9 @@
 	http      *http.Server
 	draining  atomic.Bool // set by StartDraining
 	rejecting atomic.Bool // set by RejectRequests
+	// open is the number of requests that are being served.
+	open     atomic.Int64
+	listener net.Listener
 }
 
 // Listen starts serving on address (IP:port).
@@ -80,16 +85,31 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "listen on caller address")
 	}
-	f := &Frontend{opts: opts}
+	return serve(ln, opts, minTimeouts), nil
+}
+
+func serve(ln net.Listener, opts Options, shortest timeouts) *Frontend {
+	f := &Frontend{opts: opts, listener: ln}
 	f.http = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: shortest.header,
+		IdleTimeout:       shortest.idle,
+		ConnState:         trackState,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // requests are logged individually
 	}
-	go func() { _ = f.http.Serve(ln) }() // returns on Shutdown or Close
-	return f, nil
+	go func() { _ = f.http.Serve(&callerListener{ln, f.timeouts}) }() // returns on Shutdown or Close
+	return f
+}
+
+// timeouts returns the limits of the current configuration.
+func (f *Frontend) timeouts() timeouts {
+	view := f.opts.Holder.Current()
+	if view == nil {
+		return timeouts{}
+	}
+	l := view.Configuration().Limits
+	return timeouts{header: l.HeaderTimeout, idle: l.IdleTimeout}
 }
 
 // drainRetryAfter is the retry delay of requests that are refused during shutdown. It
@@ -103,9 +123,18 @@
 // RejectRequests refuses all further requests with the kind Draining.
 func (f *Frontend) RejectRequests() { f.rejecting.Store(true) }
 
-// Shutdown closes the listener and idle connections and waits for open requests until
-// ctx ends, then closes the remaining connections.
+// acceptedInterval is how often Shutdown checks whether accepted requests are complete.
+const acceptedInterval = 10 * time.Millisecond
+
+// Shutdown closes the listener and waits for open requests until ctx ends, then closes all
+// connections. RejectRequests must have been called: until the open requests are complete,
+// further ones are refused. net/http would close the connections on which it reads them.
 func (f *Frontend) Shutdown(ctx context.Context) error {
+	if err := f.listener.Close(); err != nil {
+		f.opts.Logger.Warn(logging.ProcessDraining, logging.Fields{"reason": err})
+	}
+	for f.open.Load() > 0 && pause.For(ctx, acceptedInterval) {
+	}
 	if err := f.http.Shutdown(ctx); err == nil {
 		return nil
 	}
@@ -115,6 +144,9 @@
 // ServeHTTP implements http.Handler.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	defer f.logPanic(r)
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -125,7 +157,7 @@
 	}
 	req.ReceivedAt = arrived
 	f.awaitStarted(r.Context(), req)
-	a, err := f.admit(r, req)
+	a, err := f.admit(w, r, req)
 	if err != nil {
 		f.refuse(w, r, req.ID, err)
 		return
@@ -136,6 +168,7 @@
 	case errors.As(err, &broken):
 		f.opts.Logger.Warn(logging.RequestBroken, logging.Fields{
 			"request": req.ID, "route": a.Route.Name, "reason": broken.Reason, "ms": time.Since(arrived).Milliseconds(),
+			"version": f.opts.Holder.Version(), "admitted_version": a.Version, "draining": f.draining.Load(),
 		})
 		panic(http.ErrAbortHandler) // closes the connection, so the response stays incomplete
 	case err != nil:
@@ -143,6 +176,21 @@
 	}
 }
 
+// logPanic logs a panic of the handler and closes the connection. net/http would close it
+// without a line in this log.
+func (f *Frontend) logPanic(r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		f.opts.Logger.Error(logging.RequestPanicked, logging.Fields{
+			"host": r.Host, "path": r.URL.Path, "reason": v, "stack": string(debug.Stack()), "version": f.opts.Holder.Version(),
+		})
+	}
+	panic(http.ErrAbortHandler)
+}
+
 const (
 	// maxStartWait limits how long a request waits for the process to receive its
 	// configuration and targets, for example after a restart. Control VMs usually send
@@ -182,11 +230,25 @@
 		"retry_after_ms": e.RetryAfter.Milliseconds(), "version": f.opts.Holder.Version(),
 	})
 	exchange.LimitWrites(w, time.Now())
+	if r.ContentLength != 0 {
+		limitReads(w, time.Now().Add(refusedBodyTimeout))
+	}
 	f.opts.Codec.Refuse(w, e)
 }
 
+// refusedBodyTimeout is how long the body of a refused request is read; net/http reads a part
+// of it before it sends the response.
+const refusedBodyTimeout = 500 * time.Millisecond
+
+// limitReads makes reads of the request's body fail after deadline. net/http removes the limit
+// once the body has been read.
+func limitReads(w http.ResponseWriter, deadline time.Time) {
+	// An error means that the caller has left, which the next read reports.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
 // admit checks a request against the current configuration and reads its body.
-func (f *Frontend) admit(r *http.Request, req *exchange.Request) (*exchange.AdmittedRequest, error) {
+func (f *Frontend) admit(w http.ResponseWriter, r *http.Request, req *exchange.Request) (*exchange.AdmittedRequest, error) {
 	view := f.opts.Holder.Current()
 	if view == nil {
 		return nil, fault.New(fault.NotReady, "there is no configuration yet")
@@ -199,6 +261,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.ContentLength != 0 {
+		limitReads(w, a.Deadline)
+	}
 	if err := readBody(r, req, limits.BodyBytes); err != nil {
 		return nil, err
 	}
@@ -219,7 +284,7 @@
 	if route == nil {
 		return nil, fault.New(fault.UnknownRoute, "no route for host %q and path %q", host, path)
 	}
-	a := &exchange.AdmittedRequest{Request: req, Route: route}
+	a := &exchange.AdmittedRequest{Request: req, Route: route, Version: view.Version()}
 	if view.HasTeams() && !route.Public {
 		team := view.TeamByKey(req.APIKey)
 		if team == nil {
@@ -258,7 +323,10 @@
 		return fault.New(fault.BodyTooLarge, "request body exceeds %d bytes", limit)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.New(fault.DeadlineNotRun, "request body not received before the deadline")
+	case err != nil:
 		return fault.New(fault.InvalidArgument, "read request body: %v", err)
 	}
 	if int64(len(body)) > limit {
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -59,6 +59,8 @@
 	*Request
 	Route   *declared.Route
 	Service *declared.Service
+	// Version is the version of the configuration that admitted the request.
+	Version uint64
 	// Team is empty if the configuration has no teams or the route is public.
 	Team string
 	// Deadline is the earlier of the caller's and the route's deadline.
@@ -137,8 +139,13 @@
 	// before it is forwarded.
 	MaxResponseBytes int64
 	// MaxRefusals is how many targets may refuse a request or be unreachable before the
-	// request is refused.
-	MaxRefusals int
+	// request is refused. A stream that has begun is then sent to one target in each
+	// RefusalInterval.
+	MaxRefusals     int
+	RefusalInterval time.Duration
+	// PlaceInterval is the time after which the selection of an engine is tried again for a
+	// stream that has begun.
+	PlaceInterval time.Duration
 	// FirstEventTimeout is the time without a first event after which the engine is
 	// probed, for a stream without a prompt; a prompt adds its length divided by
 	// PromptTokensPerSecond. An engine that still works on the request is probed again
@@ -148,6 +155,9 @@
 	ProbeInterval         time.Duration
 	ProbeTimeout          time.Duration
 	MaxProbes             int
+	// GiveUpInterval is the time after which giving up an engine is tried again while the
+	// stream can't continue elsewhere.
+	GiveUpInterval time.Duration
 	// MinSilenceShare and MaxSilenceShare bound the learned silence timeout, as shares of
 	// the longest gap between events that the route allows.
 	MinSilenceShare, MaxSilenceShare float64
@@ -162,12 +172,15 @@
 	return Settings{
 		MaxResponseBytes:      6 << 20, // above the largest body that routes accept, 4 MiB
 		MaxRefusals:           12,      // twice the number of targets in a zone; each costs a round trip
+		RefusalInterval:       time.Second,
+		PlaceInterval:         50 * time.Millisecond,
 		FirstEventTimeout:     600 * time.Millisecond,
 		PromptTokensPerSecond: 2500, // half of the rate of an idle engine
 		ProbeInterval:         time.Second,
 		ProbeTimeout:          250 * time.Millisecond, // about 100 round trips within a region
 		MaxProbes:             8,                      // times the interval, more than several prompts in a row take
-		MinSilenceShare:       0.4,                    // leaves more than half of the gap for the first event from another engine
+		GiveUpInterval:        250 * time.Millisecond,
+		MinSilenceShare:       0.4, // leaves more than half of the gap for the first event from another engine
 		MaxSilenceShare:       0.6,
 		DefaultMaxEventGap:    time.Second,
 		DefaultSize:           placement.Size{Prompt: 1000, Output: 500},
