--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
@@ -44,6 +45,8 @@
 	// possibleRuns counts the engines that may have run the request, refused those that
 	// did not run it.
 	possibleRuns, refused int
+	// nextAllowed: the retry budget has allowed the next attempt.
+	nextAllowed bool
 	// errorResponse is the last error that an engine returned before the stream began.
 	errorResponse *attempt
 }
@@ -56,7 +59,7 @@
 		st.size = s.opts.Settings.DefaultSize
 	}
 	for {
-		run, from, err := st.place()
+		run, from, err := st.awaitEngine(ctx)
 		if err != nil {
 			return st.finish(ctx, err)
 		}
@@ -73,6 +76,20 @@
 	}
 }
 
+// awaitEngine selects an engine. A stream that has begun waits for one until its deadline:
+// engines may be listed or able to take it a moment later, and its caller can't be refused.
+func (st *stream) awaitEngine(ctx context.Context) (*placement.Run, *chicoryv1.ListedTarget, error) {
+	for {
+		run, from, err := st.place()
+		if err == nil || !st.headerSent {
+			return run, from, err
+		}
+		if !pause.For(ctx, st.s.opts.Settings.PlaceInterval) {
+			return nil, nil, contextError(ctx, true)
+		}
+	}
+}
+
 // place selects the engine on which the stream starts or continues. If that engine keeps
 // a copy of the run's memory, it is also returned as from.
 func (st *stream) place() (*placement.Run, *chicoryv1.ListedTarget, error) {
@@ -105,9 +122,15 @@
 		return fault.New(fault.OutcomeUnknown, "engine lost and route %q is not resumable", st.a.Route.Name)
 	case st.possibleRuns >= st.a.maxAttempts():
 		return fault.New(fault.OutcomeUnknown, "%d engines were lost", st.possibleRuns)
-	case st.refused >= st.s.opts.Settings.MaxRefusals:
+	case st.refused >= st.s.opts.Settings.MaxRefusals && !st.headerSent:
 		return st.s.noTargetError(st.a, st.refused)
 	}
+	if st.refused >= st.s.opts.Settings.MaxRefusals && !pause.For(ctx, st.s.opts.Settings.RefusalInterval) {
+		return contextError(ctx, true)
+	}
+	if st.nextAllowed {
+		return nil
+	}
 	for {
 		ok, wait := st.s.opts.Budget(st.a.Service.Name).Allow(request.ResumeGeneration)
 		if ok {
@@ -124,6 +147,7 @@
 	switch {
 	case st.headerSent:
 		st.s.metrics.truncated.Inc(1)
+		metrics.GetOrRegisterCounter("request.stream.broken_off."+string(fault.Of(err).Kind), st.s.opts.Registry).Inc(1)
 		return &TruncatedError{Reason: err.Error()}
 	case st.errorResponse != nil && ctx.Err() == nil:
 		st.errorResponse.writeTo(st.w)
@@ -154,7 +178,9 @@
 	st.logPlaced(run, d)
 	st.stopWatch = st.watchQuarantine(ctx, cancel)
 	defer st.stopWatch()
-	result := st.dispatch(ctx, cancel, run, d)
+	g := st.newAttemptGuard(run, cancel)
+	result := st.dispatch(ctx, g, run, d)
+	st.nextAllowed = g.allowed()
 	if result.final {
 		return true, result.err
 	}
