exchange: probe a silent engine again before it is given up

A stream that can't continue elsewhere was not probed, so that new runs went to its silent engine for 8.6 s; and a single missed probe ended the attempt as soon as another engine was available, though the engine had responded again.

A failed probe now marks the engine for new runs at once, and each further try to give it up begins with another probe.

Failed before: TestSilentEngineIsAvoidedByNewRuns (8.6 s), and TestMissedProbeIsForgottenWhenTheEngineResponds (two runs).

--- a/internal/request/exchange/silence_test.go
+++ b/internal/request/exchange/silence_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -157,3 +158,67 @@
 	wait := time.Until(time.Time(b))
 	return wait <= 0, max(wait, 0)
 }
+
+// TestSilentEngineIsAvoidedByNewRuns guards against new runs on an engine that a waiting
+// stream found silent but can't leave.
+func TestSilentEngineIsAvoidedByNewRuns(t *testing.T) {
+	for _, policy := range []declared.RetryPolicy{declared.Resumable, declared.AtMostOnce} {
+		t.Run(fmt.Sprint(policy), func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				w := newTestNetwork()
+				s, engines := w.service(unlimitedBudget{}, "a", "b")
+				w.set("a", w.hang)
+				w.set("b", w.hang)
+				busy, err := engines.Place(placement.PlaceRequest{Service: "s", Exclude: []string{"a"}})
+				assert.NilError(t, err)
+				defer busy.Release()
+				a := admitted(policy, true)
+				a.Size.Prompt, a.Route.MaxAttempts = 1, 2
+				go func() { _ = s.Serve(t.Context(), httptest.NewRecorder(), a) }()
+				synctest.Wait()
+				other, err := engines.Place(placement.PlaceRequest{Service: "s", Exclude: []string{"b"}})
+				assert.NilError(t, err)
+				defer other.Release()
+				begin := time.Now()
+				select {
+				case <-other.EngineLost:
+				case <-time.After(9 * time.Second):
+				}
+				assert.Assert(t, time.Since(begin) < 2*time.Second, "%v", time.Since(begin))
+			})
+		})
+	}
+}
+
+// lateBudget allows further attempts from a time on.
+type lateBudget struct{ from time.Time }
+
+func (lateBudget) OnRequest() {}
+
+func (b lateBudget) Allow(request.RetryKind) (bool, time.Duration) {
+	return time.Now().After(b.from), 100 * time.Millisecond
+}
+
+// TestMissedProbeIsForgottenWhenTheEngineResponds guards against an engine that is given up
+// because of a probe that it missed long before.
+func TestMissedProbeIsForgottenWhenTheEngineResponds(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newTestNetwork()
+		e := defaultEngine
+		e.first = 4 * time.Second
+		w.engines(e, "a", "b")
+		s, _ := w.service(lateBudget{time.Now().Add(3 * time.Second)}, "a", "b")
+		a := admitted(declared.Resumable, true)
+		a.Size.Prompt = 1
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(t.Context(), httptest.NewRecorder(), a) }()
+		time.Sleep(1200 * time.Millisecond)
+		w.mu.Lock()
+		for _, x := range []string{"a", "b"} {
+			w.reports[x] = EngineReport{HasRequest: true, Generating: 1, Running: 1}
+		}
+		w.mu.Unlock()
+		assert.NilError(t, <-done)
+		assert.Equal(t, w.runs(), 1)
+	})
+}
--- a/internal/request/exchange/stream_probe.go
+++ b/internal/request/exchange/stream_probe.go
@@ -29,34 +29,38 @@
 	return st.firstProbeDelay(d) + time.Duration(s.MaxProbes)*s.ProbeInterval
 }
 
-// probeEngine probes the engine until the first event arrives, and gives the attempt up if
-// the engine does not work on the request.
+// probeEngine probes the engine until the first event arrives. If the engine does not work on
+// the request, new runs avoid it, and the attempt is given up once the stream can continue
+// elsewhere, unless a later probe finds the engine at work.
 func (st *stream) probeEngine(ctx context.Context, g *attemptGuard, run *placement.Run, d Dispatch) {
-	if !g.movable {
-		return
-	}
 	s := st.s.opts.Settings
-	for wait := st.firstProbeDelay(d); pause.For(ctx, wait) && !run.HasFirstEvent(); wait = s.ProbeInterval {
-		probeCtx, stop := context.WithTimeout(ctx, s.ProbeTimeout)
-		report, err := st.s.opts.Prober.Report(probeCtx, run.Target.GetAddress(), st.a.ID)
-		stop()
+	for wait := st.firstProbeDelay(d); pause.For(ctx, wait) && !run.HasFirstEvent(); {
+		alive := st.probe(ctx, run)
 		if ctx.Err() != nil || run.HasFirstEvent() {
 			return
 		}
-		alive := err == nil && report.mayHaveRequest()
-		st.s.opts.Logger.Info(logging.EngineProbed, logging.Fields{
-			"request": st.a.ID, "target": run.Target.GetAddress(), "alive": alive, "reason": err,
-			"holds": report.HasRequest, "generating": report.Generating, "running": report.Running, "waiting": report.Waiting,
-			"ms": time.Since(st.dispatchedAt).Milliseconds(),
-		})
+		wait = s.ProbeInterval
 		if !alive {
-			for !g.giveUp(pace.ErrSilenceTimeout) && pause.For(ctx, s.GiveUpInterval) && !run.HasFirstEvent() {
-			}
-			return
+			wait = s.GiveUpInterval
+			g.onSilence()
 		}
 	}
 }
 
+// probe reports whether the engine responds and may work on the request.
+func (st *stream) probe(ctx context.Context, run *placement.Run) bool {
+	ctx, stop := context.WithTimeout(ctx, st.s.opts.Settings.ProbeTimeout)
+	defer stop()
+	report, err := st.s.opts.Prober.Report(ctx, run.Target.GetAddress(), st.a.ID)
+	alive := err == nil && report.mayHaveRequest()
+	st.s.opts.Logger.Info(logging.EngineProbed, logging.Fields{
+		"request": st.a.ID, "target": run.Target.GetAddress(), "alive": alive, "reason": err,
+		"holds": report.HasRequest, "generating": report.Generating, "running": report.Running, "waiting": report.Waiting,
+		"ms": time.Since(st.dispatchedAt).Milliseconds(),
+	})
+	return alive
+}
+
 // silenceBounds returns the bounds of the learned silence timeout for the route.
 func (st *stream) silenceBounds() pace.TimeoutBounds {
 	s := st.s.opts.Settings
