--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -22,6 +22,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -52,6 +53,9 @@
 	// PromptID identifies the prompt of a generation; equal prompts have equal ids. It is
 	// empty if the caller did not state it.
 	PromptID string
+	// SharedParts identifies the parts of the prompt that other requests may share, in
+	// their order. The rest of the prompt belongs to the request or its session.
+	SharedParts []string
 }
 
 // AdmittedRequest is a request with the configuration that applies to it.
@@ -65,6 +69,9 @@
 	Team string
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
+
+	// trial: a part of the prompt was in quarantine until now.
+	trial bool
 }
 
 // Dispatch holds the parameters of one attempt to send a request to a target.
@@ -197,6 +204,8 @@
 	Loads  *observe.Table
 	// Engines selects the engines of streams.
 	Engines *placement.EngineTable
+	// Quarantine refuses requests whose prompts crash engines.
+	Quarantine *quarantine.Table
 	// Budget returns the retry budget of a service.
 	Budget   func(service string) request.RetryBudget
 	Logger   *logging.Logger
@@ -215,6 +224,9 @@
 	// Latencies in milliseconds.
 	calls, streams, firstEvent  metrics.Histogram
 	retried, resumed, truncated metrics.Counter
+	// quarantined counts refused requests, engineLosses the engines lost with a request
+	// whose answer had not begun.
+	quarantined, engineLosses metrics.Counter
 }
 
 // New returns a service.
@@ -230,6 +242,9 @@
 			retried:    metrics.GetOrRegisterCounter("request.retried", r),
 			resumed:    metrics.GetOrRegisterCounter("request.stream.resumed", r),
 			truncated:  metrics.GetOrRegisterCounter("request.stream.broken_off", r),
+
+			quarantined:  metrics.GetOrRegisterCounter("request.quarantined", r),
+			engineLosses: metrics.GetOrRegisterCounter("request.engine_lost_before_answer", r),
 		},
 	}
 }
@@ -260,6 +275,9 @@
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
 	LimitWrites(w, a.Deadline)
+	if err := s.admitPrompt(a); err != nil {
+		return err
+	}
 	s.opts.Budget(a.Service.Name).OnRequest()
 	if a.Route.Stream {
 		defer recordLatency(s.metrics.streams, a.ReceivedAt)
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -28,6 +28,10 @@
 	// whether the response header was written.
 	lastEvent  int
 	headerSent bool
+	// begun: an engine has begun the answer, so the prompt crashes none. stopWatch ends the
+	// watch for a quarantine of the prompt.
+	begun     bool
+	stopWatch context.CancelFunc
 	// eventsSent counts the events that were forwarded.
 	eventsSent int
 	gaps       pace.GapEstimator
@@ -107,6 +111,11 @@
 // awaitRetry waits until the retry budget allows another engine, or returns why none may
 // be tried.
 func (st *stream) awaitRetry(ctx context.Context) error {
+	if !st.begun {
+		if err := st.s.quarantineError(st.a, st.possibleRuns); err != nil {
+			return err
+		}
+	}
 	resumable := st.a.Route.RetryPolicy == declared.Resumable
 	switch {
 	case st.possibleRuns > 0 && !resumable:
@@ -167,6 +176,8 @@
 		st.backup = backup
 	}
 	st.logPlaced(run, d)
+	st.stopWatch = st.watchQuarantine(ctx, cancel)
+	defer st.stopWatch()
 	g := st.newAttemptGuard(run, cancel)
 	result := st.dispatch(ctx, g, run, d)
 	st.nextAllowed = g.allowed()
@@ -175,6 +186,7 @@
 	}
 	st.logAttemptEnded(run, from, result, context.Cause(ctx))
 	st.record(run, from, result)
+	st.recordLoss(ctx, run, result)
 	if engineLost(ctx, result) {
 		st.s.opts.Pool.CloseIdle(run.Target.GetAddress())
 		run.MarkLost()
