quarantine: a message costs what several VMs may know

Every message to a follower looked at all parts of the leader's table, most of which were lost once; a full table was searched for each new part. Recurrent parts have a map of their own, and a full table gives up an eighth of its parts at once.

--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -58,8 +59,9 @@
 
 	mu    sync.Mutex // guards the fields below
 	parts map[string]*part
-	// suspects holds the parts with minLosses losses or more.
-	suspects map[string]*part
+	// recurrent holds the parts that had losses at different times, and that other VMs may
+	// know; suspects holds those with minLosses losses or more.
+	recurrent, suspects map[string]*part
 	// begins holds when answers began here to requests with parts that are no suspects yet.
 	begins beginTimes
 	// version increases with every change of a part.
@@ -80,8 +82,6 @@
 	begunHere bool
 	// version is the version of the table at the last change of the part.
 	version uint64
-	// recurrent: the part had losses at different times, and other VMs may know it.
-	recurrent bool
 }
 
 // loss is the loss of an engine with a request whose answer had not begun.
@@ -103,10 +103,11 @@
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
 	return &Table{
-		spread:   1 + opts.Random()/2,
-		parts:    map[string]*part{},
-		suspects: map[string]*part{},
-		changed:  make(chan struct{}),
+		spread:    1 + opts.Random()/2,
+		parts:     map[string]*part{},
+		recurrent: map[string]*part{},
+		suspects:  map[string]*part{},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -151,12 +152,12 @@
 		return
 	}
 	p.insert(l)
-	p.recurrent = p.recurrent || len(distinctTimes(p.losses)) > 1
 	t.touch(p)
-	if _, known := t.suspects[id]; !known && len(p.losses) >= minLosses {
-		t.suspects[id] = p
+	if len(distinctTimes(p.losses)) > 1 {
+		t.recurrent[id] = p
 	}
 	if len(p.losses) >= minLosses {
+		t.suspects[id] = p
 		t.notify()
 	}
 }
@@ -223,7 +224,7 @@
 	return p.begunAt
 }
 
-// newPart adds a part, and removes another one if there are too many. The caller holds mu.
+// newPart adds a part, and removes others if there are too many. The caller holds mu.
 func (t *Table) newPart(id string, now time.Time) *part {
 	if len(t.parts) >= maxParts {
 		t.removeOld(now)
@@ -234,33 +235,38 @@
 }
 
 // removeOld removes the parts that have no losses or were lost long ago and, if there are
-// none, the least suspect one. The caller holds mu.
+// none, the least suspect ones. The caller holds mu.
 func (t *Table) removeOld(now time.Time) {
-	oldest := ""
 	for id, p := range t.parts {
-		switch {
-		case len(p.losses) == 0 || now.Sub(p.lastChange()) > retention:
+		if len(p.losses) == 0 || now.Sub(p.lastChange()) > retention {
 			t.remove(id)
-		case oldest == "" || p.isLessSuspect(t.parts[oldest]):
-			oldest = id
 		}
 	}
-	if len(t.parts) >= maxParts {
-		t.remove(oldest)
+	if len(t.parts) < maxParts {
+		return
+	}
+	ids := slices.SortedFunc(maps.Keys(t.parts), t.compareSuspicion)
+	for _, id := range ids[:maxParts/8] {
+		t.remove(id)
 	}
 }
 
 func (t *Table) remove(id string) {
 	delete(t.parts, id)
+	delete(t.recurrent, id)
 	delete(t.suspects, id)
 }
 
-// isLessSuspect orders parts by whether they are recurrent, and then by their last change.
-func (p *part) isLessSuspect(other *part) bool {
-	if p.recurrent != other.recurrent {
-		return other.recurrent
+// compareSuspicion orders parts by whether they are recurrent, and then by their last change,
+// the least suspect first. The caller holds mu.
+func (t *Table) compareSuspicion(a, b string) int {
+	if (t.recurrent[a] == nil) != (t.recurrent[b] == nil) {
+		if t.recurrent[a] == nil {
+			return -1
+		}
+		return 1
 	}
-	return p.lastChange().Before(other.lastChange())
+	return t.parts[a].lastChange().Compare(t.parts[b].lastChange())
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/request/quarantine/shared.go
+++ b/internal/request/quarantine/shared.go
@@ -9,56 +9,56 @@
 // LocalChanges returns what this VM itself has seen of the parts that changed after version,
 // and the version to pass to the next call.
 func (t *Table) LocalChanges(version uint64, now time.Time) (changes []*chicoryv1.SuspectPart, next uint64) {
-	return t.changes(version, now, func(p *part) (begun bool, losses func(loss) bool) {
-		return p.begunHere, func(l loss) bool { return l.here }
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes(t.parts, version, now, true)
 }
 
 // All returns all parts, and the version to pass to the next call of LocalChanges.
 func (t *Table) All(now time.Time) (parts []*chicoryv1.SuspectPart, next uint64) {
-	return t.changes(0, now, func(*part) (begun bool, losses func(loss) bool) {
-		return true, func(loss) bool { return true }
-	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes(t.parts, 0, now, false)
 }
 
 // RecurrentChanges returns the parts that changed after version and had losses at different
 // times, and the version to pass to the next call. Most other parts are those of requests
 // that happened to be on the same engine.
 func (t *Table) RecurrentChanges(version uint64, now time.Time) (changes []*chicoryv1.SuspectPart, next uint64) {
-	return t.changes(version, now, func(p *part) (begun bool, losses func(loss) bool) {
-		return p.recurrent, func(loss) bool { return p.recurrent }
-	})
-}
-
-// changes returns the parts that changed after version, as far as include selects them.
-func (t *Table) changes(version uint64, now time.Time, include func(*part) (begun bool, losses func(loss) bool)) (changes []*chicoryv1.SuspectPart, next uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.changes(t.recurrent, version, now, false)
+}
+
+// changes returns those of parts that changed after version. With localOnly, they contain only
+// what this VM itself has seen. The caller holds mu.
+func (t *Table) changes(parts map[string]*part, version uint64, now time.Time, localOnly bool) (changes []*chicoryv1.SuspectPart, next uint64) {
 	if t.version == version {
 		return nil, version
 	}
-	for id, p := range t.parts {
-		if p.version <= version || now.Sub(p.lastChange()) > retention {
-			continue
-		}
-		begun, losses := include(p)
-		if s := p.encode(id, now, begun, losses); len(s.GetLosses()) > 0 || s.GetBegunAgeMs() > 0 || s.GetTrialAgeMs() > 0 {
-			changes = append(changes, s)
+	for id, p := range parts {
+		switch {
+		case now.Sub(p.lastChange()) > retention:
+			t.remove(id)
+		case p.version > version:
+			if s := p.encode(id, now, localOnly); len(s.GetLosses()) > 0 || s.GetBegunAgeMs() > 0 || s.GetTrialAgeMs() > 0 {
+				changes = append(changes, s)
+			}
 		}
 	}
 	return changes, t.version
 }
 
-func (p *part) encode(id string, now time.Time, begun bool, include func(loss) bool) *chicoryv1.SuspectPart {
+func (p *part) encode(id string, now time.Time, localOnly bool) *chicoryv1.SuspectPart {
 	s := &chicoryv1.SuspectPart{Part: id}
 	for _, l := range p.losses {
-		if include(l) {
+		if l.here || !localOnly {
 			s.Losses = append(s.Losses, &chicoryv1.EngineLoss{
 				Address: l.engine.Address, Instance: l.engine.Instance, AgeMs: ageMs(now, l.at), Id: l.id,
 			})
 		}
 	}
-	if begun && !p.begunAt.IsZero() {
+	if !p.begunAt.IsZero() && (p.begunHere || !localOnly) {
 		s.BegunAgeMs = ageMs(now, p.begunAt) + 1
 	}
 	if !p.trialAt.IsZero() {
