exchange: an engine that sends only comments is silent

Under load, an engine that sent comments without end was given up after 2.2 to 3.3 s instead of at most 2.2 s: since bytes that wait in the socket are no silence, and comments that arrive faster than they are read always wait.

Bytes count as unread events for 500 ms after the last new event.

Failed before: TestCommentsWithoutEndAreSilence.

--- a/internal/request/exchange/event_relay.go
+++ b/internal/request/exchange/event_relay.go
@@ -18,6 +18,7 @@
 	response *http1.Response
 	meta     ResponseMetadata
 	run      *placement.Run
+	guard    *attemptGuard
 	watchdog *pace.Watchdog
 
 	result attemptResult
@@ -94,6 +95,7 @@
 		r.st.gaps.Add(now.Sub(r.previous))
 	}
 	r.result.events++
+	r.guard.received()
 	if r.result.events == eventsOfBegunAnswer {
 		r.st.markBegun()
 	}
--- a/internal/request/exchange/stream_guard.go
+++ b/internal/request/exchange/stream_guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
@@ -29,8 +30,15 @@
 	suspected bool
 	// exchange is nil until the request was sent.
 	exchange *http1.Exchange
+	// unreadSince is when bytes were first found to wait since the last new event; the zero
+	// time if none did.
+	unreadSince time.Time
 }
 
+// maxReadDelay is the time for which bytes that wait to be read may be new events. An engine
+// that sends only comments, faster than they are read, is silent.
+const maxReadDelay = 500 * time.Millisecond
+
 func (st *stream) newAttemptGuard(run *placement.Run, cancel context.CancelCauseFunc) *attemptGuard {
 	return &attemptGuard{
 		st: st, run: run, cancel: cancel,
@@ -46,12 +54,25 @@
 	g.exchange = x
 }
 
-// hasUnread reports whether events wait to be read: this process is short of processor time,
-// and the engine is not silent.
+// received records that a new event was read.
+func (g *attemptGuard) received() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unreadSince = time.Time{}
+}
+
+// hasUnread reports whether events may wait to be read: this process is short of processor
+// time, and the engine is not silent.
 func (g *attemptGuard) hasUnread() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.exchange != nil && g.exchange.HasUnread()
+	if g.exchange == nil || !g.exchange.HasUnread() {
+		return false
+	}
+	if g.unreadSince.IsZero() {
+		g.unreadSince = time.Now()
+	}
+	return time.Since(g.unreadSince) < maxReadDelay
 }
 
 // onSilence is called while no event is read. New runs avoid the engine even if this one
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -37,7 +37,7 @@
 	if !meta.Signed || response.Status != http.StatusOK {
 		return st.readNonStream(response, meta)
 	}
-	relay := &eventRelay{st: st, response: response, meta: meta, run: run, watchdog: watchdog}
+	relay := &eventRelay{st: st, response: response, meta: meta, run: run, guard: g, watchdog: watchdog}
 	return relay.relayAll()
 }
 
