quarantine: serve the parts that two crashing parts share

Two parts that crash engines in turn put the sound parts of their requests in quarantine as well: neither explained nearly all losses, and no sound request was admitted that could clear them. Parts outside of the request now explain losses together too, each of them only if it was lost with the part and not without it.

Failed before: TestPartsSharedWithTwoCrashingPartsAreServed (refused for 7m59s). TestSeveralPartsTogetherExplainNothing still passes.

--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// otherCauses is the number of losses of a part that another part need not share to
-// explain it: engines are also lost for reasons that no part explains.
+// otherCauses is the number of losses of a part that need no explanation: engines are also
+// lost for reasons that no part explains.
 const otherCauses = 1
 
 // Admission is the result of a check.
@@ -104,26 +104,39 @@
 	return time.Duration(float64(period) * t.spread)
 }
 
-// isExplained reports whether another part that is not in the request was lost together with
-// p. If two parts were always in the same requests, either may be the one that crashes
-// engines: requests with both are refused, and a request with one of them shows which it is.
-// The caller holds mu.
+// isExplained reports whether other parts that are not in the request explain the losses of p:
+// one that has nearly all of them, or several that were lost only together with p. If two parts
+// were always in the same requests, either may be the one that crashes engines: requests with
+// both are refused, and a request with one of them shows which it is. The caller holds mu.
 func (t *Table) isExplained(p *part, losses []loss, request []string) bool {
+	var together []*part
 	for other, q := range t.suspects {
-		if q == p || slices.Contains(request, other) || len(distinctTimes(q.losses)) < minLosses {
+		if q == p || slices.Contains(request, other) {
 			continue
 		}
-		shared := 0
-		for _, l := range losses {
-			if q.has(l) {
-				shared++
-			}
+		own := distinctTimes(q.losses)
+		if len(own) < minLosses {
+			continue
 		}
-		if shared >= len(losses)-otherCauses {
+		if shared(losses, q) >= len(losses)-otherCauses {
 			return true
 		}
+		if shared(own, p) >= len(own)-otherCauses {
+			together = append(together, q)
+		}
+	}
+	return shared(losses, together...) >= len(losses)-otherCauses
+}
+
+// shared returns how many losses one of the parts has as well.
+func shared(losses []loss, parts ...*part) int {
+	n := 0
+	for _, l := range losses {
+		if slices.ContainsFunc(parts, func(p *part) bool { return p.has(l) }) {
+			n++
+		}
 	}
-	return false
+	return n
 }
 
 // distinctTimes returns the losses without those that coincide with the one before.
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -70,6 +70,20 @@
 	assert.Assert(t, tb.Admit([]string{"first", "deadly"}, second(4)).Refused)
 }
 
+// Two parts crash engines in turn, and neither explains all losses of the sound parts that
+// their requests share: sound requests are refused for minutes.
+func TestPartsSharedWithTwoCrashingPartsAreServed(t *testing.T) {
+	tb := newTestTable()
+	deadly := func(i int) []string { return []string{"first", fmt.Sprint("deadly-", i%2), "shared"} }
+	for i := range 6 {
+		crash(tb, i, second(float64(i)), deadly(i))
+	}
+	assert.Assert(t, tb.Check(deadly(0), second(6)).Refused)
+	assert.Assert(t, tb.Check(deadly(1), second(6)).Refused)
+	sound := tb.Check([]string{"first", "shared"}, second(6))
+	assert.Assert(t, !sound.Refused, "refused for %v", sound.Wait)
+}
+
 // Two parts that were always together: a request with one of them shows which one it is.
 func TestPartsThatWereAlwaysTogetherAreToldApart(t *testing.T) {
 	tb := newTestTable()
