feed: a change of the leader is sent at once

A control VM went on following one that no longer led, and so got no new prompt locations and no suspect parts; an entry VM that followed it first crashed an engine on a part that the others refused. A message that only named a new leader or members was recorded as sent, but left out unless the keepalive was due.

Failed before: TestLeaderChangeBetweenKeepalivesReachesTheFollower.

--- a/internal/connection/feed/changes_test.go
+++ b/internal/connection/feed/changes_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -264,6 +265,29 @@
 
 // staticSource is the source of a leader whose members do not change, or of a control VM that
 // follows another one.
+// A follower that misses a change of the leader keeps following a control VM that does not
+// lead, and shares with one that no longer does: between two keepalives, a message with
+// nothing else to send isn't sent.
+func TestLeaderChangeBetweenKeepalivesReachesTheFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &staticSource{members: []string{"c1"}, follows: "c2"}
+		f := &followerState{server: NewServer(source, NewSharedState())}
+		m, _, _ := f.nextMessage()
+		assert.Equal(t, m.GetLeader(), "c2")
+		time.Sleep(ShareInterval)
+		source.members, source.follows = []string{"c1", "c3"}, "c3"
+		leader, members := "", []string(nil)
+		for elapsed := time.Duration(0); elapsed <= KeepaliveInterval; elapsed += ShareInterval {
+			if m, _, _ := f.nextMessage(); m != nil {
+				leader, members = leader+m.GetLeader(), append(members, m.GetControlAddresses()...)
+			}
+			time.Sleep(ShareInterval)
+		}
+		assert.Equal(t, leader, "c3")
+		assert.DeepEqual(t, members, []string{"c1", "c3"})
+	})
+}
+
 type staticSource struct {
 	members []string
 	follows string
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -140,9 +140,11 @@
 	if age := time.Since(readAt); list != nil && !m.GetListContinues() && !observe.IsStale(list, age) {
 		m.ListIsFresh, m.ListAgeMs = true, uint32(age.Milliseconds())
 	}
-	f.addMembers(m)
+	urgent := f.addMembers(m)
 	now := time.Now()
-	urgent := f.addShared(m, now)
+	if f.addShared(m, now) {
+		urgent = true
+	}
 	if f.addLoads(m, now) {
 		urgent = true
 	}
@@ -155,15 +157,16 @@
 
 // addMembers adds the control VMs and the leader if they changed since the last message:
 // repeated in each, they would be most of it.
-func (f *followerState) addMembers(m *chicoryv1.FollowResponse) {
+func (f *followerState) addMembers(m *chicoryv1.FollowResponse) (changed bool) {
 	addresses, leader, leads := f.server.source.Members()
 	if !slices.Equal(addresses, f.sentMembers) {
-		m.ControlAddresses, f.sentMembers = addresses, addresses
+		m.ControlAddresses, f.sentMembers, changed = addresses, addresses, true
 	}
 	if leader != f.sentLeader {
-		m.Leader, f.sentLeader = leader, leader
+		m.Leader, f.sentLeader, changed = leader, leader, true
 	}
 	m.Leads, m.InQuorum = leads, leader != ""
+	return changed
 }
 
 // addTargets adds the complete target list to the first messages to a follower and only
