ratelimit: know and log the limits that targets name

The logs and metrics of the VMs didn't contain the limit that a target names, so they couldn't tell whether no VM knows it or only the one that received the answer. Entry VMs now decode the header, log when a target begins to name a limit, changes it or ends it, and count the targets concerned (targets.limited).

Nothing keeps to the limits yet: TestTargetsReceiveNoMoreThanTheyName still fails.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -20,6 +20,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/exchange"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
 )
 
@@ -65,7 +66,8 @@
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
 	suspects := quarantine.NewTable(quarantine.Options{Random: rand.Float64})
-	p.routingState = newRoutingState(adapter, engines, suspects, p.retryBudgets, log)
+	limits := ratelimit.NewTable(ratelimit.Options{Logger: log, Registry: registry})
+	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, log)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
 		Seeds:  settings.WithPort(s.Seeds, s.PeerPort),
@@ -101,6 +103,7 @@
 		}),
 		Loads:      loads,
 		Engines:    engines,
+		Limits:     p.routingState.limits,
 		Quarantine: p.routingState.quarantine,
 		Budget:     p.retryBudgets.forService,
 		Logger:     p.log,
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -11,6 +11,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -34,6 +35,7 @@
 	targets      *config.Holder
 	engines      *placement.EngineTable
 	quarantine   *quarantine.Table
+	limits       *ratelimit.Table
 	retryBudgets *retryBudgets
 	logger       *logging.Logger
 	// initialized is closed when a configuration and a target list are in force.
@@ -59,13 +61,14 @@
 	removedServices removedServices
 }
 
-func newRoutingState(decoder Decoder, engines *placement.EngineTable, suspects *quarantine.Table, budgets *retryBudgets, logger *logging.Logger) *routingState {
+func newRoutingState(decoder Decoder, engines *placement.EngineTable, suspects *quarantine.Table, limits *ratelimit.Table, budgets *retryBudgets, logger *logging.Logger) *routingState {
 	return &routingState{
 		decoder:      decoder,
 		declared:     &declared.Holder{},
 		targets:      &config.Holder{},
 		engines:      engines,
 		quarantine:   suspects,
+		limits:       limits,
 		retryBudgets: budgets,
 		initialized:  make(chan struct{}),
 		logger:       logger,
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -15,6 +15,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -34,7 +35,8 @@
 func newTestRoutingState() *routingState {
 	engines := placement.NewEngineTable(placement.Defaults(), "a")
 	suspects := quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }})
-	return newRoutingState(decoder{}, engines, suspects, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
+	limits := ratelimit.NewTable(ratelimit.Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()})
+	return newRoutingState(decoder{}, engines, suspects, limits, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
 }
 
 func declaration(version byte) *chicoryv1.Declaration {
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -48,6 +48,8 @@
 	TargetEjected        Event = "target_ejected"
 	TargetReturned       Event = "target_returned"
 	TargetLeaving        Event = "target_leaving"
+	TargetLimited        Event = "target_limited"
+	TargetLimitEnded     Event = "target_limit_ended"
 	ConnectionReplaced   Event = "connection_replaced"
 	RouterLost           Event = "router_lost"
 	AttemptEnded         Event = "attempt_ended"
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 )
 
 // outcome is the result of one attempt at one target.
@@ -105,6 +107,7 @@
 		return &attempt{outcome: outcomeLost, err: err}
 	}
 	s.recordLoad(address, meta)
+	s.recordLimit(ratelimit.Target{Address: address, Instance: instance}, response.Status, meta)
 	t := &attempt{status: response.Status, header: response.Header}
 	if t.body, err = response.ReadAll(s.opts.Settings.MaxResponseBytes); err != nil {
 		response.Abandon()
@@ -169,6 +172,16 @@
 
 func (e *mismatchedResponseError) Error() string { return "response is for another request: " + e.id }
 
+// recordLimit records the limit that a response names, or that it names none. A response of
+// another start of the target, or one that only the target's address shows to be of the target,
+// says nothing.
+func (s *Service) recordLimit(target ratelimit.Target, status int, r ResponseMetadata) {
+	if status == http.StatusMisdirectedRequest || math.IsNaN(r.Limit) || !r.Signed && !r.NotRun {
+		return
+	}
+	s.opts.Limits.Observe(target, r.Limit, time.Now())
+}
+
 // recordLoad records the load that a target reports.
 func (s *Service) recordLoad(address string, r ResponseMetadata) {
 	if r.Slots == 0 {
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -23,6 +23,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -103,6 +104,9 @@
 	// Running and Waiting are the numbers of requests at the target, and Slots is how
 	// many it runs concurrently. Slots is 0 if the target reports no load.
 	Running, Waiting, Slots int
+	// Limit is the number of requests per second that the target takes from all entry VMs; 0
+	// if it names none, NaN if what it names can't be read.
+	Limit float64
 }
 
 // TargetProtocol encodes and decodes the headers of a platform's target protocol. It is
@@ -204,6 +208,8 @@
 	Loads  *observe.Table
 	// Engines selects the engines of streams.
 	Engines *placement.EngineTable
+	// Limits holds the limits that targets name.
+	Limits *ratelimit.Table
 	// Quarantine refuses requests whose prompts crash engines.
 	Quarantine *quarantine.Table
 	// Budget returns the retry budget of a service.
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -25,6 +25,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -176,6 +177,7 @@
 		Picker:     orderedPicker(addresses),
 		Loads:      observe.NewTable(observe.Defaults()),
 		Engines:    engines,
+		Limits:     ratelimit.NewTable(ratelimit.Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()}),
 		Quarantine: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
 		Budget:     func(string) request.RetryBudget { return budget },
 		Logger:     logging.Discard(),
