ratelimit: keep to the limits that targets name, over all entry VMs

Cause: nothing kept to the limit; each VM chose targets by load alone. The class of fault is a bound over all VMs that no VM can keep by itself.

The leader owns the rate of each target and grants it in permits, one a request, to the VMs that have requests waiting; a permit that isn't used within a second expires, so that the sum over any window is bounded however many VMs there are. The feed carries the limits and permits; there is no second channel. VMs without contact issue themselves half of an equal share, and the leader leaves them that for a minute. Requests above the limit go to other targets; if all are limited, they wait (resumptions first, payments before lookups 3 to 1, teams in turn) or are refused at once with a Retry-After from the rate. Hedges and repeats of calls don't use permits, probes of silent engines do, backups avoid limited engines, and a limited target's refusals don't eject it.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -6,6 +6,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 )
 
 const (
@@ -37,8 +38,9 @@
 	byPrompt map[string]*chicoryv1.PromptPlace
 	// version increases with every change of the loads.
 	version uint64
-	// suspects has a lock of its own.
+	// suspects and limits have locks of their own.
 	suspects *quarantine.Table
+	limits   *ratelimit.Allocator
 }
 
 // NewSharedState returns an empty SharedState.
@@ -47,14 +49,16 @@
 		byEntry:  map[string]entryState{},
 		totals:   newTotals(),
 		byPrompt: map[string]*chicoryv1.PromptPlace{},
+		limits:   ratelimit.NewAllocator(),
 		suspects: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
 	}
 }
 
 // Update replaces the shared loads and usage of one entry VM and adds its prompt
-// locations and suspect parts.
+// locations, suspect parts and limits.
 func (s *SharedState) Update(r *chicoryv1.ShareRequest, now time.Time) {
 	s.MergeSuspects(r.GetSuspects(), now)
+	s.limits.Update(r.GetEntryId(), r.GetLimits(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
@@ -110,6 +114,8 @@
 type RemoteState struct {
 	Loads []*chicoryv1.EngineLoad
 	Uses  []*chicoryv1.ServiceUse
+	// Limits are the limits of targets that changed, and the permits for the excluded VM.
+	Limits []*chicoryv1.TargetLimit
 	// EntryVMs is the number of entry VMs, including the excluded one.
 	EntryVMs int
 }
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -55,7 +55,8 @@
 	// MergeSuspects adds what a control VM knows about parts of prompts that may crash
 	// engines. fromLeader reports whether that VM is the leader.
 	MergeSuspects(suspects []*chicoryv1.SuspectPart, fromLeader bool)
-	// LocalState returns the state that this entry VM shares: all of its loads and usage,
+	// LocalState returns the state that this entry VM shares: all of its loads and usage, the
+	// permits that it wants,
 	// and the prompt locations and suspect parts added since the last call. If all is set,
 	// the receiver has none of this entry VM yet, and the latest locations and all suspect
 	// parts are returned instead. The result is nil if there is nothing to share.
@@ -264,7 +265,7 @@
 		if err := state.applyLoads(m); err != nil {
 			return errors.Annotatef(err, "feed of control VM %s", from)
 		}
-		f.opts.Sink.SetRemoteState(RemoteState{Loads: state.loadList(), Uses: m.GetUses(), EntryVMs: int(m.GetEntries())})
+		f.opts.Sink.SetRemoteState(RemoteState{Loads: state.loadList(), Uses: m.GetUses(), Limits: m.GetLimits(), EntryVMs: int(m.GetEntries())})
 	}
 	return nil
 }
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -5,9 +5,10 @@
 //
 // The leader's feed also distributes state that entry VMs share with each other: the load
 // that they cause on engines, and the prompt locations, that is, which engine has
-// processed a prompt, and the parts of prompts that may crash engines. Loads are lost with
-// the leader and shared again with the next one; prompt locations and suspect parts are kept
-// by all control VMs.
+// processed a prompt, the parts of prompts that may crash engines, and the limits that targets
+// name with the permits for requests to them. Loads and limits are lost with the leader and
+// shared again with the next one; prompt locations and suspect parts are kept by all control
+// VMs.
 package feed
 
 import (
@@ -115,7 +116,9 @@
 	wasLeader    bool
 	loadsVersion uint64
 	sentLoads    map[string]load
-	numbers      engineNumbers
+	// limitsVersion is the version up to which the limits of targets were sent.
+	limitsVersion uint64
+	numbers       engineNumbers
 	// sentMembers and sentLeader are the members and the leader that the follower knows.
 	sentMembers []string
 	sentLeader  string
@@ -148,6 +151,9 @@
 	if f.addLoads(m, now) {
 		urgent = true
 	}
+	if f.addLimits(m, now) {
+		urgent = true
+	}
 	if m.Declaration == nil && m.Targets == nil && m.TargetChange == nil && !urgent && now.Sub(f.sentAt) < KeepaliveInterval {
 		return nil, changed, listChanged
 	}
@@ -221,6 +227,7 @@
 	}
 	if !f.wasLeader {
 		f.wasLeader, f.loadsVersion, f.sentLoads, m.LoadsAreWhole = true, 0, map[string]load{}, true
+		f.limitsVersion = 0
 		f.numbers.reset()
 	}
 	remote, version := f.server.sharedState.RemoteState(f.entryID, f.loadsVersion, now)
@@ -246,3 +253,12 @@
 	f.sentFurtherAttempts, f.sentEntryVMs = attempts, remote.EntryVMs
 	return urgent
 }
+
+// addLimits adds to a leader's message the limits of targets that changed and the permits that
+// are granted to the follower, and reports whether there are any.
+func (f *followerState) addLimits(m *chicoryv1.FollowResponse, now time.Time) bool {
+	if m.GetLeads() {
+		m.Limits, f.limitsVersion = f.server.sharedState.limits.Grant(f.entryID, f.limitsVersion, now)
+	}
+	return len(m.GetLimits()) > 0
+}
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -55,7 +55,8 @@
 // Start follows the feeds of the control VMs and serves callers.
 func Start(s Settings, adapter Adapter, log *logging.Logger) (*Process, error) {
 	registry := metrics.NewRegistry()
-	engines := placement.NewEngineTable(placement.Defaults(), string(s.AvailabilityZone))
+	limits := ratelimit.NewTable(ratelimit.Options{Logger: log, Registry: registry})
+	engines := placement.NewEngineTable(placement.Defaults(), string(s.AvailabilityZone), limits)
 	p := &Process{
 		settings:     s,
 		log:          log,
@@ -66,7 +67,6 @@
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
 	suspects := quarantine.NewTable(quarantine.Options{Random: rand.Float64})
-	limits := ratelimit.NewTable(ratelimit.Options{Logger: log, Registry: registry})
 	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, log)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
@@ -98,6 +98,7 @@
 			Holder:   p.routingState.targets,
 			Zone:     string(p.settings.AvailabilityZone),
 			Loads:    loads,
+			Limits:   p.routingState.limits,
 			Logger:   p.log,
 			Settings: routing.Defaults(),
 		}),
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -117,6 +117,7 @@
 func (r *routingState) SetRemoteState(o feed.RemoteState) {
 	r.engines.SetRemoteLoads(o.Loads)
 	r.retryBudgets.setRemoteUsage(o.Uses, o.EntryVMs)
+	r.limits.SetRemoteState(o.Limits, o.EntryVMs, time.Now())
 }
 
 // AddPromptLocations implements feed.Sink.
@@ -133,6 +134,7 @@
 func (r *routingState) LocalState(full bool) *chicoryv1.ShareRequest {
 	loads, places := r.engines.LocalState(full)
 	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage()}
+	share.Limits = r.limits.LocalState(full, time.Now())
 	if full {
 		share.Suspects, r.sharedSuspects = r.quarantine.All(time.Now())
 	} else {
@@ -274,6 +276,7 @@
 		r.logger.Error(logging.TargetListLost, logging.Fields{"reason": err})
 		return
 	}
+	r.limits.UpdateTargets(listed)
 	r.engines.Update(listed, func(name string) int {
 		if s := service(name); s != nil && s.Engine != nil {
 			return s.Engine.KVCapacityTokens
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -13,6 +13,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
@@ -33,7 +34,7 @@
 }
 
 func newTestRoutingState() *routingState {
-	engines := placement.NewEngineTable(placement.Defaults(), "a")
+	engines := placement.NewEngineTable(placement.Defaults(), "a", request.Unlimited{})
 	suspects := quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }})
 	limits := ratelimit.NewTable(ratelimit.Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()})
 	return newRoutingState(decoder{}, engines, suspects, limits, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -34,6 +34,8 @@
 	status  int
 	header  http.Header
 	body    *http1.Body
+	// limited: the target names a limit of its requests.
+	limited bool
 	err     error
 	latency time.Duration
 }
@@ -69,6 +71,8 @@
 	switch {
 	case t.outcome == outcomeAnswered && !t.isServerError():
 		return request.ResultSuccess
+	case t.outcome == outcomeNotRun && t.limited:
+		return request.ResultAbandoned // it asks for fewer requests and is not sick
 	case t.outcome == outcomeAnswered || t.outcome == outcomeNotRun:
 		return request.ResultError
 	case ctx.Err() == context.DeadlineExceeded:
@@ -108,7 +112,7 @@
 	}
 	s.recordLoad(address, meta)
 	s.recordLimit(ratelimit.Target{Address: address, Instance: instance}, response.Status, meta)
-	t := &attempt{status: response.Status, header: response.Header}
+	t := &attempt{status: response.Status, header: response.Header, limited: meta.Limit > 0}
 	if t.body, err = response.ReadAll(s.opts.Settings.MaxResponseBytes); err != nil {
 		response.Abandon()
 		t.outcome, t.err = outcomeLost, err
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -158,7 +158,7 @@
 // service returns a service over the network's targets, which also act as engines: the
 // first half in zone a, the others in zone b.
 func (w *testNetwork) service(budget request.RetryBudget, addresses ...string) (*Service, *placement.EngineTable) {
-	engines := placement.NewEngineTable(placement.Defaults(), "a")
+	engines := placement.NewEngineTable(placement.Defaults(), "a", request.Unlimited{})
 	var listed []*chicoryv1.ListedTarget
 	for i, address := range addresses {
 		zone := "a"
--- a/internal/request/exchange/once.go
+++ b/internal/request/exchange/once.go
@@ -29,7 +29,7 @@
 func (s *Service) serveNonRepeatable(ctx context.Context, w http.ResponseWriter, a *AdmittedRequest) error {
 	var tried []string
 	for {
-		p, err := s.pick(a, tried)
+		p, err := s.pickPermitted(ctx, a, tried)
 		if err != nil {
 			return fault.Of(err)
 		}
@@ -65,10 +65,11 @@
 }
 
 // pick selects a target that was not tried, or any if all were tried.
-func (s *Service) pick(a *AdmittedRequest, tried []string) (request.Placement, error) {
-	p, err := s.opts.Picker.Pick(a.work(), tried)
-	if err != nil && len(tried) > 0 {
-		return s.opts.Picker.Pick(a.work(), nil)
+func (s *Service) pick(w request.Work, tried []string) (request.Placement, error) {
+	p, err := s.opts.Picker.Pick(w, tried)
+	if fault.Is(err, fault.NoTarget) && len(tried) > 0 {
+		w.Reserved = "" // given back
+		return s.opts.Picker.Pick(w, nil)
 	}
 	return p, err
 }
--- /dev/null
+++ b/internal/request/exchange/permit.go
@@ -0,0 +1,56 @@
+package exchange
+
+import (
+	"context"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
+)
+
+// claim returns the claim of the request to a permit.
+func (a *AdmittedRequest) claim(class ratelimit.Class) *ratelimit.Claim {
+	return &ratelimit.Claim{Service: a.Service.Name, Team: a.Team, Class: class, Deadline: a.Deadline}
+}
+
+func (a *AdmittedRequest) callClass() ratelimit.Class {
+	if a.Route.RetryPolicy == declared.AtMostOnce {
+		return ratelimit.ClassAtMostOnce
+	}
+	return ratelimit.ClassOther
+}
+
+// pickPermitted selects a target for a call that has not run. If all targets limit their
+// requests, it waits for a permit.
+func (s *Service) pickPermitted(ctx context.Context, a *AdmittedRequest, tried []string) (request.Placement, error) {
+	w, claim := a.work(), a.claim(a.callClass())
+	for {
+		p, err := s.pick(w, tried)
+		if !fault.Is(err, fault.Overloaded) {
+			return p, err
+		}
+		w.Reserved, err = s.opts.Limits.Await(ctx, claim)
+		switch {
+		case ctx.Err() != nil:
+			return request.Placement{}, contextError(ctx, false)
+		case err != nil:
+			return request.Placement{}, err
+		}
+	}
+}
+
+// pickRepeat selects a target for a call that may have run or still runs elsewhere.
+func (s *Service) pickRepeat(a *AdmittedRequest, tried []string) (request.Placement, error) {
+	w := a.work()
+	w.Repeat = true
+	return s.pick(w, tried)
+}
+
+// class returns the class of the stream's claim to a permit.
+func (st *stream) class() ratelimit.Class {
+	if st.headerSent || st.lastEvent > 0 || st.possibleRuns > 0 {
+		return ratelimit.ClassResume
+	}
+	return st.a.callClass()
+}
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -20,9 +20,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels attempts that are still running
 	c := &hedgedCall{s: s, a: a, results: make(chan *attempt, a.maxAttempts()+s.opts.Settings.MaxRefusals)}
-	if err := c.startAttempt(ctx); err != nil {
+	p, err := s.pickPermitted(ctx, a, nil)
+	if err != nil {
 		return fault.Of(err)
 	}
+	c.startAttempt(ctx, p)
 	response, err := c.wait(ctx)
 	if err != nil {
 		return err
@@ -51,16 +53,28 @@
 	lost int
 }
 
-func (c *hedgedCall) startAttempt(ctx context.Context) error {
-	p, err := c.s.pick(c.a, c.tried)
-	if err != nil {
-		return err
-	}
+func (c *hedgedCall) startAttempt(ctx context.Context, p request.Placement) {
 	c.tried = append(c.tried, p.Target.GetAddress())
 	c.running++
 	c.possibleRuns++
 	go func() { c.results <- c.s.runAttempt(ctx, c.a, p) }()
-	return nil
+}
+
+// startFurther starts an attempt at another target, and reports whether there is one. Once a
+// target may have run the call, only targets without a limit are.
+func (c *hedgedCall) startFurther(ctx context.Context) bool {
+	var p request.Placement
+	var err error
+	if c.possibleRuns > 0 {
+		p, err = c.s.pickRepeat(c.a, c.tried)
+	} else {
+		p, err = c.s.pickPermitted(ctx, c.a, c.tried)
+	}
+	if err != nil {
+		return false
+	}
+	c.startAttempt(ctx, p)
+	return true
 }
 
 // wait returns the first successful response. If there is none, it returns the last
@@ -119,7 +133,7 @@
 	if c.s.quarantineError(c.a, c.possibleRuns) != nil || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
 		return false
 	}
-	if ok, _ := c.s.opts.Budget(c.a.Service.Name).Allow(request.RetryCall); !ok || c.startAttempt(ctx) != nil {
+	if ok, _ := c.s.opts.Budget(c.a.Service.Name).Allow(request.RetryCall); !ok || !c.startFurther(ctx) {
 		return false
 	}
 	c.s.metrics.retried.Inc(1)
@@ -135,7 +149,7 @@
 		return
 	}
 	if ok, _ := c.s.opts.Budget(c.a.Service.Name).Allow(request.HedgeCall); ok {
-		_ = c.startAttempt(ctx) // if no target is available, the first attempt continues alone
+		c.startFurther(ctx) // if no target is available, the first attempt continues alone
 	}
 }
 
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -79,30 +79,40 @@
 // awaitEngine selects an engine. A stream that has begun waits for one until its deadline:
 // engines may be listed or able to take it a moment later, and its caller can't be refused.
 func (st *stream) awaitEngine(ctx context.Context) (*placement.Run, *chicoryv1.ListedTarget, error) {
+	claim, reserved := st.a.claim(st.class()), ""
 	for {
-		run, from, err := st.place()
-		if err == nil || !st.headerSent {
+		run, from, err := st.place(reserved)
+		reserved = ""
+		switch {
+		case fault.Is(err, fault.Overloaded):
+			if reserved, err = st.s.opts.Limits.Await(ctx, claim); err != nil && ctx.Err() == nil {
+				return nil, nil, err
+			}
+		case err == nil || !st.headerSent:
 			return run, from, err
+		default:
+			pause.For(ctx, st.s.opts.Settings.PlaceInterval)
 		}
-		if !pause.For(ctx, st.s.opts.Settings.PlaceInterval) {
-			return nil, nil, contextError(ctx, true)
+		if ctx.Err() != nil {
+			return nil, nil, contextError(ctx, st.headerSent || st.possibleRuns > 0)
 		}
 	}
 }
 
 // place selects the engine on which the stream starts or continues. If that engine keeps
-// a copy of the run's memory, it is also returned as from.
-func (st *stream) place() (*placement.Run, *chicoryv1.ListedTarget, error) {
+// a copy of the run's memory, it is also returned as from. reserved is the address of the
+// engine that the stream has a permit for, or empty.
+func (st *stream) place(reserved string) (*placement.Run, *chicoryv1.ListedTarget, error) {
 	if from := st.backup; from != nil {
 		st.backup = nil
 		if run := st.s.opts.Engines.PlaceOnBackup(from, st.a.PromptID, st.size); run != nil {
 			return run, from, nil
 		}
 	}
-	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried}
+	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, Reserved: reserved}
 	run, err := st.s.opts.Engines.Place(req)
-	if err != nil && len(st.tried) > 0 {
-		req.Exclude = nil
+	if fault.Is(err, fault.NoTarget) && len(st.tried) > 0 {
+		req.Exclude, req.Reserved = nil, "" // given back
 		run, err = st.s.opts.Engines.Place(req)
 	}
 	return run, nil, err
--- a/internal/request/exchange/stream_probe.go
+++ b/internal/request/exchange/stream_probe.go
@@ -35,6 +35,10 @@
 func (st *stream) probeEngine(ctx context.Context, g *attemptGuard, run *placement.Run, d Dispatch) {
 	s := st.s.opts.Settings
 	for wait := st.firstProbeDelay(d); pause.For(ctx, wait) && !run.HasFirstEvent(); {
+		if !st.s.opts.Limits.Take(run.Target.GetAddress()) {
+			wait = s.ProbeInterval // a probe is a request as well
+			continue
+		}
 		alive := st.probe(ctx, run)
 		if ctx.Err() != nil || run.HasFirstEvent() {
 			return
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -15,8 +15,8 @@
 }
 
 // selectEngine returns an engine with a low score, or nil if none is eligible. If
-// excludeZone is set, the engine is for a backup: engines of that zone and engines in
-// cooldown are not eligible. For a run, engines in cooldown come last. The caller holds
+// excludeZone is set, the engine is for a backup: engines of that zone, engines in cooldown and
+// engines that limit their requests are not eligible. For a run, engines in cooldown come last. The caller holds
 // mu.
 func (e *EngineTable) selectEngine(w PlaceRequest, excludeZone string, now time.Time) *engineState {
 	eligible := e.eligible(w, excludeZone, now)
@@ -50,7 +50,7 @@
 		if x.target.GetLeaving() || slices.Contains(w.Exclude, x.target.GetAddress()) {
 			continue
 		}
-		if excludeZone != "" && (x.target.GetAvailabilityZone() == excludeZone || now.Before(x.avoidUntil)) {
+		if excludeZone != "" && (x.target.GetAvailabilityZone() == excludeZone || now.Before(x.avoidUntil) || e.limits.IsLimited(x.target.GetAddress())) {
 			continue
 		}
 		eligible = append(eligible, x)
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -15,6 +15,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
 
 // EngineTable holds this entry VM's view of the engines and their load. It is safe for
@@ -22,6 +23,7 @@
 type EngineTable struct {
 	settings Settings
 	zone     string
+	limits   request.RateLimits
 
 	mu        sync.Mutex // guards the fields below and all engines
 	byAddress map[string]*engineState
@@ -58,11 +60,13 @@
 	lost chan struct{}
 }
 
-// NewEngineTable returns an empty table for an entry VM in zone.
-func NewEngineTable(s Settings, zone string) *EngineTable {
+// NewEngineTable returns an empty table for an entry VM in zone that keeps to the limits of
+// engines.
+func NewEngineTable(s Settings, zone string, limits request.RateLimits) *EngineTable {
 	return &EngineTable{
 		settings:      s,
 		zone:          zone,
+		limits:        limits,
 		byAddress:     map[string]*engineState{},
 		byService:     map[string][]*engineState{},
 		zoneLosses:    map[string]time.Time{},
@@ -104,16 +108,19 @@
 	Prompt string
 	// Exclude lists the addresses that were already tried.
 	Exclude []string
+	// Reserved is the address of the engine that the run has a permit for, or empty.
+	Reserved string
 }
 
-// Place selects an engine for a run. It fails with the kind NoTarget.
+// Place selects an engine for a run. It fails with the kind NoTarget, or Overloaded if the
+// engines that are left limit their requests and there is no permit for any of them.
 func (e *EngineTable) Place(w PlaceRequest) (*Run, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	x := e.selectEngine(w, "", now)
-	if x == nil {
-		return nil, fault.New(fault.NoTarget, "no engine of service %s is available", w.Service)
+	x, err := e.selectPermitted(w, now)
+	if err != nil {
+		return nil, err
 	}
 	unread := w.Size.Prompt
 	if e.locations.contains(w.Prompt, x.target, now) {
@@ -124,21 +131,45 @@
 	return r, nil
 }
 
+// selectPermitted selects an engine that may get the run now. The caller holds mu.
+func (e *EngineTable) selectPermitted(w PlaceRequest, now time.Time) (*engineState, error) {
+	if w.Reserved != "" {
+		if x := e.byAddress[w.Reserved]; x != nil && slices.Contains(e.eligible(w, "", now), x) {
+			return x, nil
+		}
+		e.limits.Return(w.Reserved)
+	}
+	for limited := false; ; limited = true {
+		x := e.selectEngine(w, "", now)
+		switch {
+		case x == nil && limited:
+			return nil, fault.New(fault.Overloaded, "the engines of service %s take no more requests now", w.Service)
+		case x == nil:
+			return nil, fault.New(fault.NoTarget, "no engine of service %s is available", w.Service)
+		case e.limits.Take(x.target.GetAddress()):
+			return x, nil
+		}
+		w.Exclude = append(slices.Clip(w.Exclude), x.target.GetAddress())
+	}
+}
+
 // HasOther reports whether a run can be placed on another engine of t's service.
 func (e *EngineTable) HasOther(t *chicoryv1.ListedTarget) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w := PlaceRequest{Service: t.GetService(), Exclude: []string{t.GetAddress()}}
-	return len(e.eligible(w, "", time.Now())) > 0
+	return slices.ContainsFunc(e.eligible(w, "", time.Now()), func(x *engineState) bool {
+		return e.limits.HasRoom(x.target.GetAddress())
+	})
 }
 
 // PlaceOnBackup places a run on the engine that keeps its backup. It returns nil if the
-// engine is no longer listed, was restarted or is in cooldown.
+// engine is no longer listed, was restarted, is in cooldown or takes no more requests now.
 func (e *EngineTable) PlaceOnBackup(backup *chicoryv1.ListedTarget, prompt string, size Size) *Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x := e.byAddress[backup.GetAddress()]
-	if x == nil || x.target.GetInstance() != backup.GetInstance() || time.Now().Before(x.avoidUntil) {
+	if x == nil || x.target.GetInstance() != backup.GetInstance() || time.Now().Before(x.avoidUntil) || !e.limits.Take(backup.GetAddress()) {
 		return nil
 	}
 	r := e.startRun(x, size, 0)
--- a/internal/request/placement/engines_test.go
+++ b/internal/request/placement/engines_test.go
@@ -11,6 +11,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
 
 const service = "model"
@@ -34,7 +35,7 @@
 func engineCapacity(string) int { return 55_000 }
 
 func newEngines(zone string, list []*chicoryv1.ListedTarget) *EngineTable {
-	e := NewEngineTable(Defaults(), zone)
+	e := NewEngineTable(Defaults(), zone, request.Unlimited{})
 	e.Update(list, engineCapacity)
 	return e
 }
--- a/internal/request/placement/spread_test.go
+++ b/internal/request/placement/spread_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
 
 // cluster is a set of entry VMs that place streams on the same engines and learn of each
@@ -31,7 +32,7 @@
 		})
 	}
 	for i := range entries {
-		e := NewEngineTable(Defaults(), fmt.Sprint("zone", i%4))
+		e := NewEngineTable(Defaults(), fmt.Sprint("zone", i%4), request.Unlimited{})
 		e.Update(list, func(string) int { return 55_000 })
 		c.entries = append(c.entries, e)
 	}
--- a/internal/request/ratelimit/table_test.go
+++ b/internal/request/ratelimit/table_test.go
@@ -3,11 +3,14 @@
 import (
 	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
@@ -48,3 +51,63 @@
 	tb.Observe(desk, math.SmallestNonzeroFloat64, start)
 	assert.Equal(t, tb.rateOf(desk.Address), minRate)
 }
+
+func list(instance string) []*chicoryv1.ListedTarget {
+	return []*chicoryv1.ListedTarget{{Address: desk.Address, Instance: instance, Service: service}}
+}
+
+// A target that has started again begins without a limit, also at VMs that hear of the earlier
+// start's limit later.
+func TestRestartedTargetBeginsWithoutALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := limitedTable(2.7)
+		assert.Assert(t, !tb.Take(desk.Address))
+		tb.UpdateTargets(list("second"))
+		assert.Assert(t, tb.Take(desk.Address))
+		grant(tb, 0)
+		assert.Assert(t, tb.Take(desk.Address), "a late report of the earlier start")
+		time.Sleep(time.Millisecond)
+		tb.Observe(Target{desk.Address, "second"}, 1, time.Now())
+		assert.Assert(t, !tb.Take(desk.Address))
+	})
+}
+
+// Requests sent to a start that is gone reach the one that has its address now.
+func TestLimitHoldsForAVMWithAnOlderList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := newTestTable()
+		tb.UpdateTargets(list("earlier"))
+		grant(tb, 0)
+		assert.Assert(t, !tb.Take(desk.Address))
+		tb.UpdateTargets(list(desk.Instance))
+		assert.Assert(t, !tb.Take(desk.Address))
+	})
+}
+
+// A VM that hears nothing more must not keep a limit for ever.
+func TestLimitEndsWithoutResponses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := limitedTable(2.7)
+		time.Sleep(limitLifetime - time.Second)
+		assert.Assert(t, tb.IsLimited(desk.Address))
+		time.Sleep(time.Second)
+		assert.Assert(t, !tb.IsLimited(desk.Address))
+	})
+}
+
+// The leader must learn a limit once, and again if it changes.
+func TestLimitIsSharedWhenItChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := limitedTable(2.7)
+		shared := func(rate float64) int {
+			tb.Observe(desk, rate, time.Now())
+			time.Sleep(time.Millisecond)
+			return len(tb.LocalState(false, time.Now()))
+		}
+		assert.Equal(t, shared(2.7), 0)
+		assert.Equal(t, shared(2), 1)
+		assert.Equal(t, shared(2), 0)
+		assert.Equal(t, shared(0), 1)
+		assert.Equal(t, len(tb.LocalState(true, time.Now())), 1, "a new leader learns it")
+	})
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -23,8 +23,41 @@
 	Tokens int
 	// PrefixHash identifies the prompt prefix for cache affinity; 0 means none.
 	PrefixHash uint64
+	// Repeat means that the request may have run or runs elsewhere. It gets no permit of a
+	// target that limits its requests.
+	Repeat bool
+	// Reserved is the address of the target that the request has a permit for, or empty.
+	Reserved string
 }
 
+// RateLimits keeps the requests to each target within the rate that the target names.
+type RateLimits interface {
+	// IsLimited reports whether requests to the target at address need a permit.
+	IsLimited(address string) bool
+	// HasRoom reports whether Take would return true.
+	HasRoom(address string) bool
+	// Take reports whether a request may be sent to the target at address now, and uses a
+	// permit if one is needed.
+	Take(address string) bool
+	// Return gives back a permit that was not used.
+	Return(address string)
+}
+
+// Unlimited implements RateLimits for targets that name no limits.
+type Unlimited struct{}
+
+// IsLimited implements RateLimits.
+func (Unlimited) IsLimited(string) bool { return false }
+
+// HasRoom implements RateLimits.
+func (Unlimited) HasRoom(string) bool { return true }
+
+// Take implements RateLimits.
+func (Unlimited) Take(string) bool { return true }
+
+// Return implements RateLimits.
+func (Unlimited) Return(string) {}
+
 // Admitter decides whether a request may start now.
 type Admitter interface {
 	// Admit blocks until the request may start, at most until its deadline. An error
@@ -70,7 +103,8 @@
 // Picker chooses targets.
 type Picker interface {
 	// Pick returns a target of the work's service and version whose address is not in
-	// exclude. An error has the kind NoTarget.
+	// exclude. An error has the kind NoTarget, or Overloaded if the targets that are left
+	// limit their requests and there is no permit for any of them.
 	Pick(w Work, exclude []string) (Placement, error)
 }
 
--- a/internal/request/routing/choose.go
+++ b/internal/request/routing/choose.go
@@ -5,9 +5,54 @@
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 )
 
+// choosePermitted returns the endpoint for one attempt that may get the work now. Work that
+// would go to an ejected target waits for a permit instead.
+func (p *Picker) choosePermitted(g *group, w *request.Work, exclude []string, now time.Time) (*endpoint, error) {
+	if e := p.reserved(g, w, exclude, now); e != nil {
+		return e, nil
+	}
+	limited := false
+	for {
+		e := p.choose(g, w, exclude, now)
+		switch {
+		case limited && (e == nil || e.status(now) != usable):
+			return nil, fault.New(fault.Overloaded, "the targets of service %q take no more requests now", w.Route.GetService())
+		case e == nil:
+			return nil, p.noTargetError(*w)
+		case p.isPermitted(e, w):
+			return e, nil
+		}
+		limited = true
+		exclude = append(slices.Clip(exclude), e.target.GetAddress())
+	}
+}
+
+// reserved returns the endpoint that the work has a permit for, or nil. It gives the permit back
+// if the endpoint can't get the work.
+func (p *Picker) reserved(g *group, w *request.Work, exclude []string, now time.Time) *endpoint {
+	if w.Reserved == "" {
+		return nil
+	}
+	for _, e := range g.members() {
+		if e.target.GetAddress() == w.Reserved && e.status(now) == usable && !slices.Contains(exclude, w.Reserved) {
+			return e
+		}
+	}
+	p.opts.Limits.Return(w.Reserved)
+	return nil
+}
+
+func (p *Picker) isPermitted(e *endpoint, w *request.Work) bool {
+	if w.Repeat {
+		return !p.opts.Limits.IsLimited(e.target.GetAddress())
+	}
+	return p.opts.Limits.Take(e.target.GetAddress())
+}
+
 // choose returns the endpoint for one attempt, or nil. A target that is due for a
 // probe is preferred. Otherwise the work goes to a usable target, and to an ejected
 // one only when none is usable.
--- a/internal/request/routing/picker.go
+++ b/internal/request/routing/picker.go
@@ -28,7 +28,9 @@
 	// Routers returns the number of live routers, this one included; nil means one.
 	Routers func() int
 	// Loads is the observed state of the targets.
-	Loads  *observe.Table
+	Loads *observe.Table
+	// Limits are the limits that targets name; nil means that they name none.
+	Limits request.RateLimits
 	Logger *logging.Logger
 	// Rand returns uniform random 64-bit numbers and must be safe for concurrent use;
 	// nil selects math/rand/v2.
@@ -58,6 +60,9 @@
 	if opts.Rand == nil {
 		opts.Rand = rand.Uint64
 	}
+	if opts.Limits == nil {
+		opts.Limits = request.Unlimited{}
+	}
 	if opts.Routers == nil {
 		opts.Routers = func() int { return 1 }
 	}
@@ -126,9 +131,9 @@
 		return request.Placement{}, p.noTargetError(w)
 	}
 	g.review(now)
-	e := p.choose(g, &w, exclude, now)
-	if e == nil {
-		return request.Placement{}, p.noTargetError(w)
+	e, err := p.choosePermitted(g, &w, exclude, now)
+	if err != nil {
+		return request.Placement{}, err
 	}
 	if w.PrefixHash != 0 {
 		p.opts.Loads.Hints.Add(w.PrefixHash, e.target.GetAddress(), now)
