soak: targets name limits of their requests

Desk targets or engines name a limit of 0.5 to 10 requests a second for a burst and the pause after it. From 3 s after the first response, a target may receive 1.5 times what the limit allows in 4 s, and 5 requests, while no VM is faulty. The faults are drawn by a generator of their own, so that the plans of earlier seeds stay as they were.

--- a/test/soak/checks_of_promises_test.go
+++ b/test/soak/checks_of_promises_test.go
@@ -47,6 +47,16 @@
 	h.faults = append(h.faults, &fault{kind: kind, subject: subject, from: h.secondAt(from), to: h.secondAt(to)})
 }
 
+// addLimit adds a target that names a limit from second 10 to second 30 and receives 18 requests
+// from one second on.
+func (h scriptedHistory) addLimit(rate, from float64) {
+	l := namedLimit{target: "target 1", rate: rate, from: h.secondAt(10), to: h.secondAt(30)}
+	for i := range 18 {
+		l.received = append(l.received, h.secondAt(from+float64(i)/10))
+	}
+	h.limits = append(h.limits, l)
+}
+
 func (h scriptedHistory) addDeclaration(version int, sent, acked float64) {
 	x := &declaration{version: version, document: standin.Declaration{Version: version}.Document(), sent: h.secondAt(sent)}
 	if acked > 0 {
@@ -133,6 +143,13 @@
 			h.declarations = append(h.declarations, &declaration{version: 1, document: "a"}, &declaration{version: 1, document: "b"})
 			h.reads = append(h.reads, configRead{version: 1, document: "a"}, configRead{version: 1, document: "b"})
 		}, "two documents were read as version 1"},
+		"a target gets more requests than it names":                     {func(h scriptedHistory) { h.addLimit(2, 14) }, "names a limit of 2.0 requests a second, received 18"},
+		"a target gets more requests than it names before all VMs know": {func(h scriptedHistory) { h.addLimit(2, 11) }, ""},
+		"a target gets more requests than it names while a VM is faulty": {func(h scriptedHistory) {
+			h.addLimit(2, 14)
+			h.addFault(faultPause, "entry 2", 12, 13)
+		}, ""},
+		"a target gets what it names": {func(h scriptedHistory) { h.addLimit(3, 14) }, ""},
 		"a leaving target gets new requests": {func(h scriptedHistory) {
 			h.addFault(faultLeave, "target 1", 10, 15)
 			h.addRun("look-1", "target 1", 14, 14.1)
--- a/test/soak/harm_test.go
+++ b/test/soak/harm_test.go
@@ -124,9 +124,13 @@
 }
 
 func (tb *testbed) injectTargetFault(ctx context.Context, t *targetHost, f plannedFault) {
-	if f.kind == faultLeave {
+	switch f.kind {
+	case faultLeave:
 		tb.replaceTarget(ctx, t, f)
 		return
+	case faultLimit:
+		tb.limitTarget(ctx, t, f)
+		return
 	}
 	instance := t.changeBehavior(func(*standin.Behavior) {})
 	end := tb.history.beginFault(f.kind, instance)
@@ -190,6 +194,24 @@
 	tb.restartTarget(t)
 }
 
+// limitTarget makes a target name a limit, and records the requests that it receives meanwhile.
+func (tb *testbed) limitTarget(ctx context.Context, t *targetHost, f plannedFault) {
+	instance := t.changeBehavior(func(b *standin.Behavior) { b.Limit = f.limit })
+	if instance == "" {
+		return // the host's target has crashed
+	}
+	end := tb.history.beginFault(f.kind, instance)
+	defer end()
+	from := time.Now()
+	pause.For(ctx, f.duration)
+	received, ok := t.received(instance)
+	if !ok {
+		return // another target has started, without a limit
+	}
+	tb.history.recordLimit(namedLimit{target: instance, rate: f.limit, from: from, to: time.Now(), received: received})
+	t.changeBehavior(func(b *standin.Behavior) { b.Limit = 0 })
+}
+
 func (tb *testbed) restartTarget(t *targetHost) {
 	if err := tb.startTarget(t); err != nil {
 		tb.history.addViolation("%v", err)
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -68,6 +68,15 @@
 	document string
 }
 
+// namedLimit is a limit that a target named for some time, in requests per second, and the times
+// at which it received requests.
+type namedLimit struct {
+	target   string
+	rate     float64
+	from, to time.Time
+	received []time.Time
+}
+
 // fault is one injected fault. Its subject is a VM, a target or the list of targets.
 type fault struct {
 	kind, subject string
@@ -89,6 +98,7 @@
 	refused      map[string]bool // documents that must be refused
 	reads        []configRead
 	faults       []*fault
+	limits       []namedLimit
 	violations   []string
 	reported     map[string]bool // violations that were reported already; each is reported once
 }
@@ -184,6 +194,12 @@
 	}
 }
 
+func (h *history) recordLimit(l namedLimit) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limits = append(h.limits, l)
+}
+
 // beginFault records that a fault begins; the returned function records its end.
 func (h *history) beginFault(kind, subject string) (end func()) {
 	f := &fault{kind: kind, subject: subject, from: time.Now()}
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -28,6 +28,7 @@
 	faultSlow            = "slow"     // a target takes five times as long
 	faultBreakStreams    = "break"    // a target closes its streams after some events
 	faultLeave           = "leave"    // a target is listed as leaving, ends and is replaced
+	faultLimit           = "limit"    // a target names a limit of its requests
 	faultList            = "list"     // the list of targets can't be read
 )
 
@@ -45,6 +46,8 @@
 	// keeper, entry and target are indexes, -1 for none. A fault without any of them
 	// affects the list of targets.
 	keeper, entry, target int
+	// limit is the limit that the target names, in requests per second, for faultLimit.
+	limit float64
 }
 
 const (
@@ -58,6 +61,10 @@
 	maxFaultTime                   = 3 * time.Second
 	// minWipeInterval keeps two disk losses apart: the system tolerates one at a time.
 	minWipeInterval = 10 * time.Second
+	// limitTime is the duration of faultLimit. It covers a pause between two bursts.
+	limitTime = burstLength + burstGap + time.Second
+	// maxLimit is the highest limit that a target names, in requests per second.
+	maxLimit = 10
 )
 
 // newPlan returns randomly drawn bursts of overlapping faults, with pauses between the
@@ -117,6 +124,25 @@
 	return faults
 }
 
+// newLimitFaults returns, for some bursts, faults with which several targets of a service name
+// limits.
+func newLimitFaults(r *rand.Rand, length time.Duration, targets int) []plannedFault {
+	var plan []plannedFault
+	for begin := time.Duration(0); begin < length; begin += burstLength + burstGap {
+		first, count := 0, deskTargets
+		if r.IntN(4) == 0 {
+			first, count = deskTargets, targets-deskTargets
+		}
+		for i := range r.IntN(count + 1) {
+			plan = append(plan, plannedFault{
+				at: begin + time.Duration(r.Int64N(int64(burstLength))), duration: limitTime,
+				kind: faultLimit, keeper: -1, entry: -1, target: first + i, limit: 0.5 + r.Float64()*(maxLimit-0.5),
+			})
+		}
+	}
+	return plan
+}
+
 // randomTarget returns the index of a target; each service is drawn with the same
 // probability.
 func randomTarget(r *rand.Rand, targets int) int {
@@ -130,3 +156,6 @@
 
 // newRand returns the random number generator of a seed.
 func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+// newLimitRand returns a second generator of a seed, for the faults that newPlan doesn't draw.
+func newLimitRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -35,6 +35,11 @@
 	recoveryTimeout = 12 * time.Second
 	// maxOverlap is how long two targets may work on the same stream.
 	maxOverlap = 400 * time.Millisecond
+	// limitWindow is the time in which a target that names a limit may receive limitFactor
+	// times what the limit allows, and limitExtra requests.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
 	// timingTolerance allows for scheduling delays of the test's own clocks and
 	// goroutines.
 	timingTolerance = 500 * time.Millisecond
@@ -116,6 +121,7 @@
 	h.checkLeavingTargets()
 	h.checkCancelled()
 	h.checkOverlaps()
+	h.checkLimits()
 }
 
 // checkServedWithoutFaults checks that every valid request is served while there are
@@ -277,6 +283,31 @@
 	}
 }
 
+// checkLimits checks that a target that names a limit doesn't receive more from all entry VMs
+// together, from settleTime after it first named the limit. VMs that are faulty are excused.
+func (h *history) checkLimits() {
+	for _, l := range h.limits {
+		allowed := limitFactor*l.rate*limitWindow.Seconds() + limitExtra
+		for i, begin := range l.received {
+			if begin.Before(l.from.Add(settleTime + timingTolerance)) {
+				continue
+			}
+			n := 0
+			for _, at := range l.received[i:] {
+				if at.Sub(begin) < limitWindow && at.Before(l.to) {
+					n++
+				}
+			}
+			mayHold := func(f *fault) bool {
+				return strings.HasPrefix(f.subject, "entry") || strings.HasPrefix(f.subject, "keeper") || f.subject == l.target && f.kind != faultLimit
+			}
+			if float64(n) > allowed && h.faultFree(begin.Add(-settleTime), begin.Add(limitWindow), mayHold) {
+				h.addViolationLocked("%s, which names a limit of %.1f requests a second, received %d in %v from %s on; allowed %.0f", l.target, l.rate, n, limitWindow, h.elapsed(begin), allowed)
+			}
+		}
+	}
+}
+
 // checkGracefulStop checks that a process that stops gracefully does not interrupt
 // requests that it has read. It was told to stop at from and had exited at to. The
 // caller must not hold mu.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -18,18 +18,20 @@
 
 // seedRun is the test run of one seed.
 type seedRun struct {
-	options  options
-	rand     *rand.Rand
-	history  *history
-	testbed  *testbed
-	load     *loadGenerator
-	operator *operator
+	options options
+	rand    *rand.Rand
+	// limitRand draws the limits that targets name.
+	limitRand *rand.Rand
+	history   *history
+	testbed   *testbed
+	load      *loadGenerator
+	operator  *operator
 }
 
 // runSeed runs one seed and returns the violated guarantees. It fails if the run could
 // not be started.
 func runSeed(ctx context.Context, o options, seed uint64) ([]string, error) {
-	s := &seedRun{options: o, rand: newRand(seed)}
+	s := &seedRun{options: o, rand: newRand(seed), limitRand: newLimitRand(seed)}
 	s.history = newHistory(func(text string) { fmt.Printf("seed %d: %s\n", seed, text) })
 	var err error
 	if s.testbed, err = newTestbed(o, seed, s.rand, s.history); err != nil {
@@ -97,6 +99,7 @@
 // options.
 func (s *seedRun) runWithFaults(ctx context.Context) {
 	plan := newPlan(s.rand, s.options.faultPhase, len(s.testbed.keepers), len(s.testbed.entries), len(s.testbed.targets))
+	plan = append(plan, newLimitFaults(s.limitRand, s.options.faultPhase, len(s.testbed.targets))...)
 	workCtx, stop := context.WithCancel(ctx)
 	var tasks sync.WaitGroup
 	run := func(work func(ctx context.Context, r *rand.Rand)) {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -200,6 +201,17 @@
 	return host.target.Instance()
 }
 
+// received returns the times at which the host's target received requests, and whether it still
+// is the given instance.
+func (host *targetHost) received(instance string) (times []time.Time, ok bool) {
+	host.mu.Lock()
+	defer host.mu.Unlock()
+	if host.target == nil || host.target.Instance() != instance {
+		return nil, false
+	}
+	return host.target.Received(), true
+}
+
 // publishTargets publishes the list of all running targets.
 func (tb *testbed) publishTargets() {
 	var targets []*standin.Target
