exchange: log which attempts are of the same request

The log had the caller's ID of each attempt, which a caller that sends the same request again doesn't keep, so it couldn't show whether targets were lost to one request or to several. attempt_ended now has a key, a hash of the method, host, path, team and body. The ID of the API key is no part of it: targets can't tell the callers of a team apart.

--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -87,7 +87,7 @@
 func (s *Service) logAttempt(a *AdmittedRequest, t *attempt) {
 	fields := logging.Fields{
 		"request": a.ID, "route": a.Route.Name, "target": t.target, "ending": string(t.outcome),
-		"status": t.status, "ms": t.latency.Milliseconds(),
+		"status": t.status, "ms": t.latency.Milliseconds(), "key": a.requestKey(),
 	}
 	if t.outcome == outcomeAnswered && !t.isServerError() {
 		s.opts.Logger.Info(logging.AttemptEnded, fields)
