--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -58,6 +58,7 @@
 // locations, suspect parts and limits.
 func (s *SharedState) Update(r *chicoryv1.ShareRequest, now time.Time) {
 	s.MergeSuspects(r.GetSuspects(), now)
+	s.suspects.GrantTrials(r.GetEntryId(), r.GetSuspects(), now)
 	s.limits.Update(r.GetEntryId(), r.GetLimits(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/connection/feed/suspects_test.go
+++ b/internal/connection/feed/suspects_test.go
@@ -19,8 +19,8 @@
 func quarantinedPart(part string) *quarantine.Table {
 	table := newQuarantine()
 	for i := range 3 {
-		engine := quarantine.Engine{Address: fmt.Sprint("e", i), Instance: "i"}
-		table.RecordLoss([]string{part}, engine, time.Now().Add(time.Duration(i-3)*time.Second))
+		at := time.Now().Add(time.Duration(i-3) * time.Second)
+		table.RecordLoss([]string{part}, quarantine.Loss{Target: quarantine.Target{Address: fmt.Sprint("e", i), Instance: "i"}, SentAt: at, At: at})
 	}
 	return table
 }
@@ -65,7 +65,7 @@
 	state := NewSharedState()
 	table := newQuarantine()
 	for i := range 50 {
-		table.RecordLoss([]string{fmt.Sprint("p", i)}, quarantine.Engine{Address: "e", Instance: "i"}, time.Now())
+		table.RecordLoss([]string{fmt.Sprint("p", i)}, quarantine.Loss{Target: quarantine.Target{Address: "e", Instance: "i"}, At: time.Now()})
 	}
 	shareSuspects(table, state)
 	f := &followerState{server: NewServer(&staticSource{members: []string{"c1"}}, state), entryID: "entry2"}
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -28,6 +28,8 @@
 	NoTarget Kind = "no_target"
 	// PromptQuarantined: a part of the prompt crashes the engines that answer it.
 	PromptQuarantined Kind = "prompt_quarantined"
+	// RequestQuarantined: the request crashes the targets that run it.
+	RequestQuarantined Kind = "request_quarantined"
 	// Overloaded: the request would still be queued at its deadline.
 	Overloaded Kind = "overloaded"
 	// TeamLimit: the team has reached its own limit.
@@ -143,6 +145,7 @@
 	{NotFound, connect.CodeNotFound, http.StatusNotFound, notRun, RetryNever, 0},
 	{NoTarget, connect.CodeUnavailable, http.StatusServiceUnavailable, notRun, RetryLater, retryLater},
 	{PromptQuarantined, connect.CodeUnavailable, http.StatusServiceUnavailable, notRun, RetryLater, retryLater},
+	{RequestQuarantined, connect.CodeUnavailable, http.StatusServiceUnavailable, notRun, RetryLater, retryLater},
 	{Overloaded, connect.CodeResourceExhausted, http.StatusTooManyRequests, notRun, RetryLater, retryLater},
 	{TeamLimit, connect.CodeResourceExhausted, http.StatusTooManyRequests, notRun, RetryLater, retryLater},
 	{DeadlineNotRun, connect.CodeDeadlineExceeded, http.StatusGatewayTimeout, notRun, RetryLater, retryLater},
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -61,7 +61,7 @@
 	if t.outcome == outcomeLost && ctx.Err() == nil {
 		s.opts.Pool.CloseIdle(t.target)
 	}
-	s.recordCall(ctx, a, t, p.Target.GetInstance())
+	s.recordCall(ctx, a, t, p, begin)
 	s.logAttempt(a, t)
 	return t
 }
@@ -87,7 +87,7 @@
 func (s *Service) logAttempt(a *AdmittedRequest, t *attempt) {
 	fields := logging.Fields{
 		"request": a.ID, "route": a.Route.Name, "target": t.target, "ending": string(t.outcome),
-		"status": t.status, "ms": t.latency.Milliseconds(), "key": a.requestKey(),
+		"status": t.status, "ms": t.latency.Milliseconds(), "key": a.loggedKey(),
 	}
 	if t.outcome == outcomeAnswered && !t.isServerError() {
 		s.opts.Logger.Info(logging.AttemptEnded, fields)
--- a/internal/request/exchange/crash_evidence_test.go
+++ b/internal/request/exchange/crash_evidence_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -71,11 +72,11 @@
 		_ = w
 		for i := range 2 {
 			time.Sleep(time.Second)
-			s.opts.Quarantine.RecordLoss([]string{"deadly"}, engineStart(i), time.Now())
+			s.opts.Quarantine.RecordLoss([]string{"deadly"}, loss(i))
 		}
 		_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("deadly"))
 		time.Sleep(time.Second)
-		s.opts.Quarantine.RecordLoss([]string{"deadly"}, engineStart(3), time.Now())
+		s.opts.Quarantine.RecordLoss([]string{"deadly"}, loss(3))
 		assert.Assert(t, s.opts.Quarantine.Check([]string{"deadly"}, time.Now()).Refused)
 	})
 }
@@ -114,14 +115,14 @@
 		w, s := crashingEngines()
 		for i := range 2 {
 			time.Sleep(time.Second)
-			s.opts.Quarantine.RecordLoss([]string{"deadly"}, engineStart(i), time.Now())
+			s.opts.Quarantine.RecordLoss([]string{"deadly"}, loss(i))
 		}
 		w.set("a", w.respondWith(400, "bad request"))
 		a := withParts("deadly")
 		a.Route.Stream = false
 		_ = s.Serve(t.Context(), httptest.NewRecorder(), a)
 		time.Sleep(time.Second)
-		s.opts.Quarantine.RecordLoss([]string{"deadly"}, engineStart(3), time.Now())
+		s.opts.Quarantine.RecordLoss([]string{"deadly"}, loss(3))
 		assert.Assert(t, s.opts.Quarantine.Check([]string{"deadly"}, time.Now()).Refused)
 	})
 }
@@ -153,15 +154,19 @@
 	inVirtualTime(t, func(t *testing.T) {
 		w, s := crashingEngines()
 		_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("p"))
+		refused := 0
 		for _, a := range engineAddresses { // mended, but full for a second
-			w.set(a, refuseRequest)
+			w.set(a, func(c net.Conn, r *http.Request) {
+				refused++
+				refuseRequest(c, r)
+			})
 		}
-		time.Sleep(time.Minute)
-		err := s.Serve(t.Context(), httptest.NewRecorder(), withParts("p"))
-		t.Log(err)
+		time.Sleep(time.Second)
+		e := faultOf(t, s.serveTrial(t, httptest.NewRecorder(), withParts("p")))
+		assert.Equal(t, e.Ran, chicoryv1.Ran_RAN_NOT_RUN)
+		assert.Equal(t, refused, 1, "a trial reaches one engine")
 		w.engines(defaultEngine, engineAddresses...)
-		time.Sleep(30 * time.Second)
-		err = s.Serve(t.Context(), httptest.NewRecorder(), withParts("p"))
-		assert.NilError(t, err)
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, s.serveTrial(t, httptest.NewRecorder(), withParts("p")))
 	})
 }
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -71,8 +71,11 @@
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
 
-	// trial: a part of the prompt was in quarantine until now.
-	trial bool
+	// keys are what may crash the targets that run the request.
+	keys []string
+	// trial: one of the keys is in quarantine, and the request is sent to one target at most.
+	// tried: a target has received it.
+	trial, tried bool
 }
 
 // Dispatch holds the parameters of one attempt to send a request to a target.
@@ -210,7 +213,7 @@
 	Engines *placement.EngineTable
 	// Limits holds the limits that targets name.
 	Limits *ratelimit.Table
-	// Quarantine refuses requests whose prompts crash engines.
+	// Quarantine refuses requests that crash targets.
 	Quarantine *quarantine.Table
 	// Budget returns the retry budget of a service.
 	Budget   func(service string) request.RetryBudget
@@ -230,9 +233,9 @@
 	// Latencies in milliseconds.
 	calls, streams, firstEvent  metrics.Histogram
 	retried, resumed, truncated metrics.Counter
-	// quarantined counts refused requests, engineLosses the engines lost with a request
+	// quarantined counts refused requests, targetLosses the targets lost with a request
 	// whose answer had not begun.
-	quarantined, engineLosses metrics.Counter
+	quarantined, targetLosses metrics.Counter
 }
 
 // New returns a service.
@@ -250,7 +253,7 @@
 			truncated:  metrics.GetOrRegisterCounter("request.stream.broken_off", r),
 
 			quarantined:  metrics.GetOrRegisterCounter("request.quarantined", r),
-			engineLosses: metrics.GetOrRegisterCounter("request.engine_lost_before_answer", r),
+			targetLosses: metrics.GetOrRegisterCounter("request.engine_lost_before_answer", r),
 		},
 	}
 }
@@ -281,9 +284,10 @@
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
 	LimitWrites(w, a.Deadline)
-	if err := s.admitPrompt(a); err != nil {
+	if err := s.admitKeys(a); err != nil {
 		return err
 	}
+	defer s.endUnsentTrial(a)
 	s.opts.Budget(a.Service.Name).OnRequest()
 	if a.Route.Stream {
 		defer recordLatency(s.metrics.streams, a.ReceivedAt)
--- a/internal/request/exchange/once.go
+++ b/internal/request/exchange/once.go
@@ -44,6 +44,12 @@
 			}
 			return fault.New(fault.OutcomeUnknown, "target %s gave no whole answer: %v", t.target, t.err)
 		}
+		if a.tried {
+			return s.noTargetError(a, len(tried)+1)
+		}
+		if err := s.quarantineError(a, 0); err != nil {
+			return err
+		}
 		tried = append(tried, t.target)
 		if ctx.Err() != nil {
 			return contextError(ctx, false)
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -12,6 +13,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
@@ -21,14 +23,15 @@
 // crashes as it begins an answer may have sent the first one.
 const eventsOfBegunAnswer = 2
 
-// errPromptQuarantined ends an attempt whose prompt was found to crash engines.
-var errPromptQuarantined = errors.New("a part of the prompt is in quarantine")
+// errQuarantined ends an attempt whose request was found to crash targets.
+var errQuarantined = errors.New("the request is in quarantine")
 
-// admitPrompt refuses a request whose prompt crashes engines.
-func (s *Service) admitPrompt(a *AdmittedRequest) error {
-	admission := s.opts.Quarantine.Admit(a.SharedParts, time.Now())
+// admitKeys refuses a request that crashes targets.
+func (s *Service) admitKeys(a *AdmittedRequest) error {
+	a.keys = a.suspectKeys()
+	admission := s.opts.Quarantine.Admit(a.keys, time.Now())
 	if a.trial = admission.Trial; a.trial {
-		s.opts.Logger.Warn(logging.QuarantineTried, logging.Fields{"request": a.ID, "route": a.Route.Name, "parts": admission.Parts})
+		s.opts.Logger.Warn(logging.QuarantineTried, logging.Fields{"request": a.ID, "route": a.Route.Name, "keys": admission.Keys})
 	}
 	if !admission.Refused {
 		return nil
@@ -37,33 +40,48 @@
 	return quarantined(admission)
 }
 
-func quarantined(a quarantine.Admission) *fault.Error {
-	return fault.New(fault.PromptQuarantined, "a prompt with the parts %q crashes engines", a.Parts).WithRetryAfter(a.Wait)
+// endTrial records that a target has received a request on trial. No other target gets it.
+func (s *Service) endTrial(a *AdmittedRequest) {
+	if a.trial && !a.tried {
+		a.tried = true
+		s.opts.Quarantine.EndTrial(a.keys, true, time.Now())
+	}
 }
 
-// recordEngineLoss records that an engine was lost before it began the answer to a, and
-// logs the quarantine that follows.
-func (s *Service) recordEngineLoss(a *AdmittedRequest, engine quarantine.Engine) {
-	if len(a.SharedParts) == 0 {
-		return
+// endUnsentTrial lets another request be the trial if no target has received this one.
+func (s *Service) endUnsentTrial(a *AdmittedRequest) {
+	if a.trial && !a.tried {
+		s.opts.Quarantine.EndTrial(a.keys, false, time.Now())
 	}
-	s.metrics.engineLosses.Inc(1)
+}
+
+func quarantined(a quarantine.Admission) *fault.Error {
+	if parts := slices.DeleteFunc(slices.Clone(a.Keys), isWholeRequest); len(parts) > 0 {
+		return fault.New(fault.PromptQuarantined, "a prompt with the parts %q crashes engines", parts).WithRetryAfter(a.Wait)
+	}
+	return fault.New(fault.RequestQuarantined, "the request crashes the targets that run it").WithRetryAfter(a.Wait)
+}
+
+// recordTargetLoss records that a target was lost before it began the answer to a, and logs the
+// quarantine that follows.
+func (s *Service) recordTargetLoss(a *AdmittedRequest, target quarantine.Target, sentAt time.Time) {
+	s.metrics.targetLosses.Inc(1)
 	now := time.Now()
-	s.opts.Quarantine.RecordLoss(a.SharedParts, engine, now)
-	if admission := s.opts.Quarantine.Check(a.SharedParts, now); admission.Refused {
+	s.opts.Quarantine.RecordLoss(a.keys, quarantine.Loss{Target: target, SentAt: sentAt, At: now, Trial: a.trial})
+	if admission := s.opts.Quarantine.Check(a.keys, now); admission.Refused {
 		s.opts.Logger.Warn(logging.PartQuarantined, logging.Fields{
-			"request": a.ID, "route": a.Route.Name, "parts": admission.Parts, "ms": admission.Wait.Milliseconds(),
+			"request": a.ID, "route": a.Route.Name, "keys": admission.Keys, "ms": admission.Wait.Milliseconds(),
 		})
 	}
 }
 
-// quarantineError returns the error for a request whose prompt was found to crash engines
-// while it waited for its answer, or nil. runs is the number of targets that may have run it.
+// quarantineError returns the error for a request that was found to crash targets while it waited
+// for its answer, or nil. runs is the number of targets that may have run it.
 func (s *Service) quarantineError(a *AdmittedRequest, runs int) error {
-	if a.trial && runs == 0 {
+	if a.trial && !a.tried {
 		return nil
 	}
-	admission := s.opts.Quarantine.Check(a.SharedParts, time.Now())
+	admission := s.opts.Quarantine.Check(a.keys, time.Now())
 	if !admission.Refused {
 		return nil
 	}
@@ -86,48 +104,56 @@
 }
 
 // recordCall records whether a target that was sent a call was lost or answered it.
-func (s *Service) recordCall(ctx context.Context, a *AdmittedRequest, t *attempt, instance string) {
+func (s *Service) recordCall(ctx context.Context, a *AdmittedRequest, t *attempt, p request.Placement, sentAt time.Time) {
+	if t.outcome != outcomeNotSent {
+		s.endTrial(a)
+	}
 	switch {
 	case t.outcome == outcomeAnswered && t.status < http.StatusMultipleChoices:
-		s.opts.Quarantine.RecordBegun(a.SharedParts, time.Now())
+		s.opts.Quarantine.RecordBegun(a.keys, time.Now())
 	case t.outcome == outcomeLost && ctx.Err() == nil && isConnectionEnd(t.err):
-		s.recordEngineLoss(a, quarantine.Engine{Address: t.target, Instance: instance})
+		x := p.Target
+		s.recordTargetLoss(a, quarantine.Target{Address: x.GetAddress(), Instance: x.GetInstance(), AvailabilityZone: x.GetAvailabilityZone()}, sentAt)
 	}
 }
 
 // recordLoss records the loss of an engine that had not begun the answer. If an earlier
-// engine had begun it, the prompt is not the cause.
+// engine had begun it, the request is not the cause.
 func (st *stream) recordLoss(ctx context.Context, run *placement.Run, result attemptResult) {
+	if result.outcome != outcomeNotSent {
+		st.s.endTrial(st.a)
+	}
 	if st.begun || result.outcome != outcomeLost {
 		return
 	}
 	cause := context.Cause(ctx)
 	if cause == nil && isConnectionEnd(result.err) || errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost) {
-		st.s.recordEngineLoss(st.a, quarantine.Engine{Address: run.Target.GetAddress(), Instance: run.Target.GetInstance()})
+		x := run.Target
+		st.s.recordTargetLoss(st.a, quarantine.Target{Address: x.GetAddress(), Instance: x.GetInstance(), AvailabilityZone: x.GetAvailabilityZone()}, st.dispatchedAt)
 	}
 }
 
-// markBegun records that an engine has begun the answer, which clears the parts of the
-// prompt.
+// markBegun records that an engine has begun the answer, which clears the keys of the request.
 func (st *stream) markBegun() {
 	if st.begun {
 		return
 	}
 	st.begun = true
 	st.stopWatch()
-	st.s.opts.Quarantine.RecordBegun(st.a.SharedParts, time.Now())
+	st.s.endTrial(st.a)
+	st.s.opts.Quarantine.RecordBegun(st.a.keys, time.Now())
 }
 
 // watchQuarantine cancels the attempt if other requests show, before this one is answered,
-// that its prompt crashes engines. The returned function ends the watch.
+// that it crashes engines. The returned function ends the watch.
 func (st *stream) watchQuarantine(ctx context.Context, cancel context.CancelCauseFunc) (stop context.CancelFunc) {
 	ctx, stop = context.WithCancel(ctx)
-	if st.begun || st.a.trial || len(st.a.SharedParts) == 0 {
+	if st.begun || st.a.trial {
 		return stop
 	}
 	go func() {
-		if _, refused := st.s.opts.Quarantine.AwaitRefusal(ctx, st.a.SharedParts); refused {
-			cancel(errPromptQuarantined)
+		if _, refused := st.s.opts.Quarantine.AwaitRefusal(ctx, st.a.keys); refused {
+			cancel(errQuarantined)
 		}
 	}()
 	return stop
--- a/internal/request/exchange/quarantine_test.go
+++ b/internal/request/exchange/quarantine_test.go
@@ -18,8 +18,10 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
-func engineStart(i int) quarantine.Engine {
-	return quarantine.Engine{Address: engineAddresses[i], Instance: "earlier"}
+// loss is the loss of an earlier start of an engine now.
+func loss(i int) quarantine.Loss {
+	now := time.Now()
+	return quarantine.Loss{Target: quarantine.Target{Address: engineAddresses[i], Instance: "earlier"}, SentAt: now, At: now}
 }
 
 var engineAddresses = []string{"a", "b", "c", "d", "e", "f"}
@@ -118,7 +120,7 @@
 		synctest.Wait()
 		for i := range 3 {
 			time.Sleep(500 * time.Millisecond)
-			s.opts.Quarantine.RecordLoss([]string{"deadly"}, engineStart(i), time.Now())
+			s.opts.Quarantine.RecordLoss([]string{"deadly"}, loss(i))
 		}
 		e := faultOf(t, <-slow)
 		assert.Equal(t, e.Kind, fault.PromptQuarantined)
@@ -159,6 +161,17 @@
 	})
 }
 
+// serveTrial serves a request whose keys are in quarantine as a trial, which the leader grants
+// after one that is refused.
+func (s *Service) serveTrial(t *testing.T, rec *httptest.ResponseRecorder, a *AdmittedRequest) error {
+	t.Helper()
+	again := *a
+	assert.Assert(t, s.Serve(t.Context(), httptest.NewRecorder(), &again) != nil, "served without a trial")
+	changes, _ := s.opts.Quarantine.LocalChanges(0, time.Now())
+	s.opts.Quarantine.GrantTrials("self", changes, time.Now())
+	return s.Serve(t.Context(), rec, a)
+}
+
 // TestTrialAfterAQuarantineIsServed guards against a part that is refused for good after its
 // fault was mended.
 func TestTrialAfterAQuarantineIsServed(t *testing.T) {
@@ -166,11 +179,99 @@
 		w, s := crashingEngines()
 		_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("p"))
 		w.engines(defaultEngine, engineAddresses...)
-		w.set("a", refuseInstance) // the trial goes on to another engine
-		time.Sleep(time.Minute)
+		time.Sleep(time.Second)
 		rec := httptest.NewRecorder()
-		assert.NilError(t, s.Serve(t.Context(), rec, withParts("p")))
+		assert.NilError(t, s.serveTrial(t, rec, withParts("p")))
 		assert.Equal(t, rec.Body.String(), streamText(eventCount))
 		assert.NilError(t, s.Serve(t.Context(), httptest.NewRecorder(), withParts("p")))
 	})
 }
+
+// crashingCalls returns a service whose targets crash while they run a call.
+func crashingCalls() (*testNetwork, *Service) {
+	w := newTestNetwork()
+	for _, address := range engineAddresses {
+		w.set(address, func(net.Conn, *http.Request) {
+			w.countRun()
+			time.Sleep(50 * time.Millisecond)
+		})
+	}
+	s, _ := w.service(unlimitedBudget{}, engineAddresses...)
+	return w, s
+}
+
+// call returns a call of a team. A caller that sends it again gives it another ID.
+func call(policy declared.RetryPolicy, team, uri, body string) *AdmittedRequest {
+	a := admitted(policy, false)
+	a.PromptID, a.Team, a.URI, a.Body = "", team, uri, []byte(body)
+	a.Route.MaxAttempts = 2
+	return a
+}
+
+// TestCallThatIsSentAgainAndCrashesTargetsIsRefused guards against a call that its caller sends
+// again and again, with other IDs, each time to further targets, and against sound calls that
+// differ from it in one thing only.
+func TestCallThatIsSentAgainAndCrashesTargetsIsRefused(t *testing.T) {
+	for name, policy := range map[string]declared.RetryPolicy{"safe": declared.Retryable, "at most once": declared.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				w, s := crashingCalls()
+				var last *fault.Error
+				for range 8 {
+					last = faultOf(t, s.Serve(t.Context(), httptest.NewRecorder(), call(policy, "desk", "/x/", "deadly")))
+					time.Sleep(100 * time.Millisecond)
+				}
+				assert.Equal(t, last.Kind, fault.RequestQuarantined)
+				assert.Equal(t, last.Ran, chicoryv1.Ran_RAN_NOT_RUN)
+				assert.Assert(t, w.runs() <= 4, "%d runs", w.runs()) // three, and a hedge beside them
+				for _, sound := range []*AdmittedRequest{
+					call(policy, "desk", "/x/", "sound"), call(policy, "desk", "/y/", "deadly"), call(policy, "other", "/x/", "deadly"),
+				} {
+					for _, address := range engineAddresses {
+						w.set(address, w.respondWith(200, "answer"))
+					}
+					assert.NilError(t, s.Serve(t.Context(), httptest.NewRecorder(), sound))
+				}
+			})
+		})
+	}
+}
+
+// TestCallOnTrialReachesOneTarget guards against a trial that crashes several targets.
+func TestCallOnTrialReachesOneTarget(t *testing.T) {
+	for name, policy := range map[string]declared.RetryPolicy{"safe": declared.Retryable, "at most once": declared.AtMostOnce} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				w, s := crashingCalls()
+				for range 4 {
+					_ = s.Serve(t.Context(), httptest.NewRecorder(), call(policy, "desk", "/x/", "deadly"))
+				}
+				runs := w.runs()
+				time.Sleep(time.Second)
+				e := faultOf(t, s.serveTrial(t, httptest.NewRecorder(), call(policy, "desk", "/x/", "deadly")))
+				assert.Equal(t, e.Ran, chicoryv1.Ran_RAN_UNKNOWN)
+				assert.Equal(t, w.runs(), runs+1)
+			})
+		})
+	}
+}
+
+// TestGenerationThatIsSentAgainAndCrashesEnginesIsRefused guards against a prompt without shared
+// parts that crashes engines.
+func TestGenerationThatIsSentAgainAndCrashesEnginesIsRefused(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := crashingEngines()
+		for range 4 {
+			_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts())
+		}
+		assert.Equal(t, w.runs(), 3)
+		other := withParts()
+		other.Body = []byte("another body of the same session")
+		e := faultOf(t, s.Serve(t.Context(), httptest.NewRecorder(), other))
+		assert.Equal(t, e.Kind, fault.RequestQuarantined, "the last part may be the cause")
+		other = withParts()
+		other.Body, other.PromptID = []byte("another"), "another"
+		w.engines(defaultEngine, engineAddresses...)
+		assert.NilError(t, s.Serve(t.Context(), httptest.NewRecorder(), other))
+	})
+}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -28,8 +28,8 @@
 	// whether the response header was written.
 	lastEvent  int
 	headerSent bool
-	// begun: an engine has begun the answer, so the prompt crashes none. stopWatch ends the
-	// watch for a quarantine of the prompt.
+	// begun: an engine has begun the answer, so the request crashes none. stopWatch ends the
+	// watch for a quarantine of the request.
 	begun     bool
 	stopWatch context.CancelFunc
 	// eventsSent counts the events that were forwarded.
@@ -125,6 +125,9 @@
 		if err := st.s.quarantineError(st.a, st.possibleRuns); err != nil {
 			return err
 		}
+		if st.a.tried {
+			return st.trialError()
+		}
 	}
 	resumable := st.a.Route.RetryPolicy == declared.Resumable
 	switch {
@@ -152,6 +155,14 @@
 	}
 }
 
+// trialError returns the error for a trial that one engine has received and not begun to answer.
+func (st *stream) trialError() error {
+	if st.possibleRuns > 0 {
+		return fault.New(fault.OutcomeUnknown, "the engine on which the request was tried gave no answer")
+	}
+	return st.s.noTargetError(st.a, st.refused)
+}
+
 // finish returns the result of a stream that can't continue.
 func (st *stream) finish(ctx context.Context, err error) error {
 	switch {
--- a/internal/request/exchange/stream_log.go
+++ b/internal/request/exchange/stream_log.go
@@ -35,7 +35,7 @@
 		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
 		"ending": string(result.outcome), "status": result.status, "events": result.events, "last_event": st.lastEvent,
 		"version": st.a.Version, "copy": from != nil, "ms": time.Since(st.a.ReceivedAt).Milliseconds(),
-		"instance": run.Target.GetInstance(), "shared_parts": st.a.SharedParts, "key": st.a.requestKey(),
+		"instance": run.Target.GetInstance(), "shared_parts": st.a.SharedParts, "key": st.a.loggedKey(),
 	}
 	if result.err != nil {
 		fields["reason"] = result.err
--- a/internal/request/exchange/suspect_keys.go
+++ b/internal/request/exchange/suspect_keys.go
@@ -5,10 +5,28 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"slices"
+	"strings"
 )
 
-// requestKeyBytes is the length of the hash of a request in its key.
-const requestKeyBytes = 16
+const (
+	// requestKeyPrefix and lastPartKeyPrefix begin the keys of whole requests and of the parts
+	// of prompts that belong to one request or session. Other keys are shared parts.
+	requestKeyPrefix  = "request/"
+	lastPartKeyPrefix = "last/"
+	// requestKeyBytes is the length of the hash of a request in its key.
+	requestKeyBytes = 16
+)
+
+// suspectKeys returns what may crash the targets that run the request: the shared parts of its
+// prompt, its last part, and the whole request.
+func (a *AdmittedRequest) suspectKeys() []string {
+	keys := slices.Clone(a.SharedParts)
+	if a.PromptID != "" {
+		keys = append(keys, lastPartKeyPrefix+a.PromptID)
+	}
+	return append(keys, a.requestKey())
+}
 
 // requestKey returns the key of all requests with the same method, host, path, team and body. A
 // caller that sends one again gives it another ID. Targets can't tell the callers of a team apart.
@@ -21,5 +39,15 @@
 		_, _ = io.WriteString(h, field)
 	}
 	_, _ = h.Write(a.Body)
-	return hex.EncodeToString(h.Sum(nil)[:requestKeyBytes])
+	return requestKeyPrefix + hex.EncodeToString(h.Sum(nil)[:requestKeyBytes])
+}
+
+// loggedKey returns the key of the whole request, which shows in the log that a caller sends the
+// same request again.
+func (a *AdmittedRequest) loggedKey() string { return a.keys[len(a.keys)-1] }
+
+// isWholeRequest reports whether a key is that of a whole request or its own part of the prompt,
+// and says nothing about other requests.
+func isWholeRequest(key string) bool {
+	return strings.HasPrefix(key, requestKeyPrefix) || strings.HasPrefix(key, lastPartKeyPrefix)
 }
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -6,54 +6,77 @@
 	"time"
 )
 
-// otherCauses is the number of losses of a part that need no explanation: engines are also
-// lost for reasons that no part explains.
-const otherCauses = 1
+const (
+	// otherCauses is the number of losses of a key that need no explanation: targets are also
+	// lost for reasons that no key explains.
+	otherCauses = 1
+	// maxExplained is the number of losses from which a key is not explained by one whose
+	// requests were answered before: a request that was sound may crash targets later.
+	maxExplained = minLosses + 2
+)
 
 // Admission is the result of a check.
 type Admission struct {
-	// Refused: the request contains parts in quarantine, which ends after Wait.
+	// Refused: the request contains keys in quarantine. A further one is useful after Wait.
 	Refused bool
 	Wait    time.Duration
-	// Trial: the request contains parts whose quarantine has ended. Its answer shows
-	// whether one still crashes engines.
+	// Trial: the request contains keys in quarantine, and may be sent to one target. Its answer
+	// shows whether one still crashes targets. EndTrial must be called.
 	Trial bool
-	// Parts are the parts in quarantine or on trial. At least one of them crashes engines,
-	// or did.
-	Parts []string
+	// Keys are the keys in quarantine or on trial. At least one of them crashes targets, or did.
+	Keys []string
 }
 
-// Admit checks a request that contains parts. After one that is admitted as a trial, all VMs
-// refuse further requests for trialPeriod or until its answer begins.
-func (t *Table) Admit(parts []string, now time.Time) Admission {
-	if len(parts) == 0 {
-		return Admission{}
-	}
+// Admit checks a request that contains keys. If it is refused and might be a trial, this VM asks
+// the leader for one.
+func (t *Table) Admit(keys []string, now time.Time) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := t.check(parts, now)
-	if a.Trial {
-		for _, id := range a.Parts {
-			t.parts[id].trialAt = now
-			t.touch(t.parts[id])
+	a := t.check(keys, now)
+	for _, key := range a.Keys {
+		r := t.keys[key]
+		switch {
+		case a.Trial:
+			r.admittedAt = now
+		case !now.Before(r.trialDue()) && now.Sub(r.wantedAt) >= wantInterval:
+			r.wantedAt = now
+			t.touch(r)
 		}
 	}
 	return a
 }
 
-// Check is Admit for a request that is already at an engine: it begins no trial.
-func (t *Table) Check(parts []string, now time.Time) Admission {
+// EndTrial ends a trial. sent reports whether a target received the request; if none did,
+// another request may be admitted instead.
+func (t *Table) EndTrial(keys []string, sent bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, key := range keys {
+		r := t.keys[key]
+		if r == nil || r.admittedAt.IsZero() {
+			continue
+		}
+		r.admittedAt = time.Time{}
+		if sent {
+			r.trials, r.trialAt, r.grantedTo = r.trials+1, now, ""
+			t.touch(r)
+		}
+	}
+}
+
+// Check is Admit for a request that is already at a target: it begins no trial.
+func (t *Table) Check(keys []string, now time.Time) Admission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.check(parts, now)
+	return t.check(keys, now)
 }
 
-// AwaitRefusal waits until a request that contains parts is refused. It returns false if
+// AwaitRefusal waits until a request that contains keys is refused. It returns false if
 // ctx ends first.
-func (t *Table) AwaitRefusal(ctx context.Context, parts []string) (Admission, bool) {
+func (t *Table) AwaitRefusal(ctx context.Context, keys []string) (Admission, bool) {
 	for {
 		t.mu.Lock()
-		a, changed := t.check(parts, time.Now()), t.changed
+		a, changed := t.check(keys, time.Now()), t.changed
 		t.mu.Unlock()
 		if a.Refused {
 			return a, true
@@ -66,86 +89,119 @@
 	}
 }
 
-// check returns the admission of a request that contains parts. The caller holds mu.
-func (t *Table) check(parts []string, now time.Time) Admission {
-	var refusal, trial Admission
-	for _, id := range parts {
-		p := t.suspects[id]
-		if p == nil {
-			continue
-		}
-		losses := distinctTimes(p.losses)
-		if len(losses) < minLosses || t.isExplained(p, losses, parts) {
+// check returns the admission of a request that contains keys. The caller holds mu.
+func (t *Table) check(keys []string, now time.Time) Admission {
+	var a Admission
+	trial := true
+	for _, key := range keys {
+		r := t.suspects[key]
+		if r == nil || t.isExplained(key, r, keys) {
 			continue
 		}
-		end := losses[len(losses)-1].at.Add(t.period(len(losses)))
-		if !p.trialAt.IsZero() {
-			end = later(end, p.trialAt.Add(trialPeriod))
-		}
-		if wait := end.Sub(now); wait > 0 {
-			refusal.Refused, refusal.Wait = true, max(refusal.Wait, wait)
-			refusal.Parts = append(refusal.Parts, id)
-		} else {
-			trial.Trial, trial.Parts = true, append(trial.Parts, id)
-		}
+		a.Keys = append(a.Keys, key)
+		a.Wait = max(a.Wait, r.wait(now))
+		trial = trial && t.mayTry(r, now)
 	}
-	if refusal.Refused {
-		return refusal
+	switch {
+	case len(a.Keys) == 0:
+		return a
+	case trial:
+		return Admission{Trial: true, Keys: a.Keys}
 	}
-	return trial
+	a.Refused, a.Wait = true, time.Duration((1+t.opts.Random()/2)*float64(a.Wait))
+	return a
+}
+
+// mayTry reports whether this VM may admit a trial now.
+func (t *Table) mayTry(r *record, now time.Time) bool {
+	return r.grantedTo == t.opts.ID && t.opts.ID != "" && now.Sub(r.grantedAt) < grantLifetime && r.admittedAt.IsZero()
 }
 
-// period returns the length of the quarantine after a number of losses.
-func (t *Table) period(losses int) time.Duration {
-	period := minPeriod
-	for range losses - minLosses {
-		period = min(2*period, maxPeriod)
+// trialDue is when a trial is due. After maxTrials, it is when the losses are forgotten.
+func (r *record) trialDue() time.Time {
+	lost := 0
+	for _, l := range r.losses {
+		if l.Trial {
+			lost++
+		}
 	}
-	return time.Duration(float64(period) * t.spread)
+	last := r.losses[len(r.losses)-1].At
+	if r.trials >= maxTrials || lost >= maxTrials {
+		return last.Add(retention)
+	}
+	return later(last.Add(periods[lost]), r.trialAt.Add(undecidedPeriod))
+}
+
+// wait is the time until a further request is useful.
+func (r *record) wait(now time.Time) time.Duration {
+	return max(r.trialDue().Sub(now), wantInterval)
 }
 
-// isExplained reports whether other parts that are not in the request explain the losses of p:
-// one that has nearly all of them, or several that were lost only together with p. If two parts
-// were always in the same requests, either may be the one that crashes engines: requests with
-// both are refused, and a request with one of them shows which it is. The caller holds mu.
-func (t *Table) isExplained(p *part, losses []loss, request []string) bool {
-	var together []*part
+// isExplained reports whether other keys that are not in the request explain the losses of r,
+// the record of key. One does if it has nearly all of them, and either was always in the same
+// requests, so that a request with one of the two shows which it is, or is more suspect. Several do if they were lost only in requests with the key. The caller holds mu.
+func (t *Table) isExplained(key string, r *record, request []string) bool {
+	losses := distinct(r.losses)
+	var together []*record
 	for other, q := range t.suspects {
-		if q == p || slices.Contains(request, other) {
-			continue
-		}
-		own := distinctTimes(q.losses)
-		if len(own) < minLosses {
+		if q == r || slices.Contains(request, other) {
 			continue
 		}
-		if shared(losses, q) >= len(losses)-otherCauses {
-			return true
-		}
-		if shared(own, p) >= len(own)-otherCauses {
+		if q.isOnlyIn(r) {
 			together = append(together, q)
+		} else if len(losses) <= maxExplained && hasNearly(losses, q) && t.isMoreSuspect(other, q, key, r) {
+			return true
 		}
 	}
-	return shared(losses, together...) >= len(losses)-otherCauses
+	return hasNearly(losses, together...)
 }
 
-// shared returns how many losses one of the parts has as well.
-func shared(losses []loss, parts ...*part) int {
+// isMoreSuspect reports whether q, with about the same losses as r, is more likely to crash targets:
+// its requests have not been answered for longer or, if none ever was, it has more losses. The
+// caller holds mu.
+func (t *Table) isMoreSuspect(qKey string, q *record, rKey string, r *record) bool {
+	if a, b := t.lastBegun(qKey, q), t.lastBegun(rKey, r); !a.Equal(b) {
+		return a.Before(b)
+	}
+	return len(distinct(q.losses)) > len(distinct(r.losses))
+}
+
+// isOnlyIn reports whether the losses of r are all those of requests with the key of q.
+func (r *record) isOnlyIn(q *record) bool {
+	return !slices.ContainsFunc(r.losses, func(l loss) bool {
+		return !slices.ContainsFunc(q.losses, func(other loss) bool { return l.id == other.id })
+	})
+}
+
+// hasNearly reports whether each loss but otherCauses is in one of the records as well.
+func hasNearly(losses []loss, records ...*record) bool {
 	n := 0
 	for _, l := range losses {
-		if slices.ContainsFunc(parts, func(p *part) bool { return p.has(l) }) {
+		if slices.ContainsFunc(records, func(r *record) bool { return r.has(l) }) {
 			n++
 		}
 	}
-	return n
+	return n >= len(losses)-otherCauses
 }
 
-// distinctTimes returns the losses without those that coincide with the one before.
-func distinctTimes(losses []loss) []loss {
-	var distinct []loss
+// lastBegun is when an answer to a request with the key last began, as far as this VM knows.
+func (t *Table) lastBegun(key string, r *record) time.Time {
+	return later(t.begins.get(key), r.begunAt)
+}
+
+// distinct returns the losses without those that may have a common cause with an earlier one:
+// they coincide with it, in the same availability zone, and the request was sent before.
+func distinct(losses []loss) []loss {
+	var counted []loss
 	for _, l := range losses {
-		if n := len(distinct); n == 0 || l.at.Sub(distinct[n-1].at) >= coincidence {
-			distinct = append(distinct, l)
+		if !slices.ContainsFunc(counted, l.coincides) {
+			counted = append(counted, l)
 		}
 	}
-	return distinct
+	return counted
+}
+
+// coincides reports whether l may have a common cause with an earlier loss.
+func (l loss) coincides(earlier loss) bool {
+	return l.At.Sub(earlier.At) < coincidence && !l.follows(earlier) && l.Target.AvailabilityZone == earlier.Target.AvailabilityZone
 }
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -1,11 +1,11 @@
-// Package quarantine finds parts of prompts that crash engines, and refuses requests that
-// contain one.
+// Package quarantine finds parts of prompts and whole requests that crash targets, and refuses
+// the requests concerned.
 //
-// A part that crashes engines is in every request whose engine it ends, and no answer to a
-// request with it gets beyond its first event. Each loss also ends the other
-// requests on that engine, so every part of each of them is a suspect; a part is cleared
-// when an answer to a request with it begins. Entry VMs share losses and cleared parts
-// through the control VMs, since the requests with one part come to all of them.
+// A key is a part of prompts, or a whole request: its method, host, path, caller and body. A key
+// that crashes targets is in every request whose target it ends, and no target answers a request
+// with it. Each loss also ends the other requests at that target, so every key of each of them is
+// a suspect; a key is cleared when an answer to a request with it begins. Entry VMs share losses
+// and cleared keys through the control VMs, since the requests with one key come to all of them.
 package quarantine
 
 import (
@@ -17,173 +17,210 @@
 )
 
 const (
-	// minLosses is the number of losses at different times from which a part is in
-	// quarantine.
+	// minLosses is the number of losses from which a key is in quarantine.
 	minLosses = 3
-	// coincidence is the time within which several losses count as one: the engines of an
-	// availability zone that fail together say nothing about a part.
+	// coincidence is the time within which losses in one availability zone count as one, unless
+	// one request was sent after the loss of the other: targets that fail together say nothing
+	// about a key.
 	coincidence = 500 * time.Millisecond
-	// sameLoss is the time within which reports of the loss of one engine start are about
-	// the same loss: a VM may report late. An engine may start again under its ID, and takes
-	// longer to be lost again.
+	// sameLoss is the time within which reports of the loss of one target start are about the
+	// same loss: a VM may report late. A target may start again under its ID, and takes longer to
+	// be lost again.
 	sameLoss = 2 * time.Second
-	// minPeriod is the length of the quarantine after minLosses losses. Each further loss
-	// doubles it, up to maxPeriod.
-	minPeriod = time.Minute
-	maxPeriod = 8 * time.Minute
-	// trialPeriod is the time for which further requests wait for the result of a trial.
-	trialPeriod = 30 * time.Second
-	// retention is the time after which a further loss begins a new count. It is longer than
-	// any quarantine.
-	retention = 2 * maxPeriod
-	// maxParts and maxLossesPerPart limit the memory; the oldest are removed.
-	maxParts         = 4096
-	maxLossesPerPart = 16
+	// maxTrials is the number of requests with a key in quarantine that are sent to targets
+	// while none of them is answered.
+	maxTrials = 3
+	// firstPeriod is the length of the quarantine before the first trial, which may show at once
+	// that the losses had another cause. periods are the lengths after each trial that was lost.
+	firstPeriod = 700 * time.Millisecond
+	// undecidedPeriod is the time after a trial that was neither answered nor lost.
+	undecidedPeriod = 2 * time.Second
+	// grantLifetime is the time for which an entry VM may admit a trial that it was granted.
+	grantLifetime = 3 * time.Second
+	// sameGrant is the time within which reports are about the same grant of a trial.
+	sameGrant = time.Second
+	// wantInterval is the time after which an entry VM asks again for a trial.
+	wantInterval = 300 * time.Millisecond
+	// retention is the time after which a further loss begins a new count.
+	retention = 24 * time.Hour
+	// maxKeys and maxLossesPerKey limit the memory; the oldest are removed.
+	maxKeys         = 4096
+	maxLossesPerKey = 16
 )
 
-// Engine identifies one start of an engine.
-type Engine struct{ Address, Instance string }
+var periods = [maxTrials]time.Duration{firstPeriod, time.Minute, 10 * time.Minute}
+
+// Target identifies one start of a target.
+type Target struct{ Address, Instance, AvailabilityZone string }
+
+// Loss is the loss of a target with a request whose answer had not begun.
+type Loss struct {
+	Target Target
+	// SentAt is when the request was sent, At when the target was lost.
+	SentAt, At time.Time
+	// Trial: the request was admitted as a trial.
+	Trial bool
+}
 
 // Options configures a Table.
 type Options struct {
-	// Random returns uniformly distributed numbers from 0 up to 1. It spreads the ends of
-	// a quarantine over the entry VMs. Required.
+	// ID identifies this VM.
+	ID string
+	// Random returns uniformly distributed numbers from 0 up to 1. It spreads the times after
+	// which callers return. Required.
 	Random func() float64
 }
 
-// Table holds the suspect parts and their losses. It is safe for concurrent use.
+// Table holds the suspect keys and their losses. It is safe for concurrent use.
 type Table struct {
-	// spread is the factor by which this VM extends each quarantine, so that few VMs send
-	// a trial before its result is known to all.
-	spread float64
+	opts Options
 
-	mu    sync.Mutex // guards the fields below
-	parts map[string]*part
-	// recurrent holds the parts that had losses at different times, and that other VMs may
-	// know; suspects holds those with minLosses losses or more.
-	recurrent, suspects map[string]*part
-	// begins holds when answers began here to requests with parts that are no suspects yet.
+	mu   sync.Mutex // guards the fields below
+	keys map[string]*record
+	// recurrent holds the keys that had more than one loss, and that other VMs may know;
+	// suspects holds those with minLosses losses or more.
+	recurrent, suspects map[string]*record
+	// begins holds when answers last began here to requests with keys.
 	begins beginTimes
-	// version increases with every change of a part.
+	// version increases with every change of a record.
 	version uint64
-	// changed is closed when another part is a suspect.
+	// changed is closed when another key is a suspect.
 	changed chan struct{}
 }
 
-// part is what is known about one part of prompts.
-type part struct {
+// record is what is known about one key.
+type record struct {
 	// losses are the losses since the last answer that began, in order of their times.
 	losses []loss
-	// trialAt is when a request with the part was last admitted as a trial.
+	// trials is the number of trials that were sent since then, trialAt the time of the last one.
+	trials  uint32
 	trialAt time.Time
-	// begunAt is when an answer to a request with the part last began; the zero time if
-	// none has since the first loss. begunHere: this VM has seen it.
+	// wantedAt is when this VM last refused a request that might be a trial.
+	wantedAt time.Time
+	// grantedTo is the entry VM that may admit a trial since grantedAt.
+	grantedTo string
+	grantedAt time.Time
+	// admittedAt is when this VM admitted a trial whose result it doesn't know yet.
+	admittedAt time.Time
+	// begunAt is when an answer to a request with the key last began; the zero time if none
+	// has since the first loss. begunHere: this VM has seen it.
 	begunAt   time.Time
 	begunHere bool
-	// version is the version of the table at the last change of the part.
+	// version is the version of the table at the last change of the record.
 	version uint64
 }
 
-// loss is the loss of an engine with a request whose answer had not begun.
+// loss is a loss in a record. id is random and identifies the request.
 type loss struct {
-	// id is random and identifies the report of the loss.
-	id     uint64
-	engine Engine
-	at     time.Time
+	Loss
+	id uint64
 	// here: this VM has seen the loss.
 	here bool
 }
 
 // isSame reports whether two reports are about one loss. The time of a report grows by its
-// delay with each VM that passes it on.
+// delay with each VM that passes it on, so that only this VM's own requests show that the target
+// had started again in between.
 func (l loss) isSame(other loss) bool {
-	return l.id == other.id || l.engine == other.engine && l.at.Sub(other.at).Abs() < sameLoss
+	if l.id == other.id {
+		return true
+	}
+	if l.Target.Address != other.Target.Address || l.Target.Instance != other.Target.Instance || l.here && other.here && l.follows(other) {
+		return false
+	}
+	return l.At.Sub(other.At).Abs() < sameLoss
 }
 
+// follows reports whether the request of l was sent after the earlier loss.
+func (l loss) follows(earlier loss) bool { return !l.SentAt.Before(earlier.At) }
+
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
 	return &Table{
-		spread:    1 + opts.Random()/2,
-		parts:     map[string]*part{},
-		recurrent: map[string]*part{},
-		suspects:  map[string]*part{},
+		opts:      opts,
+		keys:      map[string]*record{},
+		recurrent: map[string]*record{},
+		suspects:  map[string]*record{},
 		changed:   make(chan struct{}),
 	}
 }
 
-// RecordLoss records the loss of an engine with a request that contains parts and whose
-// answer had not begun.
-func (t *Table) RecordLoss(parts []string, engine Engine, at time.Time) {
+// RecordLoss records the loss of a target with a request that contains keys and whose answer had
+// not begun.
+func (t *Table) RecordLoss(keys []string, l Loss) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range parts {
-		t.addLoss(id, loss{id: rand.Uint64(), engine: engine, at: at, here: true})
+	id := rand.Uint64()
+	for _, key := range keys {
+		t.addLoss(key, loss{Loss: l, id: id, here: true})
 	}
 }
 
-// RecordBegun records that an answer to a request that contains parts has begun, which
-// clears them.
-func (t *Table) RecordBegun(parts []string, at time.Time) {
+// RecordBegun records that an answer to a request that contains keys has begun, which clears
+// them.
+func (t *Table) RecordBegun(keys []string, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range parts {
-		t.begins.set(id, at)
-		if p := t.parts[id]; p != nil && t.clear(id, p, at) {
-			p.begunHere = true
+	for _, key := range keys {
+		t.begins.set(key, at)
+		if r := t.keys[key]; r != nil && t.clear(key, r, at) {
+			r.begunHere = true
 		}
 	}
 }
 
 // addLoss adds a loss that is new and later than the last answer that began. The caller
 // holds mu.
-func (t *Table) addLoss(id string, l loss) {
-	p := t.parts[id]
-	if p == nil {
-		p = t.newPart(id, l.at)
+func (t *Table) addLoss(key string, l loss) {
+	r := t.keys[key]
+	if r == nil {
+		r = t.newRecord(key, l.At)
 	}
-	if begun := t.begins.get(id); !l.at.After(begun) {
+	if begun := t.begins.get(key); !l.At.After(begun) {
 		// Another VM doesn't know of the answer that began here.
-		t.clear(id, p, begun)
-		p.begunAt, p.begunHere = later(p.begunAt, begun), true
-		t.touch(p)
+		t.clear(key, r, begun)
+		r.begunAt, r.begunHere = later(r.begunAt, begun), true
+		t.touch(r)
 		return
 	}
-	if !l.at.After(p.begunAt) || p.has(l) {
+	if !l.At.After(r.begunAt) || r.has(l) {
 		return
 	}
-	p.insert(l)
-	t.touch(p)
-	if len(distinctTimes(p.losses)) > 1 {
-		t.recurrent[id] = p
+	r.insert(l)
+	t.touch(r)
+	n := len(distinct(r.losses))
+	if n > 1 {
+		t.recurrent[key] = r
 	}
-	if len(p.losses) >= minLosses {
-		t.suspects[id] = p
+	if n >= minLosses {
+		t.suspects[key] = r
 		t.notify()
 	}
 }
 
-// clear removes the losses of a part up to the time at which an answer began, and reports
+// clear removes the losses of a key up to the time at which an answer began, and reports
 // whether there were any. The caller holds mu.
-func (t *Table) clear(id string, p *part, at time.Time) bool {
-	if !at.After(p.begunAt) {
+func (t *Table) clear(key string, r *record, at time.Time) bool {
+	if !at.After(r.begunAt) {
 		return false
 	}
-	before := len(p.losses)
-	p.losses = lossesAfter(p.losses, at)
-	if len(p.losses) == before {
+	before := len(r.losses)
+	r.losses = lossesAfter(r.losses, at)
+	if len(r.losses) == before {
 		return false
 	}
-	p.begunAt, p.begunHere, p.trialAt = at, false, time.Time{}
-	if len(p.losses) < minLosses {
-		delete(t.suspects, id)
+	r.begunAt, r.begunHere = at, false
+	r.trials, r.trialAt, r.grantedTo, r.admittedAt = 0, time.Time{}, "", time.Time{}
+	if len(distinct(r.losses)) < minLosses {
+		delete(t.suspects, key)
 	}
-	t.touch(p)
+	t.touch(r)
 	return true
 }
 
-func (t *Table) touch(p *part) {
+func (t *Table) touch(r *record) {
 	t.version++
-	p.version = t.version
+	r.version = t.version
 }
 
 // notify wakes the callers of AwaitRefusal. The caller holds mu.
@@ -192,81 +229,83 @@
 	t.changed = make(chan struct{})
 }
 
-func (p *part) has(l loss) bool {
-	return slices.ContainsFunc(p.losses, l.isSame)
+func (r *record) has(l loss) bool {
+	return slices.ContainsFunc(r.losses, l.isSame)
 }
 
 // insert adds a loss in order of its time, and removes the oldest beyond the limit.
-func (p *part) insert(l loss) {
-	if n := len(p.losses); n > 0 && l.at.Sub(p.losses[n-1].at) > retention {
-		p.losses = nil
+func (r *record) insert(l loss) {
+	if n := len(r.losses); n > 0 && l.At.Sub(r.losses[n-1].At) > retention {
+		r.losses = nil
 	}
-	i := len(p.losses)
-	for i > 0 && l.at.Before(p.losses[i-1].at) {
+	i := len(r.losses)
+	for i > 0 && l.At.Before(r.losses[i-1].At) {
 		i--
 	}
-	p.losses = slices.Insert(p.losses, i, l)
-	if excess := len(p.losses) - maxLossesPerPart; excess > 0 {
-		p.losses = slices.Delete(p.losses, 0, excess)
+	r.losses = slices.Insert(r.losses, i, l)
+	if excess := len(r.losses) - maxLossesPerKey; excess > 0 {
+		r.losses = slices.Delete(r.losses, 0, excess)
 	}
 }
 
 func lossesAfter(losses []loss, at time.Time) []loss {
-	return slices.DeleteFunc(losses, func(l loss) bool { return !l.at.After(at) })
+	return slices.DeleteFunc(losses, func(l loss) bool { return !l.At.After(at) })
 }
 
 // lastChange is the time of the last loss or, if there is none left, of the answer that
-// cleared the part.
-func (p *part) lastChange() time.Time {
-	if n := len(p.losses); n > 0 {
-		return p.losses[n-1].at
+// cleared the key.
+func (r *record) lastChange() time.Time {
+	if n := len(r.losses); n > 0 {
+		return r.losses[n-1].At
 	}
-	return p.begunAt
+	return r.begunAt
 }
 
-// newPart adds a part, and removes others if there are too many. The caller holds mu.
-func (t *Table) newPart(id string, now time.Time) *part {
-	if len(t.parts) >= maxParts {
+// newRecord adds a key, and removes others if there are too many. The caller holds mu.
+func (t *Table) newRecord(key string, now time.Time) *record {
+	if len(t.keys) >= maxKeys {
 		t.removeOld(now)
 	}
-	p := &part{}
-	t.parts[id] = p
-	return p
+	r := &record{}
+	t.keys[key] = r
+	return r
 }
 
-// removeOld removes the parts that have no losses or were lost long ago and, if there are
+// removeOld removes the keys that have no losses or were lost long ago and, if there are
 // none, the least suspect ones. The caller holds mu.
 func (t *Table) removeOld(now time.Time) {
-	for id, p := range t.parts {
-		if len(p.losses) == 0 || now.Sub(p.lastChange()) > retention {
-			t.remove(id)
+	for key, r := range t.keys {
+		if len(r.losses) == 0 || now.Sub(r.lastChange()) > retention {
+			t.remove(key)
 		}
 	}
-	if len(t.parts) < maxParts {
+	if len(t.keys) < maxKeys {
 		return
 	}
-	ids := slices.SortedFunc(maps.Keys(t.parts), t.compareSuspicion)
-	for _, id := range ids[:maxParts/8] {
-		t.remove(id)
+	keys := slices.SortedFunc(maps.Keys(t.keys), t.compareSuspicion)
+	for _, key := range keys[:maxKeys/8] {
+		t.remove(key)
 	}
 }
 
-func (t *Table) remove(id string) {
-	delete(t.parts, id)
-	delete(t.recurrent, id)
-	delete(t.suspects, id)
+func (t *Table) remove(key string) {
+	delete(t.keys, key)
+	delete(t.recurrent, key)
+	delete(t.suspects, key)
 }
 
-// compareSuspicion orders parts by whether they are recurrent, and then by their last change,
-// the least suspect first. The caller holds mu.
+// compareSuspicion orders keys by whether they are suspects, whether they are recurrent, and
+// then by their last change, the least suspect first. The caller holds mu.
 func (t *Table) compareSuspicion(a, b string) int {
-	if (t.recurrent[a] == nil) != (t.recurrent[b] == nil) {
-		if t.recurrent[a] == nil {
-			return -1
+	for _, group := range []map[string]*record{t.suspects, t.recurrent} {
+		if (group[a] == nil) != (group[b] == nil) {
+			if group[a] == nil {
+				return -1
+			}
+			return 1
 		}
-		return 1
 	}
-	return t.parts[a].lastChange().Compare(t.parts[b].lastChange())
+	return t.keys[a].lastChange().Compare(t.keys[b].lastChange())
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -13,13 +13,13 @@
 )
 
 func newTestTable() *Table {
-	return NewTable(Options{Random: func() float64 { return 0 }})
+	return NewTable(Options{ID: "self", Random: func() float64 { return 0 }})
 }
 
 // crash is the loss of one engine with all requests on it whose answers had not begun.
 func crash(tb *Table, n int, at time.Time, requests ...[]string) {
 	for _, parts := range requests {
-		tb.RecordLoss(parts, Engine{fmt.Sprintf("10.0.0.%d:80", n), fmt.Sprint("i-", n)}, at)
+		tb.RecordLoss(parts, Loss{Target: Target{Address: fmt.Sprintf("10.0.0.%d:80", n), Instance: fmt.Sprint("i-", n)}, At: at})
 	}
 }
 
@@ -36,10 +36,10 @@
 		assert.Assert(t, !tb.Admit(deadly(i), second(float64(i))).Refused, "crash %d", i)
 		crash(tb, i, second(float64(i)), deadly(i), []string{fmt.Sprint("bystander-", i)})
 	}
-	a := tb.Admit(deadly(9), second(3))
+	a := tb.Admit(deadly(9), second(2))
 	assert.Assert(t, a.Refused)
-	assert.DeepEqual(t, a.Parts, []string{"deadly"})
-	assert.Equal(t, a.Wait, minPeriod-time.Second)
+	assert.DeepEqual(t, a.Keys, []string{"deadly"})
+	assert.Equal(t, a.Wait, firstPeriod)
 	assert.Assert(t, !tb.Admit([]string{"bystander-1"}, second(3)).Refused)
 }
 
@@ -120,40 +120,6 @@
 	}
 }
 
-// A part that was refused for good would never be served again after its fault is mended.
-func TestQuarantineEndsWithATrial(t *testing.T) {
-	tb := newTestTable()
-	for i := range 3 {
-		crash(tb, i, second(float64(i)), []string{"p"})
-	}
-	end := second(2).Add(minPeriod)
-	assert.Assert(t, tb.Admit([]string{"p"}, end.Add(-time.Millisecond)).Refused)
-	a := tb.Admit([]string{"p"}, end)
-	assert.Assert(t, a.Trial && !a.Refused)
-	assert.Assert(t, tb.Admit([]string{"p"}, end).Refused, "one trial at a time")
-
-	tb.RecordBegun([]string{"p"}, end.Add(time.Second))
-	a = tb.Admit([]string{"p"}, end.Add(time.Second))
-	assert.Assert(t, !a.Trial && !a.Refused)
-}
-
-// A part that still crashes engines is tried less and less often.
-func TestEachFailedTrialDoublesTheQuarantine(t *testing.T) {
-	tb := newTestTable()
-	for i := range 3 {
-		crash(tb, i, second(float64(i)), []string{"p"})
-	}
-	now, trials := second(2), 0
-	for now.Before(second(3600)) {
-		now = now.Add(time.Second)
-		if tb.Admit([]string{"p"}, now).Trial {
-			trials++
-			crash(tb, 10+trials, now.Add(time.Second), []string{"p"})
-		}
-	}
-	assert.Assert(t, trials <= 10 && trials > 3, "%d trials in an hour", trials)
-}
-
 // Requests with the part wait at several engines when the third crash is seen.
 func TestWaitingRequestLearnsOfTheQuarantine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -259,10 +225,10 @@
 	for i := range 3 {
 		crash(tb, i, second(float64(i)), []string{"deadly"})
 	}
-	for i := range 3 * maxParts {
+	for i := range 3 * maxKeys {
 		crash(tb, 10+i, second(10), []string{fmt.Sprint("p", i)})
 	}
-	assert.Assert(t, len(tb.parts) <= maxParts)
+	assert.Assert(t, len(tb.keys) <= maxKeys)
 	assert.Assert(t, tb.Admit([]string{"deadly"}, second(11)).Refused)
 }
 
@@ -321,7 +287,7 @@
 		toOther = deliver(leader, other, false, toOther, at+3.1, 0.01)
 	}
 	for _, tb := range []*Table{leader, slow, other} {
-		assert.Assert(t, len(tb.parts["sound"].losses) <= 2, "%v", tb.parts["sound"].losses)
+		assert.Assert(t, len(tb.keys["sound"].losses) <= 2, "%v", tb.keys["sound"].losses)
 	}
 }
 
@@ -361,7 +327,7 @@
 // Thousands of parts that were lost with a zone and cleared leave no room for a new suspect.
 func TestPartThatCrashesEnginesIsFoundAfterManyCleared(t *testing.T) {
 	tb := newTestTable()
-	for i := range maxParts {
+	for i := range maxKeys {
 		id := fmt.Sprint("p", i)
 		crash(tb, i%200, second(0), []string{id})
 		crash(tb, 200+i%200, second(1), []string{id})
@@ -378,33 +344,6 @@
 	assert.Assert(t, n <= 5, "%d crashes", n)
 }
 
-// A trial that no engine takes, or whose caller leaves, must not extend the quarantine.
-func TestTrialWithoutAResultIsRepeated(t *testing.T) {
-	tb := newTestTable()
-	for i := range 3 {
-		crash(tb, i, second(float64(i)), []string{"p"})
-	}
-	end := second(2).Add(minPeriod)
-	assert.Assert(t, tb.Admit([]string{"p"}, end).Trial)
-	assert.Assert(t, tb.Admit([]string{"p"}, end.Add(trialPeriod-1)).Refused)
-	assert.Assert(t, tb.Admit([]string{"p"}, end.Add(trialPeriod)).Trial)
-}
-
-// All VMs would send a trial at the end of a quarantine.
-func TestTrialIsKnownToOtherVMs(t *testing.T) {
-	leader, a, b := newTestTable(), newTestTable(), newTestTable()
-	for i := range 3 {
-		crash(a, i, second(float64(i)), []string{"p"})
-	}
-	fromA := deliver(a, leader, true, 0, 2.1, 0.01)
-	toB := deliver(leader, b, false, 0, 2.2, 0.01)
-	end := second(2.1).Add(minPeriod)
-	assert.Assert(t, a.Admit([]string{"p"}, end).Trial)
-	deliver(a, leader, true, fromA, 62.2, 0.01)
-	deliver(leader, b, false, toB, 62.3, 0.01)
-	assert.Assert(t, b.Admit([]string{"p"}, second(62.4)).Refused)
-}
-
 // Losses that different parts explain, each some of them, are not explained by any.
 func TestSeveralPartsTogetherExplainNothing(t *testing.T) {
 	tb := newTestTable()
--- a/internal/request/quarantine/shared.go
+++ b/internal/request/quarantine/shared.go
@@ -6,42 +6,42 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 )
 
-// LocalChanges returns what this VM itself has seen of the parts that changed after version,
+// LocalChanges returns what this VM itself has seen of the keys that changed after version,
 // and the version to pass to the next call.
 func (t *Table) LocalChanges(version uint64, now time.Time) (changes []*chicoryv1.SuspectPart, next uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.changes(t.parts, version, now, true)
+	return t.changes(t.keys, version, now, true)
 }
 
-// All returns all parts, and the version to pass to the next call of LocalChanges.
-func (t *Table) All(now time.Time) (parts []*chicoryv1.SuspectPart, next uint64) {
+// All returns all keys, and the version to pass to the next call of LocalChanges.
+func (t *Table) All(now time.Time) (keys []*chicoryv1.SuspectPart, next uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.changes(t.parts, 0, now, false)
+	return t.changes(t.keys, 0, now, false)
 }
 
-// RecurrentChanges returns the parts that changed after version and had losses at different
-// times, and the version to pass to the next call. Most other parts are those of requests
-// that happened to be on the same engine.
+// RecurrentChanges returns the keys that changed after version and had more than one loss, and
+// the version to pass to the next call. Most other keys are those of requests that happened to
+// be at the same target.
 func (t *Table) RecurrentChanges(version uint64, now time.Time) (changes []*chicoryv1.SuspectPart, next uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.changes(t.recurrent, version, now, false)
 }
 
-// changes returns those of parts that changed after version. With localOnly, they contain only
+// changes returns those of records that changed after version. With localOnly, they contain only
 // what this VM itself has seen. The caller holds mu.
-func (t *Table) changes(parts map[string]*part, version uint64, now time.Time, localOnly bool) (changes []*chicoryv1.SuspectPart, next uint64) {
+func (t *Table) changes(records map[string]*record, version uint64, now time.Time, localOnly bool) (changes []*chicoryv1.SuspectPart, next uint64) {
 	if t.version == version {
 		return nil, version
 	}
-	for id, p := range parts {
+	for key, r := range records {
 		switch {
-		case now.Sub(p.lastChange()) > retention:
-			t.remove(id)
-		case p.version > version:
-			if s := p.encode(id, now, localOnly); len(s.GetLosses()) > 0 || s.GetBegunAgeMs() > 0 || s.GetTrialAgeMs() > 0 {
+		case now.Sub(r.lastChange()) > retention:
+			t.remove(key)
+		case r.version > version:
+			if s := r.encode(key, now, localOnly); len(s.GetLosses()) > 0 || s.GetBegunAgeMs() > 0 || s.GetTrials() > 0 || s.GetWantsTrial() {
 				changes = append(changes, s)
 			}
 		}
@@ -49,27 +49,33 @@
 	return changes, t.version
 }
 
-func (p *part) encode(id string, now time.Time, localOnly bool) *chicoryv1.SuspectPart {
-	s := &chicoryv1.SuspectPart{Part: id}
-	for _, l := range p.losses {
+func (r *record) encode(key string, now time.Time, localOnly bool) *chicoryv1.SuspectPart {
+	s := &chicoryv1.SuspectPart{Part: key, Trials: r.trials}
+	for _, l := range r.losses {
 		if l.here || !localOnly {
 			s.Losses = append(s.Losses, &chicoryv1.EngineLoss{
-				Address: l.engine.Address, Instance: l.engine.Instance, AgeMs: ageMs(now, l.at), Id: l.id,
+				Address: l.Target.Address, Instance: l.Target.Instance, AvailabilityZone: l.Target.AvailabilityZone,
+				AgeMs: ageMs(now, l.At), DurationMs: ageMs(l.At, l.SentAt), Id: l.id, Trial: l.Trial,
 			})
 		}
 	}
-	if !p.begunAt.IsZero() && (p.begunHere || !localOnly) {
-		s.BegunAgeMs = ageMs(now, p.begunAt) + 1
+	if !r.begunAt.IsZero() && (r.begunHere || !localOnly) {
+		s.BegunAgeMs = ageMs(now, r.begunAt) + 1
 	}
-	if !p.trialAt.IsZero() {
-		s.TrialAgeMs = ageMs(now, p.trialAt) + 1
+	if !r.trialAt.IsZero() {
+		s.TrialAgeMs = ageMs(now, r.trialAt) + 1
+	}
+	if localOnly {
+		s.WantsTrial = !r.wantedAt.IsZero() && now.Sub(r.wantedAt) < wantInterval
+	} else if r.grantedTo != "" {
+		s.GrantedTo, s.GrantedAgeMs = r.grantedTo, ageMs(now, r.grantedAt)
 	}
 	return s
 }
 
 func ageMs(now, at time.Time) uint32 { return uint32(max(now.Sub(at), 0).Milliseconds()) }
 
-// Merge adds what other VMs know about parts. Merging the same again changes nothing.
+// Merge adds what other VMs know about keys. Merging the same again changes nothing.
 func (t *Table) Merge(suspects []*chicoryv1.SuspectPart, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -78,24 +84,52 @@
 	}
 }
 
-// merge adds what another VM knows about one part. The caller holds mu.
+// merge adds what another VM knows about one key. The caller holds mu.
 func (t *Table) merge(s *chicoryv1.SuspectPart, now time.Time) {
-	id := s.GetPart()
-	if p := t.parts[id]; p != nil && s.GetBegunAgeMs() > 0 {
-		t.clear(id, p, before(now, s.GetBegunAgeMs()-1))
+	key := s.GetPart()
+	if r := t.keys[key]; r != nil && s.GetBegunAgeMs() > 0 {
+		t.clear(key, r, before(now, s.GetBegunAgeMs()-1))
 	}
 	for _, l := range s.GetLosses() {
-		if at := before(now, l.GetAgeMs()); now.Sub(at) <= retention {
-			t.addLoss(id, loss{id: l.GetId(), engine: Engine{l.GetAddress(), l.GetInstance()}, at: at})
+		at := before(now, l.GetAgeMs())
+		if now.Sub(at) > retention {
+			continue
 		}
+		t.addLoss(key, loss{id: l.GetId(), Loss: Loss{
+			Target: Target{l.GetAddress(), l.GetInstance(), l.GetAvailabilityZone()},
+			SentAt: before(at, l.GetDurationMs()), At: at, Trial: l.GetTrial(),
+		}})
+	}
+	if r := t.keys[key]; r != nil && len(r.losses) > 0 {
+		t.mergeTrials(r, s, now)
+	}
+}
+
+// mergeTrials adds what another VM knows about the trials of a key. The caller holds mu.
+func (t *Table) mergeTrials(r *record, s *chicoryv1.SuspectPart, now time.Time) {
+	if s.GetTrials() > r.trials {
+		r.trials, r.trialAt, r.grantedTo = s.GetTrials(), before(now, s.GetTrialAgeMs()), ""
+		t.touch(r)
 	}
-	p := t.parts[id]
-	if p == nil || s.GetTrialAgeMs() == 0 {
-		return
+	granted := before(now, s.GetGrantedAgeMs())
+	if s.GetGrantedTo() != "" && s.GetTrials() == r.trials && granted.Sub(r.grantedAt) > sameGrant {
+		r.grantedTo, r.grantedAt = s.GetGrantedTo(), granted
+		t.touch(r)
 	}
-	if at := before(now, s.GetTrialAgeMs()-1); len(p.losses) > 0 && at.Sub(p.trialAt) > trialPeriod/2 {
-		p.trialAt = at
-		t.touch(p)
+}
+
+// GrantTrials lets an entry VM admit the trials that it wants, if they are due and no other VM
+// may admit one. Only the leader calls it: all trials of a key are counted together.
+func (t *Table) GrantTrials(entry string, suspects []*chicoryv1.SuspectPart, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range suspects {
+		r := t.suspects[s.GetPart()]
+		if r == nil || !s.GetWantsTrial() || now.Before(r.trialDue()) || r.grantedTo != "" && now.Sub(r.grantedAt) < 2*grantLifetime {
+			continue
+		}
+		r.grantedTo, r.grantedAt = entry, now
+		t.touch(r)
 	}
 }
 
--- /dev/null
+++ b/internal/request/quarantine/trial_test.go
@@ -0,0 +1,212 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+)
+
+// group is a leader's table and those of entry VMs that exchange changes with it.
+type group struct {
+	leader  *Table
+	entries []*Table
+	// toLeader and toEntry are the versions up to which changes were sent.
+	toLeader, toEntry []uint64
+}
+
+func newGroup(entries int) *group {
+	g := &group{leader: newTestTable(), toLeader: make([]uint64, entries), toEntry: make([]uint64, entries)}
+	for i := range entries {
+		g.entries = append(g.entries, NewTable(Options{ID: fmt.Sprint(i), Random: func() float64 { return 0 }}))
+	}
+	return g
+}
+
+// exchange sends the changes of all entry VMs to the leader, and those of the leader to them.
+func (g *group) exchange(now time.Time) {
+	var changes []*chicoryv1.SuspectPart
+	for i, e := range g.entries {
+		changes, g.toLeader[i] = e.LocalChanges(g.toLeader[i], now)
+		g.leader.Merge(changes, now)
+		g.leader.GrantTrials(fmt.Sprint(i), changes, now)
+	}
+	for i, e := range g.entries {
+		changes, g.toEntry[i] = g.leader.RecurrentChanges(g.toEntry[i], now)
+		e.Merge(changes, now)
+	}
+}
+
+// loseTargets records losses of targets with the key, one a second from second 0 on, at entry VMs in turn.
+func (g *group) loseTargets(key string, losses int) {
+	for i := range losses {
+		crash(g.entries[i%len(g.entries)], i, second(float64(i)), []string{key})
+		g.exchange(second(float64(i) + 0.1))
+	}
+}
+
+// awaitTrial lets requests with the key come to all entry VMs until one is admitted as a trial.
+func (g *group) awaitTrial(t *testing.T, key string, now, limit time.Time) (entry int, at time.Time) {
+	t.Helper()
+	for ; now.Before(limit); now = now.Add(100 * time.Millisecond) {
+		for i, e := range g.entries {
+			switch a := e.Admit([]string{key}, now); {
+			case a.Trial:
+				return i, now
+			case !a.Refused:
+				t.Fatalf("admitted without a trial at %v", now.Sub(start))
+			}
+		}
+		g.exchange(now)
+	}
+	return -1, now
+}
+
+// A key that was refused for good would never be served again after its fault is mended.
+func TestQuarantineEndsWithATrial(t *testing.T) {
+	g := newGroup(3)
+	g.loseTargets("p", 3)
+	entry, at := g.awaitTrial(t, "p", second(2.1), second(10))
+	assert.Assert(t, entry >= 0)
+	assert.Assert(t, at.Sub(second(2)) >= firstPeriod && at.Sub(second(2)) < 2*time.Second, "%v", at.Sub(second(2)))
+	for i, e := range g.entries {
+		assert.Assert(t, e.Admit([]string{"p"}, at).Refused, "one trial at a time, entry VM %d", i)
+	}
+	g.entries[entry].EndTrial([]string{"p"}, true, at)
+	g.entries[entry].RecordBegun([]string{"p"}, at.Add(time.Millisecond))
+	g.exchange(at.Add(100 * time.Millisecond))
+	for i, e := range g.entries {
+		a := e.Admit([]string{"p"}, at.Add(time.Second))
+		assert.Assert(t, !a.Trial && !a.Refused, "entry VM %d", i)
+	}
+}
+
+// A key that still crashes targets is tried three times, over all VMs, and no more: the users
+// allow three retries without an end in time.
+func TestKeyThatStillCrashesTargetsIsTriedThreeTimes(t *testing.T) {
+	g := newGroup(3)
+	g.loseTargets("p", 3)
+	now, trials := second(2.1), 0
+	for now.Before(second(6 * 3600)) {
+		entry, at := g.awaitTrial(t, "p", now, now.Add(time.Minute))
+		now = at
+		if entry < 0 {
+			now = now.Add(5 * time.Minute)
+			g.exchange(now)
+			continue
+		}
+		trials++
+		g.entries[entry].EndTrial([]string{"p"}, true, at)
+		engine := Target{Address: fmt.Sprint("10.0.1.", trials), Instance: "i"}
+		g.entries[entry].RecordLoss([]string{"p"}, Loss{Target: engine, SentAt: at, At: at.Add(time.Second), Trial: true})
+	}
+	assert.Equal(t, trials, maxTrials)
+}
+
+// A trial that reaches no target, since all are lost, must not use up the trials of a sound key.
+func TestTrialThatIsNotSentIsRepeated(t *testing.T) {
+	g := newGroup(3)
+	g.loseTargets("p", 3)
+	now := second(2.1)
+	for range 2 * maxTrials {
+		entry, at := g.awaitTrial(t, "p", now, now.Add(20*time.Second))
+		assert.Assert(t, entry >= 0)
+		g.entries[entry].EndTrial([]string{"p"}, false, at)
+		now = at.Add(time.Second)
+	}
+}
+
+// A trial whose target neither answers nor ends is followed by another one soon.
+func TestTrialWithoutAResultIsRepeated(t *testing.T) {
+	g := newGroup(3)
+	g.loseTargets("p", 3)
+	entry, at := g.awaitTrial(t, "p", second(2.1), second(10))
+	g.entries[entry].EndTrial([]string{"p"}, true, at)
+	_, again := g.awaitTrial(t, "p", at.Add(100*time.Millisecond), at.Add(20*time.Second))
+	assert.Assert(t, again.Sub(at) >= undecidedPeriod && again.Sub(at) < 5*time.Second, "%v", again.Sub(at))
+}
+
+// The next leader must not grant further trials than the lost one.
+func TestTrialsAreCountedAcrossLeaders(t *testing.T) {
+	g := newGroup(2)
+	g.loseTargets("p", 3)
+	now, trials := second(2.1), 0
+	for range 4 {
+		entry, at := g.awaitTrial(t, "p", now, now.Add(30*time.Minute))
+		now = at.Add(time.Second)
+		if entry >= 0 {
+			trials++
+			g.entries[entry].EndTrial([]string{"p"}, true, at)
+			g.entries[entry].RecordLoss([]string{"p"}, Loss{Target: Target{Address: fmt.Sprint(trials)}, SentAt: at, At: at, Trial: true})
+		}
+		g.leader = newTestTable()
+		for i, e := range g.entries {
+			var all []*chicoryv1.SuspectPart
+			all, g.toLeader[i] = e.All(now)
+			g.leader.Merge(all, now)
+			g.toEntry[i] = 0
+		}
+	}
+	assert.Equal(t, trials, maxTrials)
+}
+
+// A call that is sent again as soon as its target is lost crashes three within 200 ms.
+func TestLossesInSequenceAreNoCoincidence(t *testing.T) {
+	tb := newTestTable()
+	lose := func(i int, sent, at float64, zone string) {
+		tb.RecordLoss([]string{"call"}, Loss{Target: Target{Address: fmt.Sprint(i), AvailabilityZone: zone}, SentAt: second(sent), At: second(at)})
+	}
+	lose(0, 0, 0.05, "a")
+	lose(1, 0.05, 0.1, "a")
+	assert.Assert(t, !tb.Admit([]string{"call"}, second(0.1)).Refused)
+	lose(2, 0.1, 0.15, "a")
+	assert.Assert(t, tb.Admit([]string{"call"}, second(0.15)).Refused)
+}
+
+// The same call at once at three entry VMs crashes a target in each zone.
+func TestLossesInSeveralZonesAreNoCoincidence(t *testing.T) {
+	tb := newTestTable()
+	for i, zone := range []string{"a", "b", "c"} {
+		assert.Assert(t, !tb.Admit([]string{"call"}, second(0)).Refused)
+		tb.RecordLoss([]string{"call"}, Loss{Target: Target{Address: fmt.Sprint(i), AvailabilityZone: zone}, SentAt: second(0), At: second(0.05)})
+	}
+	assert.Assert(t, tb.Admit([]string{"call"}, second(0.1)).Refused)
+}
+
+// A popular call is at every target that a deadly one crashes. It was answered before, and must
+// not be refused with it, or instead of it.
+func TestPopularCallIsServedBesideADeadlyOne(t *testing.T) {
+	tb := newTestTable()
+	tb.RecordBegun([]string{"popular"}, second(0))
+	for i := range 3 {
+		crash(tb, i, second(1+float64(i)), []string{"popular"}, []string{"deadly"})
+	}
+	assert.Assert(t, tb.Admit([]string{"deadly"}, second(4)).Refused)
+	assert.Assert(t, !tb.Admit([]string{"popular"}, second(4)).Refused)
+}
+
+// A VM that has just started has seen no answer: it must not let the deadly call through.
+func TestNewVMRefusesADeadlyCallBesideAPopularOne(t *testing.T) {
+	tb, late := newTestTable(), newTestTable()
+	tb.RecordBegun([]string{"popular"}, second(0))
+	for i := range 3 {
+		crash(tb, i, second(1+float64(i)), []string{"popular"}, []string{"deadly"})
+	}
+	share(tb, late, second(4))
+	assert.Assert(t, late.Admit([]string{"deadly"}, second(4)).Refused)
+}
+
+// A call that was sound begins to crash targets, beside others that were answered before it.
+func TestCallThatWasSoundIsFound(t *testing.T) {
+	tb := newTestTable()
+	tb.RecordBegun([]string{"other"}, second(0))
+	tb.RecordBegun([]string{"popular"}, second(0.5))
+	n := 0
+	for ; n < 10 && !tb.Admit([]string{"popular"}, second(float64(n+1))).Refused; n++ {
+		crash(tb, n, second(float64(n+1)), []string{"popular"}, []string{"other"})
+	}
+	assert.Assert(t, n <= maxExplained+1, "%d crashes", n)
+}
