routing: a target that another start has replaced gets no work for a second

Cause: a 421 counted as one of five errors in a row that eject a target; with the share of targets that may be ejected, most were never out of use. Engines already had a pause after a 421.

--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -71,6 +71,8 @@
 	switch {
 	case t.outcome == outcomeAnswered && !t.isServerError():
 		return request.ResultSuccess
+	case t.outcome == outcomeNotRun && t.status == http.StatusMisdirectedRequest:
+		return request.ResultReplaced
 	case t.outcome == outcomeNotRun && t.limited:
 		return request.ResultAbandoned // it asks for fewer requests and is not sick
 	case t.outcome == outcomeAnswered || t.outcome == outcomeNotRun:
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -88,6 +88,9 @@
 	ResultSilent
 	// ResultReset means that the connection was broken or could not be established.
 	ResultReset
+	// ResultReplaced means that another start of a target than the listed one responded at its
+	// address.
+	ResultReplaced
 	// ResultAbandoned means that the attempt ended for a reason unrelated to the target.
 	ResultAbandoned
 )
--- a/internal/request/routing/endpoint.go
+++ b/internal/request/routing/endpoint.go
@@ -42,6 +42,9 @@
 	// nextStallProbeAt is the Unix time in nanoseconds before which calls avoid the
 	// target while it is stalled.
 	nextStallProbeAt atomic.Int64
+	// replacedUntil is the Unix time in nanoseconds until which the target gets no work, because
+	// another start has its address. A list with that start ends it.
+	replacedUntil atomic.Int64
 	// lastSuccess is the Unix time in nanoseconds of the last success.
 	lastSuccess atomic.Int64
 
@@ -175,7 +178,7 @@
 
 // status returns the endpoint's status at now.
 func (e *endpoint) status(now time.Time) status {
-	if _, leaving := e.state.Leaving(); leaving || e.hasWrongVersion() {
+	if _, leaving := e.state.Leaving(); leaving || e.hasWrongVersion() || now.UnixNano() < e.replacedUntil.Load() {
 		return unavailable
 	}
 	if e.ejectedUntil.Load() != 0 || e.isDead(now) {
@@ -209,6 +212,10 @@
 	return now.UnixNano() >= next && e.nextProbeAt.CompareAndSwap(next, now.Add(interval).UnixNano())
 }
 
+// replacedPause is how long a target gets no work after another start has responded at its
+// address. The list shows the other one a second or two later.
+const replacedPause = time.Second
+
 // lateLatencyFactor is the time without a response from which an abandoned attempt
 // counts as late, as a multiple of the mean latency.
 const lateLatencyFactor = 2
@@ -222,6 +229,10 @@
 	if r == request.ResultAbandoned {
 		return e.recordAbandoned(elapsed, s)
 	}
+	if r == request.ResultReplaced {
+		e.replacedUntil.Store(time.Now().Add(replacedPause).UnixNano())
+		return ""
+	}
 	if r == request.ResultSilent {
 		e.addLatency(max(elapsed, e.meanLatency))
 	}
