soak: calls that crash each target that runs them

From 3 s after the third crash it may reach targets three times, while no VM is faulty. The simulated targets tell their observer of such crashes, and name no limit after one.

--- a/test/soak/checks_of_promises_test.go
+++ b/test/soak/checks_of_promises_test.go
@@ -294,3 +294,31 @@
 		})
 	}
 }
+
+// TestDeadlyCallsThatReachTargetsLateAreFound has a call that crashes three targets by second 12
+// and reaches targets later.
+func TestDeadlyCallsThatReachTargetsLateAreFound(t *testing.T) {
+	for name, c := range map[string]struct {
+		received []float64
+		faulty   bool
+		found    bool
+	}{
+		"four times late":                      {[]float64{16, 17, 18, 19}, false, true},
+		"three times late":                     {[]float64{16, 17, 18}, false, false},
+		"before all VMs know":                  {[]float64{12.5, 13, 14, 15}, false, false},
+		"four times late while a VM is faulty": {[]float64{16, 17, 18, 19}, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newScriptedHistory()
+			if c.faulty {
+				h.addFault(faultPause, "entry 1", 15, 16)
+			}
+			var received []time.Time
+			for _, s := range c.received {
+				received = append(received, h.secondAt(s))
+			}
+			h.checkDeadly([]time.Time{h.secondAt(10), h.secondAt(11), h.secondAt(12)}, received)
+			assert.Equal(t, len(h.violations) > 0, c.found, "%v", h.violations)
+		})
+	}
+}
--- a/test/soak/harm_test.go
+++ b/test/soak/harm_test.go
@@ -205,11 +205,10 @@
 	from := time.Now()
 	pause.For(ctx, f.duration)
 	received, ok := t.received(instance)
-	if !ok {
-		return // another target has started, without a limit
-	}
-	tb.history.recordLimit(namedLimit{target: instance, rate: f.limit, from: from, to: time.Now(), received: received})
 	t.changeBehavior(func(b *standin.Behavior) { b.Limit = 0 })
+	if ok { // otherwise another target has started, without a limit
+		tb.history.recordLimit(namedLimit{target: instance, rate: f.limit, from: from, to: time.Now(), received: received})
+	}
 }
 
 func (tb *testbed) restartTarget(t *targetHost) {
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -11,12 +11,13 @@
 
 // Kinds of requests. A request's ID begins with its kind.
 const (
-	kindIdempotent    = "look"  // a call that may be repeated
-	kindNonIdempotent = "pay"   // a call that runs at most once
-	kindStream        = "draft" // a stream
-	kindMarker        = "mark"  // a call on a marker route, which only one configuration has
-	kindRefusedRoute  = "bad"   // a call on a route of a refused configuration
-	kindUnknownKey    = "nokey" // a call with an unknown key
+	kindIdempotent    = "look"   // a call that may be repeated
+	kindNonIdempotent = "pay"    // a call that runs at most once
+	kindStream        = "draft"  // a stream
+	kindMarker        = "mark"   // a call on a marker route, which only one configuration has
+	kindRefusedRoute  = "bad"    // a call on a route of a refused configuration
+	kindUnknownKey    = "nokey"  // a call with an unknown key
+	kindDeadly        = "deadly" // a call that crashes each target that runs it
 )
 
 func kindOf(id string) string {
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -28,6 +28,7 @@
 	faultSlow            = "slow"     // a target takes five times as long
 	faultBreakStreams    = "break"    // a target closes its streams after some events
 	faultLeave           = "leave"    // a target is listed as leaving, ends and is replaced
+	faultDeadly          = "deadly"   // a target crashes on a call that crashes all targets
 	faultLimit           = "limit"    // a target names a limit of its requests
 	faultList            = "list"     // the list of targets can't be read
 )
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,8 +20,9 @@
 type seedRun struct {
 	options options
 	rand    *rand.Rand
-	// limitRand draws the limits that targets name.
+	// limitRand draws the limits that targets name, and the deadly calls.
 	limitRand *rand.Rand
+	deadly    *deadlyCalls
 	history   *history
 	testbed   *testbed
 	load      *loadGenerator
@@ -50,6 +51,9 @@
 	s.awaitRecovery(ctx)
 	if ctx.Err() == nil {
 		s.history.checkAll()
+		if s.deadly != nil {
+			s.history.checkDeadly(s.deadly.Crashes(), s.deadly.Received())
+		}
 		s.stopAll()
 		s.checkFailuresLogged()
 	}
@@ -100,6 +104,7 @@
 func (s *seedRun) runWithFaults(ctx context.Context) {
 	plan := newPlan(s.rand, s.options.faultPhase, len(s.testbed.keepers), len(s.testbed.entries), len(s.testbed.targets))
 	plan = append(plan, newLimitFaults(s.limitRand, s.options.faultPhase, len(s.testbed.targets))...)
+	s.deadly = newDeadlyCalls(s.limitRand, s.testbed.fleet, s.options.faultPhase)
 	workCtx, stop := context.WithCancel(ctx)
 	var tasks sync.WaitGroup
 	run := func(work func(ctx context.Context, r *rand.Rand)) {
@@ -115,6 +120,10 @@
 			run(func(ctx context.Context, r *rand.Rand) { s.load.newCaller(e, r).makeStreams(ctx) })
 		}
 		run(func(ctx context.Context, r *rand.Rand) { s.load.newCaller(e, r).requestMarkers(ctx) })
+		if s.deadly != nil {
+			caller := s.load.newCaller(e, newRand(s.limitRand.Uint64()))
+			tasks.Go(func() { s.deadly.send(workCtx, caller) })
+		}
 	}
 	pause.For(ctx, settleTime) // a baseline without faults
 	s.testbed.injectFaults(ctx, plan)
