keeper: keep the keys in quarantine on disk

The bound of three trials has no end in time, but the loss of all VMs at once made the quarantine begin anew: a request that crashes targets would have crashed three more. The file of prompt locations now also has the keys in quarantine; ages are saved, so no decision depends on the time of day.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -81,6 +81,12 @@
 	s.suspects.Merge(suspects, now)
 }
 
+// Quarantined returns the keys of requests that may crash targets and are refused, and a version
+// that changes with them.
+func (s *SharedState) Quarantined(now time.Time) ([]*chicoryv1.SuspectPart, quarantine.QuarantineVersion) {
+	return s.suspects.Quarantined(now)
+}
+
 // SuspectsSince returns the suspect parts that changed after version and that several VMs
 // may meet, and the version to pass to the next call.
 func (s *SharedState) SuspectsSince(version uint64, now time.Time) ([]*chicoryv1.SuspectPart, uint64) {
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -17,9 +17,10 @@
 // for some seconds after the prompt's generation was interrupted.
 const promptLocationSaveInterval = 500 * time.Millisecond
 
-// promptLocationSync copies the prompt locations and suspect parts of the leader's shared
-// state to this VM, and the locations to its disk, so that the engines with callers' prompts are still known after all
-// processes were lost at once.
+// promptLocationSync copies the prompt locations and suspect keys of the leader's shared state to
+// this VM, and the locations and the keys in quarantine to its disk, so that the engines with
+// callers' prompts, and the requests that crash targets, are still known after all processes were
+// lost at once.
 type promptLocationSync struct {
 	board *feed.SharedState
 	list  *observe.TargetListPoller
@@ -38,32 +39,35 @@
 	}
 }
 
-// load adds the saved prompt locations to this VM's shared state.
+// load adds what was saved to this VM's shared state.
 func (s *promptLocationSync) load() {
-	places, err := s.file.load()
+	saved, err := s.file.load()
 	if err != nil {
 		s.log.Warn(logging.PlacesLost, logging.Fields{"reason": err})
 		return
 	}
-	s.board.AddPromptLocations(places)
-	s.log.Info(logging.PlacesLoaded, logging.Fields{"places": len(places)})
+	s.board.AddPromptLocations(saved.GetPlaces())
+	s.board.MergeSuspects(saved.GetSuspects(), time.Now())
+	s.log.Info(logging.PlacesLoaded, logging.Fields{"places": len(saved.GetPlaces()), "quarantined": len(saved.GetSuspects())})
 }
 
-// run saves the prompt locations whenever there are new ones, until ctx ends.
+// run saves the prompt locations and the keys in quarantine whenever they change, until ctx ends.
 func (s *promptLocationSync) run(ctx context.Context) {
-	_, saved := s.board.PromptLocationsSince(0)
+	_, savedLocations := s.board.PromptLocationsSince(0)
+	_, savedKeys := s.board.Quarantined(time.Now())
 	failed := false
 	for pause.For(ctx, promptLocationSaveInterval) {
-		places, next := s.board.PromptLocationsSince(0)
-		if next == saved {
+		places, locations := s.board.PromptLocationsSince(0)
+		quarantined, keys := s.board.Quarantined(time.Now())
+		if locations == savedLocations && keys == savedKeys {
 			continue
 		}
-		err := s.file.save(places)
+		err := s.file.save(places, quarantined)
 		if err != nil && !failed {
-			s.log.Warn(logging.PlacesLost, logging.Fields{"reason": err, "places": len(places)})
+			s.log.Warn(logging.PlacesLost, logging.Fields{"reason": err, "places": len(places), "quarantined": len(quarantined)})
 		}
 		if failed = err != nil; !failed {
-			saved = next
+			savedLocations, savedKeys = locations, keys
 		}
 	}
 }
--- a/internal/process/keeper/places_file.go
+++ b/internal/process/keeper/places_file.go
@@ -19,16 +19,17 @@
 	promptLocationTempName = "places.tmp"
 )
 
-// promptLocationFile stores the latest prompt locations, so that they survive a loss of
-// all processes or of power. It may be several hundred milliseconds out of date: a
-// missing or wrong location only causes a prompt to be processed again.
+// promptLocationFile stores the latest prompt locations and the keys in quarantine, so that they
+// survive a loss of all processes or of power. It may be several hundred milliseconds out of
+// date: a missing or wrong location only causes a prompt to be processed again, and a missing
+// key is found again.
 type promptLocationFile struct {
 	fs     disk.FS
 	folder string
 }
 
-// load returns the prompt locations that were saved last, or none if nothing was saved.
-func (f promptLocationFile) load() ([]*chicoryv1.PromptPlace, error) {
+// load returns what was saved last, or nothing if nothing was saved.
+func (f promptLocationFile) load() (*chicoryv1.ShareRequest, error) {
 	if err := f.fs.MkdirAll(f.folder); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -44,12 +45,12 @@
 	if err := proto.Unmarshal(b, saved); err != nil {
 		return nil, errors.Annotate(err, "decode prompt location file")
 	}
-	return saved.GetPlaces(), nil
+	return saved, nil
 }
 
-// save replaces the saved prompt locations.
-func (f promptLocationFile) save(places []*chicoryv1.PromptPlace) error {
-	b, err := proto.Marshal(&chicoryv1.ShareRequest{Places: places})
+// save replaces what was saved.
+func (f promptLocationFile) save(places []*chicoryv1.PromptPlace, quarantined []*chicoryv1.SuspectPart) error {
+	b, err := proto.Marshal(&chicoryv1.ShareRequest{Places: places, Suspects: quarantined})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/request/quarantine/shared.go
+++ b/internal/request/quarantine/shared.go
@@ -30,6 +30,24 @@
 	return t.changes(t.recurrent, version, now, false)
 }
 
+// Quarantined returns the keys with enough losses for a quarantine, and a version that changes
+// with them.
+func (t *Table) Quarantined(now time.Time) (keys []*chicoryv1.SuspectPart, version QuarantineVersion) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, r := range t.suspects {
+		keys = append(keys, r.encode(key, now, false))
+		version = QuarantineVersion{version.keys + 1, max(version.newest, r.version)}
+	}
+	return keys, version
+}
+
+// QuarantineVersion identifies a state of the keys in quarantine.
+type QuarantineVersion struct {
+	keys   int
+	newest uint64
+}
+
 // changes returns those of records that changed after version. With localOnly, they contain only
 // what this VM itself has seen. The caller holds mu.
 func (t *Table) changes(records map[string]*record, version uint64, now time.Time, localOnly bool) (changes []*chicoryv1.SuspectPart, next uint64) {
