quarantine: a trial counts from when a target receives it

Found by review: a trial whose caller left, or whose call ended at its deadline, was taken for one that no target had received, so further ones could follow without an end. The trial is now recorded when the request is written, and its loss counts as a trial's only for the keys that were on trial.

TestTrialWhoseCallerLeavesCounts covers streams and calls.

--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -106,8 +106,10 @@
 		if http1.IsNotSent(err) {
 			return &attempt{outcome: outcomeNotSent, err: err}
 		}
+		s.recordSent(a)
 		return &attempt{outcome: outcomeLost, err: err}
 	}
+	s.recordSent(a)
 	response, meta, err := s.readResponse(x, a.ID)
 	if err != nil {
 		return &attempt{outcome: outcomeLost, err: err}
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -73,9 +73,9 @@
 
 	// keys are what may crash the targets that run the request.
 	keys []string
-	// trial: one of the keys is in quarantine, and the request is sent to one target at most.
-	// tried: a target has received it.
-	trial, tried bool
+	// trial is nil unless keys are in quarantine and the request shows whether they still crash
+	// targets.
+	trial *trial
 }
 
 // Dispatch holds the parameters of one attempt to send a request to a target.
@@ -287,7 +287,7 @@
 	if err := s.admitKeys(a); err != nil {
 		return err
 	}
-	defer s.endUnsentTrial(a)
+	defer s.endTrial(a)
 	s.opts.Budget(a.Service.Name).OnRequest()
 	if a.Route.Stream {
 		defer recordLatency(s.metrics.streams, a.ReceivedAt)
--- a/internal/request/exchange/once.go
+++ b/internal/request/exchange/once.go
@@ -44,7 +44,7 @@
 			}
 			return fault.New(fault.OutcomeUnknown, "target %s gave no whole answer: %v", t.target, t.err)
 		}
-		if a.tried {
+		if a.trial.wasSent() {
 			return s.noTargetError(a, len(tried)+1)
 		}
 		if err := s.quarantineError(a, 0); err != nil {
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,11 +27,22 @@
 // errQuarantined ends an attempt whose request was found to crash targets.
 var errQuarantined = errors.New("the request is in quarantine")
 
+// trial is the trial of a request. One target at most receives it.
+type trial struct {
+	keys []string
+	// sent: a target has received the request.
+	sent atomic.Bool
+}
+
+// wasSent reports whether a target has received the request. A nil trial was not sent.
+func (t *trial) wasSent() bool { return t != nil && t.sent.Load() }
+
 // admitKeys refuses a request that crashes targets.
 func (s *Service) admitKeys(a *AdmittedRequest) error {
 	a.keys = a.suspectKeys()
 	admission := s.opts.Quarantine.Admit(a.keys, time.Now())
-	if a.trial = admission.Trial; a.trial {
+	if admission.Trial {
+		a.trial = &trial{keys: admission.Keys}
 		s.opts.Logger.Warn(logging.QuarantineTried, logging.Fields{"request": a.ID, "route": a.Route.Name, "keys": admission.Keys})
 	}
 	if !admission.Refused {
@@ -40,18 +52,17 @@
 	return quarantined(admission)
 }
 
-// endTrial records that a target has received a request on trial. No other target gets it.
-func (s *Service) endTrial(a *AdmittedRequest) {
-	if a.trial && !a.tried {
-		a.tried = true
-		s.opts.Quarantine.EndTrial(a.keys, true, time.Now())
+// recordSent records that a target has received a request, which counts if it is a trial.
+func (s *Service) recordSent(a *AdmittedRequest) {
+	if a.trial != nil && a.trial.sent.CompareAndSwap(false, true) {
+		s.opts.Quarantine.RecordTrial(a.trial.keys, time.Now())
 	}
 }
 
-// endUnsentTrial lets another request be the trial if no target has received this one.
-func (s *Service) endUnsentTrial(a *AdmittedRequest) {
-	if a.trial && !a.tried {
-		s.opts.Quarantine.EndTrial(a.keys, false, time.Now())
+// endTrial lets another request be the trial if no target has received this one.
+func (s *Service) endTrial(a *AdmittedRequest) {
+	if a.trial != nil && !a.trial.wasSent() {
+		s.opts.Quarantine.CancelTrial(a.trial.keys)
 	}
 }
 
@@ -67,7 +78,7 @@
 func (s *Service) recordTargetLoss(a *AdmittedRequest, target quarantine.Target, sentAt time.Time) {
 	s.metrics.targetLosses.Inc(1)
 	now := time.Now()
-	s.opts.Quarantine.RecordLoss(a.keys, quarantine.Loss{Target: target, SentAt: sentAt, At: now, Trial: a.trial})
+	s.opts.Quarantine.RecordLoss(a.keys, quarantine.Loss{Target: target, SentAt: sentAt, At: now, Trial: a.trial != nil})
 	if admission := s.opts.Quarantine.Check(a.keys, now); admission.Refused {
 		s.opts.Logger.Warn(logging.PartQuarantined, logging.Fields{
 			"request": a.ID, "route": a.Route.Name, "keys": admission.Keys, "ms": admission.Wait.Milliseconds(),
@@ -78,7 +89,7 @@
 // quarantineError returns the error for a request that was found to crash targets while it waited
 // for its answer, or nil. runs is the number of targets that may have run it.
 func (s *Service) quarantineError(a *AdmittedRequest, runs int) error {
-	if a.trial && !a.tried {
+	if a.trial != nil && !a.trial.wasSent() {
 		return nil
 	}
 	admission := s.opts.Quarantine.Check(a.keys, time.Now())
@@ -105,9 +116,6 @@
 
 // recordCall records whether a target that was sent a call was lost or answered it.
 func (s *Service) recordCall(ctx context.Context, a *AdmittedRequest, t *attempt, p request.Placement, sentAt time.Time) {
-	if t.outcome != outcomeNotSent {
-		s.endTrial(a)
-	}
 	switch {
 	case t.outcome == outcomeAnswered && t.status < http.StatusMultipleChoices:
 		s.opts.Quarantine.RecordBegun(a.keys, time.Now())
@@ -120,9 +128,6 @@
 // recordLoss records the loss of an engine that had not begun the answer. If an earlier
 // engine had begun it, the request is not the cause.
 func (st *stream) recordLoss(ctx context.Context, run *placement.Run, result attemptResult) {
-	if result.outcome != outcomeNotSent {
-		st.s.endTrial(st.a)
-	}
 	if st.begun || result.outcome != outcomeLost {
 		return
 	}
@@ -140,7 +145,6 @@
 	}
 	st.begun = true
 	st.stopWatch()
-	st.s.endTrial(st.a)
 	st.s.opts.Quarantine.RecordBegun(st.a.keys, time.Now())
 }
 
@@ -148,7 +152,7 @@
 // that it crashes engines. The returned function ends the watch.
 func (st *stream) watchQuarantine(ctx context.Context, cancel context.CancelCauseFunc) (stop context.CancelFunc) {
 	ctx, stop = context.WithCancel(ctx)
-	if st.begun || st.a.trial {
+	if st.begun || st.a.trial != nil {
 		return stop
 	}
 	go func() {
--- a/internal/request/exchange/quarantine_test.go
+++ b/internal/request/exchange/quarantine_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -275,3 +276,36 @@
 		assert.NilError(t, s.Serve(t.Context(), httptest.NewRecorder(), other))
 	})
 }
+
+// TestTrialWhoseCallerLeavesCounts guards against trials without an end, each of which crashes a
+// target after its caller has left.
+func TestTrialWhoseCallerLeavesCounts(t *testing.T) {
+	for name, stream := range map[string]bool{"stream": true, "call": false} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				_, s := crashingEngines()
+				for range 2 {
+					_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("p"))
+				}
+				time.Sleep(time.Second)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+				defer cancel()
+				a := withParts("p")
+				a.Route.Stream = stream
+				changes, _ := s.opts.Quarantine.LocalChanges(0, time.Now())
+				for _, c := range changes {
+					c.WantsTrial = true
+				}
+				s.opts.Quarantine.GrantTrials("self", changes, time.Now())
+				assert.Assert(t, s.Serve(ctx, httptest.NewRecorder(), a) != nil)
+				time.Sleep(10 * time.Millisecond)
+				changes, _ = s.opts.Quarantine.LocalChanges(0, time.Now())
+				for _, c := range changes {
+					if c.GetPart() == "p" {
+						assert.Equal(t, c.GetTrials(), uint32(1))
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -127,7 +127,7 @@
 // retry starts another attempt after a failed one, if the attempts and the budget allow
 // it.
 func (c *hedgedCall) retry(ctx context.Context, failed *attempt) bool {
-	if c.a.tried || c.lost > 1 && c.running > 0 {
+	if c.a.trial.wasSent() || c.lost > 1 && c.running > 0 {
 		return false // the call may crash targets: no further one beside those that run
 	}
 	if c.s.quarantineError(c.a, c.possibleRuns) != nil || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
@@ -145,7 +145,7 @@
 
 // hedge starts a second attempt in parallel to a slow one.
 func (c *hedgedCall) hedge(ctx context.Context) {
-	if c.a.trial || c.running != 1 || c.possibleRuns >= c.a.maxAttempts() {
+	if c.a.trial != nil || c.running != 1 || c.possibleRuns >= c.a.maxAttempts() {
 		return
 	}
 	if ok, _ := c.s.opts.Budget(c.a.Service.Name).Allow(request.HedgeCall); ok {
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -125,7 +125,7 @@
 		if err := st.s.quarantineError(st.a, st.possibleRuns); err != nil {
 			return err
 		}
-		if st.a.tried {
+		if st.a.trial.wasSent() {
 			return st.trialError()
 		}
 	}
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -24,8 +24,10 @@
 		if http1.IsNotSent(err) {
 			return attemptResult{outcome: outcomeNotSent, err: err}
 		}
+		st.s.recordSent(st.a)
 		return attemptResult{outcome: outcomeLost, err: err}
 	}
+	st.s.recordSent(st.a)
 	g.sent(x)
 	go st.watchEngineLoss(ctx, g, run)
 	response, meta, err := st.s.readResponse(x, st.a.ID)
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -21,7 +21,8 @@
 	Refused bool
 	Wait    time.Duration
 	// Trial: the request contains keys in quarantine, and may be sent to one target. Its answer
-	// shows whether one still crashes targets. EndTrial must be called.
+	// shows whether one still crashes targets. RecordTrial or CancelTrial must be called with
+	// Keys.
 	Trial bool
 	// Keys are the keys in quarantine or on trial. At least one of them crashes targets, or did.
 	Keys []string
@@ -46,24 +47,30 @@
 	return a
 }
 
-// EndTrial ends a trial. sent reports whether a target received the request; if none did,
-// another request may be admitted instead.
-func (t *Table) EndTrial(keys []string, sent bool, now time.Time) {
+// RecordTrial records that a target has received a request with keys that was admitted as a
+// trial.
+func (t *Table) RecordTrial(keys []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, key := range keys {
-		r := t.keys[key]
-		if r == nil || r.admittedAt.IsZero() {
-			continue
-		}
-		r.admittedAt = time.Time{}
-		if sent {
-			r.trials, r.trialAt, r.grantedTo = r.trials+1, now, ""
+		if r := t.keys[key]; r != nil {
+			r.trials, r.trialAt, r.grantedTo, r.admittedAt = r.trials+1, now, "", time.Time{}
 			t.touch(r)
 		}
 	}
 }
 
+// CancelTrial ends a trial that no target has received: another request may be admitted instead.
+func (t *Table) CancelTrial(keys []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, key := range keys {
+		if r := t.keys[key]; r != nil {
+			r.admittedAt = time.Time{}
+		}
+	}
+}
+
 // Check is Admit for a request that is already at a target: it begins no trial.
 func (t *Table) Check(keys []string, now time.Time) Admission {
 	t.mu.Lock()
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -58,7 +58,7 @@
 	Target Target
 	// SentAt is when the request was sent, At when the target was lost.
 	SentAt, At time.Time
-	// Trial: the request was admitted as a trial.
+	// Trial: the request was admitted as a trial of some of its keys.
 	Trial bool
 }
 
@@ -186,6 +186,7 @@
 	if !l.At.After(r.begunAt) || r.has(l) {
 		return
 	}
+	l.Trial = l.Trial && (!l.here || r.trials > 0)
 	r.insert(l)
 	t.touch(r)
 	n := len(distinct(r.losses))
--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -75,7 +75,7 @@
 	for i, e := range g.entries {
 		assert.Assert(t, e.Admit([]string{"p"}, at).Refused, "one trial at a time, entry VM %d", i)
 	}
-	g.entries[entry].EndTrial([]string{"p"}, true, at)
+	g.entries[entry].RecordTrial([]string{"p"}, at)
 	g.entries[entry].RecordBegun([]string{"p"}, at.Add(time.Millisecond))
 	g.exchange(at.Add(100 * time.Millisecond))
 	for i, e := range g.entries {
@@ -99,7 +99,7 @@
 			continue
 		}
 		trials++
-		g.entries[entry].EndTrial([]string{"p"}, true, at)
+		g.entries[entry].RecordTrial([]string{"p"}, at)
 		engine := Target{Address: fmt.Sprint("10.0.1.", trials), Instance: "i"}
 		g.entries[entry].RecordLoss([]string{"p"}, Loss{Target: engine, SentAt: at, At: at.Add(time.Second), Trial: true})
 	}
@@ -114,7 +114,7 @@
 	for range 2 * maxTrials {
 		entry, at := g.awaitTrial(t, "p", now, now.Add(20*time.Second))
 		assert.Assert(t, entry >= 0)
-		g.entries[entry].EndTrial([]string{"p"}, false, at)
+		g.entries[entry].CancelTrial([]string{"p"})
 		now = at.Add(time.Second)
 	}
 }
@@ -124,7 +124,7 @@
 	g := newGroup(3)
 	g.loseTargets("p", 3)
 	entry, at := g.awaitTrial(t, "p", second(2.1), second(10))
-	g.entries[entry].EndTrial([]string{"p"}, true, at)
+	g.entries[entry].RecordTrial([]string{"p"}, at)
 	_, again := g.awaitTrial(t, "p", at.Add(100*time.Millisecond), at.Add(20*time.Second))
 	assert.Assert(t, again.Sub(at) >= undecidedPeriod && again.Sub(at) < 5*time.Second, "%v", again.Sub(at))
 }
@@ -139,7 +139,7 @@
 		now = at.Add(time.Second)
 		if entry >= 0 {
 			trials++
-			g.entries[entry].EndTrial([]string{"p"}, true, at)
+			g.entries[entry].RecordTrial([]string{"p"}, at)
 			g.entries[entry].RecordLoss([]string{"p"}, Loss{Target: Target{Address: fmt.Sprint(trials)}, SentAt: at, At: at, Trial: true})
 		}
 		g.leader = newTestTable()
