quarantine: a target that is gone is lost once, and no trial goes there

Each request that was sent to a target that had crashed, before the list showed it, counted as a further loss, so the popular call had more than the deadly one explains; its trial went to such a target too and was lost within 1 ms.

A loss now counts once for each start of a target, and a trial goes to a target that was not lost with its keys.

--- a/internal/request/exchange/permit.go
+++ b/internal/request/exchange/permit.go
@@ -26,7 +26,13 @@
 func (s *Service) pickPermitted(ctx context.Context, a *AdmittedRequest, tried []string) (request.Placement, error) {
 	w, claim := a.work(), a.claim(a.callClass())
 	for {
-		p, err := s.pick(w, tried)
+		var p request.Placement
+		var err error
+		if a.trial != nil {
+			p, err = s.pickTrial(w, a.trial, tried)
+		} else {
+			p, err = s.pick(w, tried)
+		}
 		if !fault.Is(err, fault.Overloaded) {
 			return p, err
 		}
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -73,6 +73,15 @@
 	return fault.New(fault.RequestQuarantined, "the request crashes the targets that run it").WithRetryAfter(a.Wait)
 }
 
+// targetOf returns the target start that a configuration or list names.
+func targetOf(t interface {
+	GetAddress() string
+	GetInstance() string
+	GetAvailabilityZone() string
+}) quarantine.Target {
+	return quarantine.Target{Address: t.GetAddress(), Instance: t.GetInstance(), AvailabilityZone: t.GetAvailabilityZone()}
+}
+
 // recordTargetLoss records that a target was lost before it began the answer to a, and logs the
 // quarantine that follows.
 func (s *Service) recordTargetLoss(a *AdmittedRequest, target quarantine.Target, sentAt time.Time) {
@@ -120,8 +129,7 @@
 	case t.outcome == outcomeAnswered && t.status < http.StatusMultipleChoices:
 		s.opts.Quarantine.RecordBegun(a.keys, time.Now())
 	case t.outcome == outcomeLost && ctx.Err() == nil && isConnectionEnd(t.err):
-		x := p.Target
-		s.recordTargetLoss(a, quarantine.Target{Address: x.GetAddress(), Instance: x.GetInstance(), AvailabilityZone: x.GetAvailabilityZone()}, sentAt)
+		s.recordTargetLoss(a, targetOf(p.Target), sentAt)
 	}
 }
 
@@ -133,8 +141,7 @@
 	}
 	cause := context.Cause(ctx)
 	if cause == nil && isConnectionEnd(result.err) || errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost) {
-		x := run.Target
-		st.s.recordTargetLoss(st.a, quarantine.Target{Address: x.GetAddress(), Instance: x.GetInstance(), AvailabilityZone: x.GetAvailabilityZone()}, st.dispatchedAt)
+		st.s.recordTargetLoss(st.a, targetOf(run.Target), st.dispatchedAt)
 	}
 }
 
--- a/internal/request/exchange/quarantine_test.go
+++ b/internal/request/exchange/quarantine_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -188,6 +191,17 @@
 	})
 }
 
+// restartingPicker picks the targets in turn, each time as another start.
+type restartingPicker struct{ picks atomic.Int64 }
+
+func (p *restartingPicker) Pick(request.Work, []string) (request.Placement, error) {
+	n := int(p.picks.Add(1))
+	return request.Placement{
+		Target: &chicoryv1.Target{Address: engineAddresses[n%len(engineAddresses)], Instance: strconv.Itoa(n)},
+		Done:   func(request.Result, time.Duration) {},
+	}, nil
+}
+
 // crashingCalls returns a service whose targets crash while they run a call.
 func crashingCalls() (*testNetwork, *Service) {
 	w := newTestNetwork()
@@ -198,6 +212,7 @@
 		})
 	}
 	s, _ := w.service(unlimitedBudget{}, engineAddresses...)
+	s.opts.Picker = &restartingPicker{}
 	return w, s
 }
 
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -111,7 +112,12 @@
 	}
 	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, Reserved: reserved}
 	run, err := st.s.opts.Engines.Place(req)
-	if fault.Is(err, fault.NoTarget) && len(st.tried) > 0 {
+	for err == nil && st.a.trial != nil && st.s.opts.Quarantine.IsLost(targetOf(run.Target), st.a.trial.keys) {
+		run.Release()
+		req.Exclude, req.Reserved = append(slices.Clip(req.Exclude), run.Target.GetAddress()), ""
+		run, err = st.s.opts.Engines.Place(req)
+	}
+	if fault.Is(err, fault.NoTarget) && len(st.tried) > 0 && st.a.trial == nil {
 		req.Exclude, req.Reserved = nil, "" // given back
 		run, err = st.s.opts.Engines.Place(req)
 	}
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// IsLost reports whether a target start has been lost with requests that contain one of the keys. A
+// trial there would show nothing.
+func (t *Table) IsLost(target Target, keys []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(keys, func(key string) bool {
+		r := t.keys[key]
+		return r != nil && slices.ContainsFunc(r.losses, func(l loss) bool { return l.Target.isSameStart(target) })
+	})
+}
+
 // CancelTrial ends a trial that no target has received: another request may be admitted instead.
 func (t *Table) CancelTrial(keys []string) {
 	t.mu.Lock()
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -48,7 +48,7 @@
 	maxLossesPerKey = 16
 )
 
-var periods = [maxTrials]time.Duration{firstPeriod, time.Minute, 10 * time.Minute}
+var periods = [maxTrials]time.Duration{firstPeriod, 5 * time.Second, time.Minute}
 
 // Target identifies one start of a target.
 type Target struct{ Address, Instance, AvailabilityZone string }
@@ -119,16 +119,13 @@
 }
 
 // isSame reports whether two reports are about one loss. The time of a report grows by its
-// delay with each VM that passes it on, so that only this VM's own requests show that the target
-// had started again in between.
+// delay with each VM that passes it on, and requests are lost at a target that is gone already.
 func (l loss) isSame(other loss) bool {
-	if l.id == other.id {
-		return true
-	}
-	if l.Target.Address != other.Target.Address || l.Target.Instance != other.Target.Instance || l.here && other.here && l.follows(other) {
-		return false
-	}
-	return l.At.Sub(other.At).Abs() < sameLoss
+	return l.id == other.id || l.Target.isSameStart(other.Target) && l.At.Sub(other.At).Abs() < sameLoss
+}
+
+func (t Target) isSameStart(other Target) bool {
+	return t.Address == other.Address && t.Instance == other.Instance
 }
 
 // follows reports whether the request of l was sent after the earlier loss.
--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -210,3 +210,16 @@
 	}
 	assert.Assert(t, n <= maxExplained+1, "%d crashes", n)
 }
+
+// Requests are lost at a target that is gone until the list shows it, one after the other.
+func TestLossesAtATargetThatIsGoneCountOnce(t *testing.T) {
+	tb := newTestTable()
+	gone := Target{Address: "10.0.0.1:80", Instance: "i"}
+	for i := range 10 {
+		at := second(float64(i) * 0.15)
+		tb.RecordLoss([]string{"popular"}, Loss{Target: gone, SentAt: at, At: at.Add(time.Millisecond)})
+	}
+	assert.Assert(t, !tb.Admit([]string{"popular"}, second(2)).Refused)
+	assert.Assert(t, tb.IsLost(gone, []string{"popular"}), "a trial there would show nothing")
+	assert.Assert(t, !tb.IsLost(Target{Address: "10.0.0.1:80", Instance: "next"}, []string{"popular"}))
+}
