quarantine: a target that keeps its ID may be tried again

A target start that was lost with a key gets no trial of it for 5 s, and not for ever: a target may start again under its ID, and a sound key whose targets all do would have had no trial.

--- a/internal/request/exchange/once.go
+++ b/internal/request/exchange/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
@@ -75,7 +76,7 @@
 func (s *Service) pickTrial(w request.Work, t *trial, tried []string) (request.Placement, error) {
 	for {
 		p, err := s.opts.Picker.Pick(w, tried)
-		if err != nil || !s.opts.Quarantine.IsLost(targetOf(p.Target), t.keys) {
+		if err != nil || !s.opts.Quarantine.IsLost(targetOf(p.Target), t.keys, time.Now()) {
 			return p, err
 		}
 		p.Done(request.ResultAbandoned, 0)
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -112,7 +112,7 @@
 	}
 	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, Reserved: reserved}
 	run, err := st.s.opts.Engines.Place(req)
-	for err == nil && st.a.trial != nil && st.s.opts.Quarantine.IsLost(targetOf(run.Target), st.a.trial.keys) {
+	for err == nil && st.a.trial != nil && st.s.opts.Quarantine.IsLost(targetOf(run.Target), st.a.trial.keys, time.Now()) {
 		run.Release()
 		req.Exclude, req.Reserved = append(slices.Clip(req.Exclude), run.Target.GetAddress()), ""
 		run, err = st.s.opts.Engines.Place(req)
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -60,14 +60,14 @@
 	}
 }
 
-// IsLost reports whether a target start has been lost with requests that contain one of the keys. A
-// trial there would show nothing.
-func (t *Table) IsLost(target Target, keys []string) bool {
+// IsLost reports whether a target start was lost lately with a request that contains one of the
+// keys. A trial there would show nothing.
+func (t *Table) IsLost(target Target, keys []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.ContainsFunc(keys, func(key string) bool {
 		r := t.keys[key]
-		return r != nil && slices.ContainsFunc(r.losses, func(l loss) bool { return l.Target.isSameStart(target) })
+		return r != nil && slices.ContainsFunc(r.losses, func(l loss) bool { return l.Target.isSameStart(target) && now.Sub(l.At) < listDelay })
 	})
 }
 
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -39,6 +39,9 @@
 	grantLifetime = 3 * time.Second
 	// sameGrant is the time within which reports are about the same grant of a trial.
 	sameGrant = time.Second
+	// listDelay is the time after which the list shows that a target is gone. It may have started
+	// again under its ID.
+	listDelay = 5 * time.Second
 	// wantInterval is the time after which an entry VM asks again for a trial.
 	wantInterval = 300 * time.Millisecond
 	// retention is the time after which a further loss begins a new count.
--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -220,6 +220,7 @@
 		tb.RecordLoss([]string{"popular"}, Loss{Target: gone, SentAt: at, At: at.Add(time.Millisecond)})
 	}
 	assert.Assert(t, !tb.Admit([]string{"popular"}, second(2)).Refused)
-	assert.Assert(t, tb.IsLost(gone, []string{"popular"}), "a trial there would show nothing")
-	assert.Assert(t, !tb.IsLost(Target{Address: "10.0.0.1:80", Instance: "next"}, []string{"popular"}))
+	assert.Assert(t, tb.IsLost(gone, []string{"popular"}, second(2)), "a trial there would show nothing")
+	assert.Assert(t, !tb.IsLost(Target{Address: "10.0.0.1:80", Instance: "next"}, []string{"popular"}, second(2)))
+	assert.Assert(t, !tb.IsLost(gone, []string{"popular"}, second(2).Add(listDelay)), "it may have started again under its ID")
 }
