--- a/internal/request/exchange/quarantine_test.go
+++ b/internal/request/exchange/quarantine_test.go
@@ -1,10 +1,13 @@
 package exchange
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +17,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -187,6 +191,17 @@
 	})
 }
 
+// restartingPicker picks the targets in turn, each time as another start.
+type restartingPicker struct{ picks atomic.Int64 }
+
+func (p *restartingPicker) Pick(request.Work, []string) (request.Placement, error) {
+	n := int(p.picks.Add(1))
+	return request.Placement{
+		Target: &chicoryv1.Target{Address: engineAddresses[n%len(engineAddresses)], Instance: strconv.Itoa(n)},
+		Done:   func(request.Result, time.Duration) {},
+	}, nil
+}
+
 // crashingCalls returns a service whose targets crash while they run a call.
 func crashingCalls() (*testNetwork, *Service) {
 	w := newTestNetwork()
@@ -197,6 +212,7 @@
 		})
 	}
 	s, _ := w.service(unlimitedBudget{}, engineAddresses...)
+	s.opts.Picker = &restartingPicker{}
 	return w, s
 }
 
@@ -275,3 +291,36 @@
 		assert.NilError(t, s.Serve(t.Context(), httptest.NewRecorder(), other))
 	})
 }
+
+// TestTrialWhoseCallerLeavesCounts guards against trials without an end, each of which crashes a
+// target after its caller has left.
+func TestTrialWhoseCallerLeavesCounts(t *testing.T) {
+	for name, stream := range map[string]bool{"stream": true, "call": false} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T) {
+				_, s := crashingEngines()
+				for range 2 {
+					_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("p"))
+				}
+				time.Sleep(time.Second)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+				defer cancel()
+				a := withParts("p")
+				a.Route.Stream = stream
+				changes, _ := s.opts.Quarantine.LocalChanges(0, time.Now())
+				for _, c := range changes {
+					c.WantsTrial = true
+				}
+				s.opts.Quarantine.GrantTrials("self", changes, time.Now())
+				assert.Assert(t, s.Serve(ctx, httptest.NewRecorder(), a) != nil)
+				time.Sleep(10 * time.Millisecond)
+				changes, _ = s.opts.Quarantine.LocalChanges(0, time.Now())
+				for _, c := range changes {
+					if c.GetPart() == "p" {
+						assert.Equal(t, c.GetTrials(), uint32(1))
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -39,6 +39,9 @@
 	grantLifetime = 3 * time.Second
 	// sameGrant is the time within which reports are about the same grant of a trial.
 	sameGrant = time.Second
+	// listDelay is the time after which the list shows that a target is gone. It may have started
+	// again under its ID.
+	listDelay = 5 * time.Second
 	// wantInterval is the time after which an entry VM asks again for a trial.
 	wantInterval = 300 * time.Millisecond
 	// retention is the time after which a further loss begins a new count.
@@ -48,7 +51,7 @@
 	maxLossesPerKey = 16
 )
 
-var periods = [maxTrials]time.Duration{firstPeriod, time.Minute, 10 * time.Minute}
+var periods = [maxTrials]time.Duration{firstPeriod, 5 * time.Second, time.Minute}
 
 // Target identifies one start of a target.
 type Target struct{ Address, Instance, AvailabilityZone string }
@@ -58,7 +61,7 @@
 	Target Target
 	// SentAt is when the request was sent, At when the target was lost.
 	SentAt, At time.Time
-	// Trial: the request was admitted as a trial.
+	// Trial: the request was admitted as a trial of some of its keys.
 	Trial bool
 }
 
@@ -119,16 +122,13 @@
 }
 
 // isSame reports whether two reports are about one loss. The time of a report grows by its
-// delay with each VM that passes it on, so that only this VM's own requests show that the target
-// had started again in between.
+// delay with each VM that passes it on, and requests are lost at a target that is gone already.
 func (l loss) isSame(other loss) bool {
-	if l.id == other.id {
-		return true
-	}
-	if l.Target.Address != other.Target.Address || l.Target.Instance != other.Target.Instance || l.here && other.here && l.follows(other) {
-		return false
-	}
-	return l.At.Sub(other.At).Abs() < sameLoss
+	return l.id == other.id || l.Target.isSameStart(other.Target) && l.At.Sub(other.At).Abs() < sameLoss
+}
+
+func (t Target) isSameStart(other Target) bool {
+	return t.Address == other.Address && t.Instance == other.Instance
 }
 
 // follows reports whether the request of l was sent after the earlier loss.
@@ -186,6 +186,7 @@
 	if !l.At.After(r.begunAt) || r.has(l) {
 		return
 	}
+	l.Trial = l.Trial && (!l.here || r.trials > 0)
 	r.insert(l)
 	t.touch(r)
 	n := len(distinct(r.losses))
