quarantine: losses at once count for keys without an answer

Found by a property test that plays fleets of 1 to 9 VMs and 3 to 8 targets in virtual time: in a service with one zone, a call at nine VMs at once crashed all targets within 100 ms, which counted as one loss, and reached targets 57 times later than 3 s after the third crash.

Losses in one zone at one moment are now one only for a key whose requests were answered before: a sound key that is at several targets at once is popular.

--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -159,7 +159,7 @@
 // the record of key. One does if it has nearly all of them, and either was always in the same
 // requests, so that a request with one of the two shows which it is, or is more suspect. Several do if they were lost only in requests with the key. The caller holds mu.
 func (t *Table) isExplained(key string, r *record, request []string) bool {
-	losses := distinct(r.losses)
+	losses := t.distinct(key, r)
 	var together []*record
 	for other, q := range t.suspects {
 		if q == r || slices.Contains(request, other) {
@@ -181,7 +181,7 @@
 	if a, b := t.lastBegun(qKey, q), t.lastBegun(rKey, r); !a.Equal(b) {
 		return a.Before(b)
 	}
-	return len(distinct(q.losses)) > len(distinct(r.losses))
+	return len(t.distinct(qKey, q)) > len(t.distinct(rKey, r))
 }
 
 // isOnlyIn reports whether the losses of r are all those of requests with the key of q.
@@ -207,11 +207,16 @@
 	return later(t.begins.get(key), r.begunAt)
 }
 
-// distinct returns the losses without those that may have a common cause with an earlier one:
-// they coincide with it, in the same availability zone, and the request was sent before.
-func distinct(losses []loss) []loss {
+// distinct returns the losses of a key without those that may have a common cause with an earlier
+// one: they coincide with it, in the same availability zone, and the request was sent before. A
+// sound key with requests at several targets at once is popular, and was answered before; without
+// an answer, all losses count. The caller holds mu.
+func (t *Table) distinct(key string, r *record) []loss {
+	if t.lastBegun(key, r).IsZero() {
+		return r.losses
+	}
 	var counted []loss
-	for _, l := range losses {
+	for _, l := range r.losses {
 		if !slices.ContainsFunc(counted, l.coincides) {
 			counted = append(counted, l)
 		}
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -21,7 +21,7 @@
 	minLosses = 3
 	// coincidence is the time within which losses in one availability zone count as one, unless
 	// one request was sent after the loss of the other: targets that fail together say nothing
-	// about a key.
+	// about a key whose requests were answered before.
 	coincidence = 500 * time.Millisecond
 	// sameLoss is the time within which reports of the loss of one target start are about the
 	// same loss: a VM may report late. A target may start again under its ID, and takes longer to
@@ -189,7 +189,7 @@
 	l.Trial = l.Trial && (!l.here || r.trials > 0)
 	r.insert(l)
 	t.touch(r)
-	n := len(distinct(r.losses))
+	n := len(t.distinct(key, r))
 	if n > 1 {
 		t.recurrent[key] = r
 	}
@@ -212,7 +212,7 @@
 	}
 	r.begunAt, r.begunHere = at, false
 	r.trials, r.trialAt, r.grantedTo, r.admittedAt = 0, time.Time{}, "", time.Time{}
-	if len(distinct(r.losses)) < minLosses {
+	if len(t.distinct(key, r)) < minLosses {
 		delete(t.suspects, key)
 	}
 	t.touch(r)
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -99,9 +99,10 @@
 }
 
 // Engines of an availability zone that fail at one moment say nothing about the parts of
-// their requests.
+// their requests, if these were answered before.
 func TestEnginesThatFailTogetherCountAsOneLoss(t *testing.T) {
 	tb := newTestTable()
+	tb.RecordBegun([]string{"popular"}, second(-10))
 	for i := range 30 {
 		crash(tb, i, second(float64(i)/100), []string{"popular"})
 	}
--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -166,6 +166,16 @@
 	assert.Assert(t, tb.Admit([]string{"call"}, second(0.15)).Refused)
 }
 
+// A call that was never answered and is at several targets of one zone at once crashes them
+// together. That a zone failed is no explanation: a popular sound call was answered before.
+func TestTargetsThatFailTogetherCountForACallWithoutAnAnswer(t *testing.T) {
+	tb := newTestTable()
+	for i := range 3 {
+		crash(tb, i, second(float64(i)/100), []string{"call"})
+	}
+	assert.Assert(t, tb.Admit([]string{"call"}, second(0.1)).Refused)
+}
+
 // The same call at once at three entry VMs crashes a target in each zone.
 func TestLossesInSeveralZonesAreNoCoincidence(t *testing.T) {
 	tb := newTestTable()
