quarantine: count the losses where a key is judged

A key whose earlier losses were dropped after 24 h stayed among the suspects with one loss, and was admitted only because one loss needs no explanation. The check counts them itself now.

--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -113,7 +113,7 @@
 	trial := true
 	for _, key := range keys {
 		r := t.suspects[key]
-		if r == nil || t.isExplained(key, r, keys) {
+		if r == nil || len(t.distinct(key, r)) < minLosses || t.isExplained(key, r, keys) {
 			continue
 		}
 		a.Keys = append(a.Keys, key)
@@ -157,7 +157,8 @@
 
 // isExplained reports whether other keys that are not in the request explain the losses of r,
 // the record of key. One does if it has nearly all of them, and either was always in the same
-// requests, so that a request with one of the two shows which it is, or is more suspect. Several do if they were lost only in requests with the key. The caller holds mu.
+// requests, so that a request with one of the two shows which it is, or is more suspect. Several
+// do if they were lost only in requests with the key. The caller holds mu.
 func (t *Table) isExplained(key string, r *record, request []string) bool {
 	losses := t.distinct(key, r)
 	var together []*record
--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -234,3 +234,14 @@
 	assert.Assert(t, !tb.IsLost(Target{Address: "10.0.0.1:80", Instance: "next"}, []string{"popular"}, second(2)))
 	assert.Assert(t, !tb.IsLost(gone, []string{"popular"}, second(2).Add(listDelay)), "it may have started again under its ID")
 }
+
+// A key that was in quarantine long ago begins a new count.
+func TestQuarantineOfLongAgoIsForgotten(t *testing.T) {
+	tb := newTestTable()
+	for i := range 3 {
+		crash(tb, i, second(float64(i)), []string{"p"})
+	}
+	later := second(3).Add(retention)
+	crash(tb, 9, later, []string{"p"})
+	assert.Assert(t, !tb.Admit([]string{"p"}, later).Refused)
+}
