ratelimit: tests for what the design note says; nothing written twice

Found on reading the change again, with mutations of the code.

ratelimit.Target and a second default for the number of VMs repeated what the feed and the entry VM have; both go. The feed reset a version that stays valid. A wait that ends together with its request is handled in one place, and its permit is given back. TestLowLoadIsServed claimed to guard against long waits and doesn't: its comment says so now, and TestRegularCallsBelowTheLimitDoNotWait does.

--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -56,10 +56,10 @@
 	// engines. fromLeader reports whether that VM is the leader.
 	MergeSuspects(suspects []*chicoryv1.SuspectPart, fromLeader bool)
 	// LocalState returns the state that this entry VM shares: all of its loads and usage, the
-	// permits that it wants,
-	// and the prompt locations and suspect parts added since the last call. If all is set,
-	// the receiver has none of this entry VM yet, and the latest locations and all suspect
-	// parts are returned instead. The result is nil if there is nothing to share.
+	// permits that it wants, and the prompt locations, suspect parts and limits of targets
+	// added since the last call. If all is set, the receiver has none of this entry VM yet, and
+	// the latest locations, all suspect parts and all limits are returned instead. The result
+	// is nil if there is nothing to share.
 	LocalState(all bool) *chicoryv1.ShareRequest
 }
 
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -227,7 +227,6 @@
 	}
 	if !f.wasLeader {
 		f.wasLeader, f.loadsVersion, f.sentLoads, m.LoadsAreWhole = true, 0, map[string]load{}, true
-		f.limitsVersion = 0
 		f.numbers.reset()
 	}
 	remote, version := f.server.sharedState.RemoteState(f.entryID, f.loadsVersion, now)
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -55,7 +55,7 @@
 // Start follows the feeds of the control VMs and serves callers.
 func Start(s Settings, adapter Adapter, log *logging.Logger) (*Process, error) {
 	registry := metrics.NewRegistry()
-	limits := ratelimit.NewTable(ratelimit.Options{Logger: log, Registry: registry})
+	limits := ratelimit.NewTable(ratelimit.Options{EntryVMs: defaultEntryVMs, Logger: log, Registry: registry})
 	engines := placement.NewEngineTable(placement.Defaults(), string(s.AvailabilityZone), limits)
 	p := &Process{
 		settings:     s,
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -36,7 +36,7 @@
 func newTestRoutingState() *routingState {
 	engines := placement.NewEngineTable(placement.Defaults(), "a", request.Unlimited{})
 	suspects := quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }})
-	limits := ratelimit.NewTable(ratelimit.Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()})
+	limits := ratelimit.NewTable(ratelimit.Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()})
 	return newRoutingState(decoder{}, engines, suspects, limits, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
 }
 
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -10,7 +10,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
-	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 )
 
 // outcome is the result of one attempt at one target.
@@ -115,7 +114,7 @@
 		return &attempt{outcome: outcomeLost, err: err}
 	}
 	s.recordLoad(address, meta)
-	s.recordLimit(ratelimit.Target{Address: address, Instance: instance}, response.Status, meta)
+	s.recordLimit(address, instance, response.Status, meta)
 	t := &attempt{status: response.Status, header: response.Header, limited: meta.Limit > 0}
 	if t.body, err = response.ReadAll(s.opts.Settings.MaxResponseBytes); err != nil {
 		response.Abandon()
@@ -183,11 +182,11 @@
 // recordLimit records the limit that a response names, or that it names none. A response of
 // another start of the target, or one that only the target's address shows to be of the target,
 // says nothing.
-func (s *Service) recordLimit(target ratelimit.Target, status int, r ResponseMetadata) {
+func (s *Service) recordLimit(address, instance string, status int, r ResponseMetadata) {
 	if status == http.StatusMisdirectedRequest || math.IsNaN(r.Limit) || !r.Signed && !r.NotRun {
 		return
 	}
-	s.opts.Limits.Observe(target, r.Limit, time.Now())
+	s.opts.Limits.Observe(address, instance, r.Limit, time.Now())
 }
 
 // recordLoad records the load that a target reports.
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -50,7 +50,8 @@
 }
 
 func (testProtocol) DecodeReply(h http.Header) ResponseMetadata {
-	return ResponseMetadata{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64) // 0 without one
+	return ResponseMetadata{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Limit: limit}
 }
 
 // testNetwork holds in-memory targets. Each handles one request per connection with its
@@ -177,7 +178,7 @@
 		Picker:     orderedPicker(addresses),
 		Loads:      observe.NewTable(observe.Defaults()),
 		Engines:    engines,
-		Limits:     ratelimit.NewTable(ratelimit.Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()}),
+		Limits:     ratelimit.NewTable(ratelimit.Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()}),
 		Quarantine: quarantine.NewTable(quarantine.Options{ID: "self", Random: func() float64 { return 0 }}),
 		Budget:     func(string) request.RetryBudget { return budget },
 		Logger:     logging.Discard(),
--- a/internal/request/exchange/permit.go
+++ b/internal/request/exchange/permit.go
@@ -36,16 +36,20 @@
 		if !fault.Is(err, fault.Overloaded) {
 			return p, err
 		}
-		w.Reserved, err = s.opts.Limits.Await(ctx, claim)
-		switch {
-		case ctx.Err() != nil:
-			return request.Placement{}, contextError(ctx, false)
-		case err != nil:
-			return request.Placement{}, err
+		if w.Reserved, err = s.opts.Limits.Await(ctx, claim); err != nil {
+			return request.Placement{}, waitError(ctx, err, false)
 		}
 	}
 }
 
+// waitError returns the error for a request whose wait for a permit failed with err.
+func waitError(ctx context.Context, err error, mayHaveRun bool) error {
+	if ctx.Err() != nil {
+		return contextError(ctx, mayHaveRun)
+	}
+	return err
+}
+
 // pickRepeat selects a target for a call that may have run or still runs elsewhere.
 func (s *Service) pickRepeat(a *AdmittedRequest, tried []string) (request.Placement, error) {
 	w := a.work()
--- a/internal/request/exchange/permit_test.go
+++ b/internal/request/exchange/permit_test.go
@@ -1,9 +1,11 @@
 package exchange
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,7 +13,9 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -32,7 +36,7 @@
 	w.set("a", handler)
 	s, _ := w.service(unlimitedBudget{}, "a")
 	s.opts.Limits.UpdateTargets([]*chicoryv1.ListedTarget{{Address: "a", Instance: "i-a", Service: "s"}})
-	s.opts.Limits.Observe(ratelimit.Target{Address: "a", Instance: "i-a"}, 2, time.Now())
+	s.opts.Limits.Observe("a", "i-a", 2, time.Now())
 	s.opts.Picker = limitedPicker{s.opts.Limits}
 	return w, s
 }
@@ -89,3 +93,76 @@
 		assert.Equal(t, w.runs(), 0)
 	})
 }
+
+// resultPicker records the results of the attempts at "a".
+type resultPicker struct{ results chan request.Result }
+
+func (p resultPicker) Pick(request.Work, []string) (request.Placement, error) {
+	return request.Placement{
+		Target: &chicoryv1.Target{Address: "a", Instance: "i-a"},
+		Done:   func(r request.Result, _ time.Duration) { p.results <- r },
+	}, nil
+}
+
+// TestRefusalOfALimitedTargetIsNoFault guards against a target in need that is ejected because it
+// refuses what is above its limit.
+func TestRefusalOfALimitedTargetIsNoFault(t *testing.T) {
+	for limit, want := range map[string]request.Result{"": request.ResultError, "Limit: 2\r\n": request.ResultAbandoned} {
+		inVirtualTime(t, func(t *testing.T) {
+			w := newTestNetwork()
+			w.set("a", func(c net.Conn, _ *http.Request) { writeAnswer(c, 503, "Not-Run: yes\r\n"+limit, "") })
+			s, _ := w.service(emptyBudget{}, "a")
+			p := resultPicker{make(chan request.Result, 1)}
+			s.opts.Picker = p
+			e := faultOf(t, s.Serve(t.Context(), httptest.NewRecorder(), admitted(declared.AtMostOnce, false)))
+			assert.Equal(t, e.Kind, fault.NoTarget)
+			assert.Equal(t, <-p.results, want)
+		})
+	}
+}
+
+// countingProber counts the probes of engines, which show that they are alive.
+type countingProber struct{ probes *atomic.Int64 }
+
+func (p countingProber) Report(context.Context, string, string) (EngineReport, error) {
+	p.probes.Add(1)
+	return EngineReport{Running: 1, Generating: 1, HasRequest: true}, nil
+}
+
+// TestLimitedEngineIsProbedWithPermitsOnly guards against probes that an engine in need receives
+// beside the requests that its limit allows.
+func TestLimitedEngineIsProbedWithPermitsOnly(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		for permits, want := range map[uint32]int64{1: 0, 3: 2} {
+			w := newTestNetwork()
+			w.set("a", w.hang)
+			s, _ := w.service(unlimitedBudget{}, "a")
+			s.opts.Limits.UpdateTargets([]*chicoryv1.ListedTarget{{Address: "a", Instance: "i-a", Service: "s"}})
+			s.opts.Limits.Observe("a", "i-a", 0.05, time.Now()) // its permits outlast the test
+			probes := countingProber{&atomic.Int64{}}
+			s.opts.Prober = probes
+			s.grantPermits(permits)
+			limited := placement.NewEngineTable(placement.Defaults(), "a", s.opts.Limits)
+			limited.Update([]*chicoryv1.ListedTarget{{Address: "a", Instance: "i-a", Service: "s"}}, func(string) int { return 50_000 })
+			s.opts.Engines = limited
+			stop := keepInContact(s)
+			a := admitted(declared.AtMostOnce, true)
+			_ = s.Serve(t.Context(), httptest.NewRecorder(), a)
+			stop()
+			assert.Equal(t, probes.probes.Load(), want, "%d permits", permits)
+		}
+	})
+}
+
+// keepInContact lets the leader report without granting permits, until the returned function is
+// called.
+func keepInContact(s *Service) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for pause.For(ctx, 500*time.Millisecond) {
+			s.opts.Limits.LocalState(false, time.Now())
+			s.opts.Limits.SetRemoteState(nil, 1, time.Now())
+		}
+	}()
+	return cancel
+}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -86,16 +86,13 @@
 		reserved = ""
 		switch {
 		case fault.Is(err, fault.Overloaded):
-			if reserved, err = st.s.opts.Limits.Await(ctx, claim); err != nil && ctx.Err() == nil {
-				return nil, nil, err
+			if reserved, err = st.s.opts.Limits.Await(ctx, claim); err != nil {
+				return nil, nil, waitError(ctx, err, st.headerSent || st.possibleRuns > 0)
 			}
 		case err == nil || !st.headerSent:
 			return run, from, err
-		default:
-			pause.For(ctx, st.s.opts.Settings.PlaceInterval)
-		}
-		if ctx.Err() != nil {
-			return nil, nil, contextError(ctx, st.headerSent || st.possibleRuns > 0)
+		case !pause.For(ctx, st.s.opts.Settings.PlaceInterval):
+			return nil, nil, contextError(ctx, true)
 		}
 	}
 }
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -11,7 +11,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
-	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 )
 
 // dispatch sends the request to the engine and forwards its events.
@@ -34,7 +33,7 @@
 	if err != nil {
 		return attemptResult{outcome: outcomeLost, err: err}
 	}
-	st.s.recordLimit(ratelimit.Target{Address: run.Target.GetAddress(), Instance: run.Target.GetInstance()}, response.Status, meta)
+	st.s.recordLimit(run.Target.GetAddress(), run.Target.GetInstance(), response.Status, meta)
 	if meta.Slots > 0 {
 		run.SetReportedRuns(meta.Running)
 	}
--- a/internal/request/placement/limits_test.go
+++ b/internal/request/placement/limits_test.go
@@ -14,12 +14,11 @@
 
 // Engines in need get no runs and no backups without a permit.
 func TestLimitedEnginesAreLeftToOthers(t *testing.T) {
-	limits := ratelimit.NewTable(ratelimit.Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()})
+	limits := ratelimit.NewTable(ratelimit.Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()})
 	targets := listedTargets(2, "a", "b")
 	limits.UpdateTargets(targets)
 	limit := func(i int) {
-		target := ratelimit.Target{Address: targets[i].GetAddress(), Instance: targets[i].GetInstance()}
-		limits.Observe(target, 0.001, time.Now())
+		limits.Observe(targets[i].GetAddress(), targets[i].GetInstance(), 0.001, time.Now())
 	}
 	limit(0)
 	limit(2)
--- a/internal/request/ratelimit/fleet_test.go
+++ b/internal/request/ratelimit/fleet_test.go
@@ -69,7 +69,7 @@
 		listed = append(listed, &chicoryv1.ListedTarget{Address: f.targets[i], Instance: "first", Service: service})
 	}
 	for i := range entries {
-		t := NewTable(Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()})
+		t := NewTable(Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()})
 		t.UpdateTargets(listed)
 		f.entries = append(f.entries, t)
 		go f.exchange(ctx, i)
@@ -172,7 +172,7 @@
 	time.Sleep(callDuration)
 	var rate float64
 	f.change(func() { rate = f.rate })
-	f.entries[entry].Observe(Target{Address: address, Instance: "first"}, rate, time.Now())
+	f.entries[entry].Observe(address, "first", rate, time.Now())
 }
 
 // worstWindow returns the largest number of requests that a target received within window, from
@@ -277,8 +277,7 @@
 	}
 }
 
-// TestLowLoadIsServed guards against calls that are refused below the limit, and against ones
-// that wait for long.
+// TestLowLoadIsServed guards against calls that are refused below the limit.
 func TestLowLoadIsServed(t *testing.T) {
 	inFleet(t, 9, 3, 2.7, func(t *testing.T, ctx context.Context, f *fleet) {
 		from := time.Now().Add(contactTime)
@@ -401,3 +400,24 @@
 		})
 	})
 }
+
+// TestRegularCallsBelowTheLimitDoNotWait guards against calls that each wait for a permit to be
+// requested and granted, although the limit allows more than they need.
+func TestRegularCallsBelowTheLimitDoNotWait(t *testing.T) {
+	inFleet(t, 3, 1, 10, func(t *testing.T, ctx context.Context, f *fleet) {
+		waited, all := 0, 0
+		for i := range 100 {
+			time.Sleep(200 * time.Millisecond)
+			begin := time.Now()
+			f.call(0)
+			if i < 20 {
+				continue // the limit is not known yet, and no demand was seen
+			}
+			all++
+			if time.Since(begin) > callDuration {
+				waited++
+			}
+		}
+		assert.Check(t, waited <= all/10, "%d of %d calls waited", waited, all)
+	})
+}
--- a/internal/request/ratelimit/limit.go
+++ b/internal/request/ratelimit/limit.go
@@ -23,9 +23,6 @@
 	minRate = 1.0 / 30
 )
 
-// Target identifies one start of a target.
-type Target struct{ Address, Instance string }
-
 // limit is what the last known response of a target names.
 type limit struct {
 	instance string
--- a/internal/request/ratelimit/queue.go
+++ b/internal/request/ratelimit/queue.go
@@ -85,16 +85,19 @@
 	timer := time.NewTimer(recheckInterval)
 	defer timer.Stop()
 	select {
-	case address := <-w.ready:
-		return address, nil
+	case address = <-w.ready:
 	case <-timer.C:
-		return t.leave(w), nil
+		address = t.leave(w)
 	case <-ctx.Done():
-		if address := t.leave(w); address != "" {
-			t.Return(address)
-		}
-		return "", ctx.Err()
+		address = t.leave(w)
+	}
+	if ctx.Err() == nil {
+		return address, nil
+	}
+	if address != "" {
+		t.Return(address)
 	}
+	return "", ctx.Err()
 }
 
 // join adds a claim to its queue unless it can't expect a permit in time.
--- a/internal/request/ratelimit/queue_test.go
+++ b/internal/request/ratelimit/queue_test.go
@@ -16,8 +16,8 @@
 // names a limit.
 func limitedTable(rate float64) *Table {
 	t := newTestTable()
-	t.UpdateTargets([]*chicoryv1.ListedTarget{{Address: desk.Address, Instance: desk.Instance, Service: service}})
-	t.Observe(desk, rate, time.Now())
+	t.UpdateTargets([]*chicoryv1.ListedTarget{{Address: desk.address, Instance: desk.instance, Service: service}})
+	t.Observe(desk.address, desk.instance, rate, time.Now())
 	grant(t, 0)
 	return t
 }
@@ -25,7 +25,7 @@
 // grant applies a report of the leader with permits.
 func grant(t *Table, permits uint32) {
 	t.LocalState(false, time.Now())
-	t.SetRemoteState([]*chicoryv1.TargetLimit{{Address: desk.Address, Instance: desk.Instance, Rate: 2.7, Permits: permits, Contenders: 1}}, 3, time.Now())
+	t.SetRemoteState([]*chicoryv1.TargetLimit{{Address: desk.address, Instance: desk.instance, Rate: 2.7, Permits: permits, Contenders: 1}}, 3, time.Now())
 }
 
 // awaitInOrder starts waiting for each claim, and returns the numbers of the claims in the order
@@ -112,16 +112,13 @@
 func TestPermitOfACallerThatLeavesIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tb := limitedTable(2.7)
-		ctx, cancel := context.WithCancel(t.Context())
 		w, err := tb.join(&Claim{Service: service, Class: ClassOther, Deadline: time.Now().Add(time.Hour)})
 		assert.NilError(t, err)
 		grant(tb, 1)
-		cancel()
-		_ = ctx
-		assert.Equal(t, tb.leave(w), desk.Address)
-		tb.Return(desk.Address)
-		assert.Assert(t, tb.Take(desk.Address))
-		assert.Assert(t, !tb.Take(desk.Address))
+		assert.Equal(t, tb.leave(w), desk.address)
+		tb.Return(desk.address)
+		assert.Assert(t, tb.Take(desk.address))
+		assert.Assert(t, !tb.Take(desk.address))
 	})
 }
 
@@ -130,8 +127,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		tb := limitedTable(2.7)
 		grant(tb, 2)
-		assert.Assert(t, tb.Take(desk.Address))
+		assert.Assert(t, tb.Take(desk.address))
 		time.Sleep(minPermitLifetime)
-		assert.Assert(t, !tb.Take(desk.Address))
+		assert.Assert(t, !tb.Take(desk.address))
 	})
 }
--- a/internal/request/ratelimit/table.go
+++ b/internal/request/ratelimit/table.go
@@ -24,12 +24,12 @@
 	// contendersLifetime is the age from which the number of contenders is not relied on. The
 	// leader reports it again earlier to a VM that wants permits.
 	contendersLifetime = contactTimeout
-	// defaultEntryVMs is the number of entry VMs that is assumed until the leader reports it.
-	defaultEntryVMs = 20
 )
 
 // Options configures a Table. All fields are required.
 type Options struct {
+	// EntryVMs is the number of entry VMs that is assumed until the leader reports it.
+	EntryVMs int
 	Logger   *logging.Logger
 	Registry metrics.Registry
 }
@@ -85,7 +85,7 @@
 		targets:  map[string]*targetState{},
 		listed:   map[string]listedTarget{},
 		queues:   map[string]*queue{},
-		entryVMs: defaultEntryVMs,
+		entryVMs: opts.EntryVMs,
 	}
 	metrics.NewRegisteredFunctionalGauge("targets.limited", opts.Registry, t.limitedCount)
 	return t
@@ -113,18 +113,18 @@
 	}
 }
 
-// Observe records what a response of a target names: a rate in requests per second, or 0 for no
-// limit.
-func (t *Table) Observe(target Target, rate float64, now time.Time) {
+// Observe records what a response of a start of the target at address names: a rate in requests
+// per second, or 0 for no limit.
+func (t *Table) Observe(address, instance string, rate float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := limit{instance: target.Instance, rate: validRate(rate), namedAt: now}
-	s := t.targets[target.Address]
+	l := limit{instance: instance, rate: validRate(rate), namedAt: now}
+	s := t.targets[address]
 	if l.rate == 0 && s == nil {
 		return
 	}
 	changed := s == nil || !l.isSame(s.limit)
-	s = t.update(target.Address, l, now)
+	s = t.update(address, l, now)
 	if changed || now.Sub(s.reportedAt) >= reportInterval {
 		s.unshared = true
 	}
--- a/internal/request/ratelimit/table_test.go
+++ b/internal/request/ratelimit/table_test.go
@@ -16,11 +16,11 @@
 
 var (
 	start = time.Unix(1_000_000, 0)
-	desk  = Target{Address: "10.0.0.1:80", Instance: "first"}
+	desk  = struct{ address, instance string }{"10.0.0.1:80", "first"}
 )
 
 func newTestTable() *Table {
-	return NewTable(Options{Logger: logging.Discard(), Registry: metrics.NewRegistry()})
+	return NewTable(Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()})
 }
 
 func (t *Table) rateOf(address string) float64 {
@@ -33,27 +33,27 @@
 // A limit holds for as long as the target names it.
 func TestLatestResponseDecides(t *testing.T) {
 	tb := newTestTable()
-	tb.Observe(desk, 0, start)
+	tb.Observe(desk.address, desk.instance, 0, start)
 	assert.Equal(t, len(tb.targets), 0, "a target without a limit takes no memory")
-	tb.Observe(desk, 2.7, start)
-	assert.Equal(t, tb.rateOf(desk.Address), 2.7)
-	tb.Observe(desk, 1.5, start.Add(time.Second))
-	assert.Equal(t, tb.rateOf(desk.Address), 1.5)
-	tb.Observe(desk, 4, start)
-	assert.Equal(t, tb.rateOf(desk.Address), 1.5, "an earlier response")
-	tb.Observe(desk, 0, start.Add(2*time.Second))
-	assert.Equal(t, tb.rateOf(desk.Address), 0.0)
+	tb.Observe(desk.address, desk.instance, 2.7, start)
+	assert.Equal(t, tb.rateOf(desk.address), 2.7)
+	tb.Observe(desk.address, desk.instance, 1.5, start.Add(time.Second))
+	assert.Equal(t, tb.rateOf(desk.address), 1.5)
+	tb.Observe(desk.address, desk.instance, 4, start)
+	assert.Equal(t, tb.rateOf(desk.address), 1.5, "an earlier response")
+	tb.Observe(desk.address, desk.instance, 0, start.Add(2*time.Second))
+	assert.Equal(t, tb.rateOf(desk.address), 0.0)
 }
 
 // A limit of 0 must not keep a target out of use for ever.
 func TestRateIsNeverZero(t *testing.T) {
 	tb := newTestTable()
-	tb.Observe(desk, math.SmallestNonzeroFloat64, start)
-	assert.Equal(t, tb.rateOf(desk.Address), minRate)
+	tb.Observe(desk.address, desk.instance, math.SmallestNonzeroFloat64, start)
+	assert.Equal(t, tb.rateOf(desk.address), minRate)
 }
 
 func list(instance string) []*chicoryv1.ListedTarget {
-	return []*chicoryv1.ListedTarget{{Address: desk.Address, Instance: instance, Service: service}}
+	return []*chicoryv1.ListedTarget{{Address: desk.address, Instance: instance, Service: service}}
 }
 
 // A target that has started again begins without a limit, also at VMs that hear of the earlier
@@ -61,14 +61,14 @@
 func TestRestartedTargetBeginsWithoutALimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tb := limitedTable(2.7)
-		assert.Assert(t, !tb.Take(desk.Address))
+		assert.Assert(t, !tb.Take(desk.address))
 		tb.UpdateTargets(list("second"))
-		assert.Assert(t, tb.Take(desk.Address))
+		assert.Assert(t, tb.Take(desk.address))
 		grant(tb, 0)
-		assert.Assert(t, tb.Take(desk.Address), "a late report of the earlier start")
+		assert.Assert(t, tb.Take(desk.address), "a late report of the earlier start")
 		time.Sleep(time.Millisecond)
-		tb.Observe(Target{desk.Address, "second"}, 1, time.Now())
-		assert.Assert(t, !tb.Take(desk.Address))
+		tb.Observe(desk.address, "second", 1, time.Now())
+		assert.Assert(t, !tb.Take(desk.address))
 	})
 }
 
@@ -78,9 +78,9 @@
 		tb := newTestTable()
 		tb.UpdateTargets(list("earlier"))
 		grant(tb, 0)
-		assert.Assert(t, !tb.Take(desk.Address))
-		tb.UpdateTargets(list(desk.Instance))
-		assert.Assert(t, !tb.Take(desk.Address))
+		assert.Assert(t, !tb.Take(desk.address))
+		tb.UpdateTargets(list(desk.instance))
+		assert.Assert(t, !tb.Take(desk.address))
 	})
 }
 
@@ -89,9 +89,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		tb := limitedTable(2.7)
 		time.Sleep(limitLifetime - time.Second)
-		assert.Assert(t, tb.IsLimited(desk.Address))
+		assert.Assert(t, tb.IsLimited(desk.address))
 		time.Sleep(time.Second)
-		assert.Assert(t, !tb.IsLimited(desk.Address))
+		assert.Assert(t, !tb.IsLimited(desk.address))
 	})
 }
 
@@ -100,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		tb := limitedTable(2.7)
 		shared := func(rate float64) int {
-			tb.Observe(desk, rate, time.Now())
+			tb.Observe(desk.address, desk.instance, rate, time.Now())
 			time.Sleep(time.Millisecond)
 			return len(tb.LocalState(false, time.Now()))
 		}
