entry: a removed service outlasts the timeouts of all earlier configurations

What callers saw: nothing reported; found while looking for an accepted request that ends without an answer beside a change of the configuration.

Cause: the targets of a removed service stay in use until the longest timeout of the configuration before has passed. A request that was admitted by one before that, under a longer timeout, keeps its deadline, but its service was gone: a stream that then lost its engine waited without one until its deadline and was truncated, a call was refused after its retry. Two ways: the timeout is shortened and the service removed later; a service is removed, returns, and is removed again by a configuration with shorter timeouts.

Class: a change applies to requests that were admitted before it.

Change: the time for which removed services stay is bounded by the deadlines of all earlier configurations.

TestRemovedServiceServesRequestsOfALongerTimeout failed before, 24 s after the removal with a timeout of 25 s: no targets in use instead of one.

--- a/internal/process/entry/removed_services.go
+++ b/internal/process/entry/removed_services.go
@@ -6,9 +6,14 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
-// removedServices are the services that a later configuration removed, by name. Requests that
-// were admitted before may run until their deadlines, and need another target if theirs is lost.
-type removedServices map[string]removedService
+// removedServices are the services that a later configuration removed. Requests that were
+// admitted before may run until their deadlines, and need another target if theirs is lost.
+type removedServices struct {
+	byName map[string]removedService
+	// admittedUntil is when the last request that an earlier configuration admitted has reached
+	// its deadline. The last of them may have had shorter timeouts than those before.
+	admittedUntil time.Time
+}
 
 type removedService struct {
 	service *declared.Service
@@ -17,18 +22,20 @@
 }
 
 // update records which services current removes and adds. previous may be nil.
-func (m removedServices) update(previous, current *declared.View, now time.Time) {
+func (m *removedServices) update(previous, current *declared.View, now time.Time) {
 	for _, s := range current.Configuration().Services {
-		delete(m, s.Name)
+		delete(m.byName, s.Name)
 	}
 	if previous == nil {
 		return
 	}
-	until := now.Add(longestTimeout(previous.Configuration()))
+	if until := now.Add(longestTimeout(previous.Configuration())); until.After(m.admittedUntil) {
+		m.admittedUntil = until
+	}
 	services := previous.Configuration().Services
 	for i := range services {
 		if current.Service(services[i].Name) == nil {
-			m[services[i].Name] = removedService{service: &services[i], until: until}
+			m.byName[services[i].Name] = removedService{service: &services[i], until: m.admittedUntil}
 		}
 	}
 }
@@ -42,13 +49,13 @@
 }
 
 // expire drops the services that no request can use any more.
-func (m removedServices) expire(now time.Time) {
-	for name, s := range m {
+func (m *removedServices) expire(now time.Time) {
+	for name, s := range m.byName {
 		if now.After(s.until) {
-			delete(m, name)
+			delete(m.byName, name)
 		}
 	}
 }
 
 // service returns the removed service with the name, or nil.
-func (m removedServices) service(name string) *declared.Service { return m[name].service }
+func (m *removedServices) service(name string) *declared.Service { return m.byName[name].service }
--- a/internal/process/entry/removed_services_test.go
+++ b/internal/process/entry/removed_services_test.go
@@ -13,15 +13,22 @@
 )
 
 // serviceDecoder decodes documents whose first byte is the version and whose rest is the name
-// of the only service.
-type serviceDecoder struct{}
+// of the only service. If shortFrom is not 0, routes have shortTimeout from that version on.
+type serviceDecoder struct{ shortFrom byte }
 
-const routeTimeout = 25 * time.Second
+const (
+	routeTimeout = 25 * time.Second
+	shortTimeout = time.Second
+)
 
-func (serviceDecoder) DecodeConfiguration(document []byte) (*declared.Configuration, error) {
+func (d serviceDecoder) DecodeConfiguration(document []byte) (*declared.Configuration, error) {
+	timeout := routeTimeout
+	if d.shortFrom > 0 && document[0] >= d.shortFrom {
+		timeout = shortTimeout
+	}
 	return &declared.Configuration{
 		Version:  uint64(document[0]),
-		Routes:   []declared.Route{{Name: "r", Timeout: routeTimeout}},
+		Routes:   []declared.Route{{Name: "r", Timeout: timeout}},
 		Services: []declared.Service{{Name: string(document[1:]), Engine: &declared.Engine{KVCapacityTokens: 1000}}},
 	}, nil
 }
@@ -74,3 +81,30 @@
 		assert.DeepEqual(t, r.instancesInUse(), []string{"1"})
 	})
 }
+
+// TestRemovedServiceServesRequestsOfALongerTimeout guards against a stream that is truncated
+// because its service was removed after the timeout of its route was shortened: it was admitted
+// before both and keeps its deadline.
+func TestRemovedServiceServesRequestsOfALongerTimeout(t *testing.T) {
+	for name, services := range map[string][]string{
+		"shortened, then removed":       {"desk", "desk", "other"},
+		"removed, returned and removed": {"desk", "other", "desk", "other"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRoutingState()
+				r.decoder = serviceDecoder{shortFrom: 2}
+				r.SetTargets(targetList(target("1", false), target("2", false)))
+				for i, service := range services {
+					r.declare(byte(i+1), service)
+				}
+				time.Sleep(routeTimeout - time.Second)
+				r.SetTargets(targetList(target("1", true), target("2", false)))
+				assert.DeepEqual(t, r.instancesInUse(), []string{"2"})
+				time.Sleep(2 * time.Second)
+				r.SetTargets(targetList(target("2", false)))
+				assert.DeepEqual(t, r.instancesInUse(), []string(nil))
+			})
+		})
+	}
+}
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -76,7 +76,7 @@
 		listed:       map[feed.TargetInstance]bool{},
 		removedAt:    map[feed.TargetInstance]time.Time{},
 
-		removedServices: removedServices{},
+		removedServices: removedServices{byName: map[string]removedService{}},
 	}
 }
 
@@ -255,7 +255,7 @@
 		}
 		return r.removedServices.service(name)
 	}
-	for name := range r.removedServices {
+	for name := range r.removedServices.byName {
 		next.Services = append(next.Services, &chicoryv1.Service{Name: name})
 	}
 	var listed []*chicoryv1.ListedTarget
