entry: streams that wait for permits see the new targets when a change wakes them

Cause: a change of the targets updated the limits before the engines. The first wakes all requests that wait, and no longer limits a target that isn't listed; until the second, which follows at once, a stream still finds it. So a queue could be sent to a target that had just been taken out of use, all at once and without permits. Calls are not affected: their targets are updated first.

Change: the limits are updated last. In between, a target that is new at its address is limited as the one before.

--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -276,13 +276,13 @@
 		r.logger.Error(logging.TargetListLost, logging.Fields{"reason": err})
 		return
 	}
-	r.limits.UpdateTargets(listed)
 	r.engines.Update(listed, func(name string) int {
 		if s := service(name); s != nil && s.Engine != nil {
 			return s.Engine.KVCapacityTokens
 		}
 		return 0
 	})
+	r.limits.UpdateTargets(listed) // last, as it wakes the requests that wait for permits
 }
 
 // isExcluded reports whether a target gets no new requests. The caller holds mu.
