exchange: a quarantine doesn't truncate a stream that has begun

What callers saw: a sound stream with status 200 and one event ended without its end while engines were lost to other requests (TestPartThatCrashesEngines, on the code before: once in `make test`, and once in 14 runs of its first subtest beside other work on the machine).

Trace of the second: two engines of the stream were lost before their first event, the third after it. At that moment its log has `part_quarantined keys="[last/sound-0-2-1]"` and `request_broken reason="request_quarantined: the request crashes the targets that run it"`.

Cause: a request counts as one that may crash engines until the second event of an answer, and a quarantine of one of its keys ends it until then. But from the first event on its caller can't be refused, so ending it truncates the response. Two ways: the watch cancelled an attempt whose engine was sound and between its first and second event, and an engine that was lost between the two made the stream check the quarantine instead of continuing elsewhere.

Class: a decision that is right until the response begins acts after it has begun.

Change: the first bytes to the caller and the watch exclude each other: an attempt is ended before them or not at all. A begun stream whose engine is lost waits until its keys are cleared, or until it is itself the trial, at most to its deadline. It asks for a trial as often as a refused caller, and a trial doesn't continue from a copy, whose engine may refuse it. It reaches no more engines than before: a request that crashes each engine after the first event still ends three, and each trial one more.

--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -187,6 +187,16 @@
 	}), engines
 }
 
+// list puts a list of targets in force, as a change of the configuration or of the list does.
+func (s *Service) list(addresses ...string) {
+	var listed []*chicoryv1.ListedTarget
+	for _, address := range addresses {
+		listed = append(listed, &chicoryv1.ListedTarget{Address: address, Instance: "i-" + address, Service: "s"})
+	}
+	s.opts.Engines.Update(listed, func(string) int { return 50_000 })
+	s.opts.Limits.UpdateTargets(listed)
+}
+
 // admitted returns a request for a route with the given repetition.
 func admitted(repetition declared.RetryPolicy, stream bool) *AdmittedRequest {
 	now := time.Now()
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -13,6 +14,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
+	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
@@ -40,11 +42,7 @@
 // admitKeys refuses a request that crashes targets.
 func (s *Service) admitKeys(a *AdmittedRequest) error {
 	a.keys = a.suspectKeys()
-	admission := s.opts.Quarantine.Admit(a.keys, time.Now())
-	if admission.Trial {
-		a.trial = &trial{keys: admission.Keys}
-		s.opts.Logger.Warn(logging.QuarantineTried, logging.Fields{"request": a.ID, "route": a.Route.Name, "keys": admission.Keys})
-	}
+	admission := s.tryAdmit(a)
 	if !admission.Refused {
 		return nil
 	}
@@ -52,6 +50,17 @@
 	return quarantined(admission)
 }
 
+// tryAdmit checks the keys of a request, and makes it a trial if one was granted.
+func (s *Service) tryAdmit(a *AdmittedRequest) quarantine.Admission {
+	admission := s.opts.Quarantine.Admit(a.keys, time.Now())
+	a.trial = nil
+	if admission.Trial {
+		a.trial = &trial{keys: admission.Keys}
+		s.opts.Logger.Warn(logging.QuarantineTried, logging.Fields{"request": a.ID, "route": a.Route.Name, "keys": admission.Keys})
+	}
+	return admission
+}
+
 // recordSent records that a target has received a request, which counts if it is a trial.
 func (s *Service) recordSent(a *AdmittedRequest) {
 	if a.trial != nil && a.trial.sent.CompareAndSwap(false, true) {
@@ -167,21 +176,84 @@
 		return
 	}
 	st.begun = true
-	st.stopWatch()
 	st.s.opts.Quarantine.RecordBegun(st.a.keys, time.Now())
 }
 
-// watchQuarantine cancels the attempt if other requests show, before this one is answered,
-// that it crashes engines. The returned function ends the watch.
-func (st *stream) watchQuarantine(ctx context.Context, cancel context.CancelCauseFunc) (stop context.CancelFunc) {
-	ctx, stop = context.WithCancel(ctx)
-	if st.begun || st.a.trial != nil {
-		return stop
+// awaitAdmission waits while a stream whose response has begun is in quarantine: it can't be
+// refused, and other requests or a trial may show that its keys are sound. It asks for a trial as
+// often as a caller that is refused.
+func (st *stream) awaitAdmission(ctx context.Context) error {
+	if st.a.trial != nil && !st.a.trial.wasSent() {
+		return nil
+	}
+	for {
+		admission := st.s.tryAdmit(st.a)
+		if !admission.Refused {
+			return nil
+		}
+		if !st.awaitCleared(ctx, admission.Wait) {
+			return contextError(ctx, true)
+		}
+	}
+}
+
+// awaitCleared waits until the keys of the stream are cleared, for limit at most. It returns false
+// if ctx ends first.
+func (st *stream) awaitCleared(ctx context.Context, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); {
+		if !pause.For(ctx, st.s.opts.Settings.PlaceInterval) {
+			return false
+		}
+		if len(st.s.opts.Quarantine.Check(st.a.keys, time.Now()).Keys) == 0 {
+			return true
+		}
+	}
+	return true
+}
+
+// quarantineWatch ends an attempt whose request comes into quarantine before its response has
+// begun. A nil watch never does.
+type quarantineWatch struct {
+	stop context.CancelFunc
+
+	mu             sync.Mutex // guards the fields below
+	ended, refused bool
+}
+
+// end ends the watch, and reports whether the attempt may continue.
+func (w *quarantineWatch) end() bool {
+	if w == nil {
+		return true
+	}
+	w.stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	return !w.refused
+}
+
+// refuse cancels the attempt unless the watch has ended.
+func (w *quarantineWatch) refuse(cancel context.CancelCauseFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.refused = true
+		cancel(errQuarantined)
+	}
+}
+
+// watchQuarantine cancels the attempt if other requests show, before its response has begun, that
+// it crashes engines. Once it has, an engine that the request crashes is lost already.
+func (st *stream) watchQuarantine(ctx context.Context, cancel context.CancelCauseFunc) *quarantineWatch {
+	if st.headerSent || st.a.trial != nil {
+		return nil
 	}
+	ctx, stop := context.WithCancel(ctx)
+	w := &quarantineWatch{stop: stop}
 	go func() {
 		if _, refused := st.s.opts.Quarantine.AwaitRefusal(ctx, st.a.keys); refused {
-			cancel(errQuarantined)
+			w.refuse(cancel)
 		}
 	}()
-	return stop
+	return w
 }
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -29,10 +29,10 @@
 	// whether the response header was written.
 	lastEvent  int
 	headerSent bool
-	// begun: an engine has begun the answer, so the request crashes none. stopWatch ends the
-	// watch for a quarantine of the request.
-	begun     bool
-	stopWatch context.CancelFunc
+	// begun: an engine has begun the answer, so the request crashes none.
+	begun bool
+	// watch is the watch of the current attempt for a quarantine of the request.
+	watch *quarantineWatch
 	// eventsSent counts the events that were forwarded.
 	eventsSent int
 	gaps       pace.GapEstimator
@@ -101,8 +101,9 @@
 // a copy of the run's memory, it is also returned as from. reserved is the address of the
 // engine that the stream has a permit for, or empty.
 func (st *stream) place(reserved string) (*placement.Run, *chicoryv1.ListedTarget, error) {
-	if from := st.backup; from != nil {
-		st.backup = nil
+	from := st.backup
+	st.backup = nil
+	if from != nil && st.a.trial == nil { // a trial is for an engine that was not lost with the keys
 		if run := st.s.opts.Engines.PlaceOnBackup(from, st.a.PromptID, st.size); run != nil {
 			return run, from, nil
 		}
@@ -124,7 +125,7 @@
 // awaitRetry waits until the retry budget allows another engine, or returns why none may
 // be tried.
 func (st *stream) awaitRetry(ctx context.Context) error {
-	if !st.begun {
+	if !st.headerSent {
 		if err := st.s.quarantineError(st.a, st.possibleRuns); err != nil {
 			return err
 		}
@@ -144,6 +145,11 @@
 	if st.refused >= st.s.opts.Settings.MaxRefusals && !pause.For(ctx, st.s.opts.Settings.RefusalInterval) {
 		return contextError(ctx, true)
 	}
+	if st.headerSent && !st.begun {
+		if err := st.awaitAdmission(ctx); err != nil {
+			return err
+		}
+	}
 	if st.nextAllowed {
 		return nil
 	}
@@ -200,8 +206,8 @@
 		st.backup = backup
 	}
 	st.logPlaced(run, d)
-	st.stopWatch = st.watchQuarantine(ctx, cancel)
-	defer st.stopWatch()
+	st.watch = st.watchQuarantine(ctx, cancel)
+	defer st.watch.end()
 	g := st.newAttemptGuard(run, cancel)
 	result := st.dispatch(ctx, g, run, d)
 	st.nextAllowed = g.allowed()
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -87,6 +87,9 @@
 	if e.id > st.lastEvent+1 && (st.headerSent || st.lastEvent > 0) {
 		return errors.Errorf("event gap: event %d received after event %d", e.id, st.lastEvent)
 	}
+	if !st.headerSent && !st.watch.end() {
+		return errQuarantined
+	}
 	st.writeHeader(response)
 	if e.id != 0 {
 		st.lastEvent = e.id
