--- a/internal/connection/frontend/frontend_test.go
+++ b/internal/connection/frontend/frontend_test.go
@@ -22,12 +22,12 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
-// testCodec takes the request's id and timeout from headers.
+// testCodec takes the request's id, API key and timeout from headers.
 type testCodec struct{}
 
 func (testCodec) Request(r *http.Request) (*exchange.Request, error) {
 	timeout, _ := time.ParseDuration(r.Header.Get("Timeout")) // 0 if there is none
-	return &exchange.Request{ID: r.Header.Get("Id"), URI: r.RequestURI, Timeout: timeout}, nil
+	return &exchange.Request{ID: r.Header.Get("Id"), URI: r.RequestURI, APIKey: r.Header.Get("Key"), Timeout: timeout}, nil
 }
 
 func (testCodec) Refuse(w http.ResponseWriter, e *fault.Error) {
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -304,8 +304,8 @@
 const writeGrace = 2 * time.Second
 
 // LimitWrites makes writes to the caller fail some time after deadline, so that a caller that
-// keeps its connection and reads nothing holds no request. The limit stays on the connection
-// until the next request replaces it.
+// keeps its connection and reads nothing holds no request. net/http ends the limit with the
+// request.
 func LimitWrites(w http.ResponseWriter, deadline time.Time) {
 	// An error means that the caller has left, which the next write reports.
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
