--- a/internal/connection/frontend/shutdown_test.go
+++ b/internal/connection/frontend/shutdown_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,3 +63,38 @@
 	assert.NilError(t, x.Shutdown(ctx))
 	assert.Assert(t, time.Since(begin) < 5*time.Second)
 }
+
+// TestNoRequestIsPassedOnByAClosingConnection guards against a request that crosses the close of
+// its idle connection at the end of a shutdown, is passed on and gets no response.
+func TestNoRequestIsPassedOnByAClosingConnection(t *testing.T) {
+	const connections, rounds = 20, 8
+	for range rounds {
+		var passedOn, answered atomic.Int64
+		x := listen(t, func(ctx context.Context, w http.ResponseWriter, a *exchange.AdmittedRequest) error {
+			passedOn.Add(1)
+			time.Sleep(time.Millisecond)
+			return answerBody(ctx, w, a)
+		})
+		var callers sync.WaitGroup
+		for i := range connections {
+			c, r := x.dial(t)
+			callers.Go(func() {
+				for {
+					time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+					text, err := exchangeOn(c, r, "body")
+					if err != nil {
+						return // the connection was closed
+					}
+					if text == "body" {
+						answered.Add(1)
+					}
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		x.RejectRequests()
+		assert.NilError(t, x.Shutdown(t.Context()))
+		callers.Wait()
+		assert.Equal(t, answered.Load(), passedOn.Load())
+	}
+}
