ratelimit: a permit that comes just before a request waits is not overlooked

What callers saw: a request whose permit had come waited 200 ms longer, until its next check, and longer still if another request took the permit.

Cause: a lost wake-up. A request first looks for a target and then joins the queue. A permit that is granted in between is kept, since nobody waits, and a change that lets all requests try again wakes only those in the queue.

Change: the table counts kept permits and such changes. A request that joins after one it hasn't tried since tries again first.

TestOpeningBeforeTheWaitIsSeen failed before with a wait of 200 ms instead of 0.

--- a/internal/request/ratelimit/queue.go
+++ b/internal/request/ratelimit/queue.go
@@ -51,6 +51,8 @@
 	// admitted: Await has decided that the request may wait.
 	admitted bool
 	since    time.Time
+	// openings is the number of openings when the request last joined a queue or tried again.
+	openings uint64
 }
 
 // waiter is a claim that waits. ready receives the address of the target that the permit is
@@ -79,7 +81,7 @@
 // with the error of ctx.
 func (t *Table) Await(ctx context.Context, c *Claim) (address string, err error) {
 	w, err := t.join(c)
-	if err != nil {
+	if w == nil {
 		return "", err
 	}
 	timer := time.NewTimer(recheckInterval)
@@ -100,10 +102,15 @@
 	return "", ctx.Err()
 }
 
-// join adds a claim to its queue unless it can't expect a permit in time.
+// join adds a claim to its queue unless it can't expect a permit in time. It returns nil if the
+// request may try again to find a target: there was an opening after it found none.
 func (t *Table) join(c *Claim) (*waiter, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if c.openings != t.openings {
+		c.openings = t.openings
+		return nil, nil
+	}
 	q := t.queues[c.Service]
 	if q == nil {
 		q = &queue{byTeam: map[teamClass]*decayed{}}
@@ -184,6 +191,7 @@
 
 // wakeAll lets all requests that wait for a service try again. The caller holds mu.
 func (t *Table) wakeAll(service string) {
+	t.openings++
 	q := t.queues[service]
 	if q == nil {
 		return
--- a/internal/request/ratelimit/queue_test.go
+++ b/internal/request/ratelimit/queue_test.go
@@ -132,3 +132,30 @@
 		assert.Assert(t, !tb.Take(desk.address))
 	})
 }
+
+// TestOpeningBeforeTheWaitIsSeen guards against a request that waits although it may be sent: the
+// permit, or the change after which targets have no limit, came after the request found no target
+// and before it joined the queue.
+func TestOpeningBeforeTheWaitIsSeen(t *testing.T) {
+	for name, open := range map[string]func(*Table){
+		"permit":      func(tb *Table) { grant(tb, 1) },
+		"limit ended": func(tb *Table) { tb.Observe(desk.address, desk.instance, 0, time.Now()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tb := limitedTable(2.7)
+				c := &Claim{Service: service, Class: ClassOther, Deadline: time.Now().Add(time.Minute)}
+				_, err := tb.Await(t.Context(), c)
+				assert.NilError(t, err)
+				assert.Assert(t, !tb.Take(desk.address))
+				time.Sleep(time.Millisecond)
+				open(tb)
+				begin := time.Now()
+				_, err = tb.Await(t.Context(), c)
+				assert.NilError(t, err)
+				assert.Equal(t, time.Since(begin), time.Duration(0))
+				assert.Assert(t, tb.Take(desk.address))
+			})
+		})
+	}
+}
--- a/internal/request/ratelimit/table.go
+++ b/internal/request/ratelimit/table.go
@@ -45,6 +45,9 @@
 	targets map[string]*targetState // by address
 	listed  map[string]listedTarget // by address
 	queues  map[string]*queue       // by service
+	// openings counts what a request that waits in no queue isn't told of: permits that were kept,
+	// and changes that let all requests try again.
+	openings uint64
 	// entryVMs is the number of entry VMs, this one included.
 	entryVMs int
 	// leaderAt is when the leader last reported, sharedAt when a report to it last succeeded.
@@ -225,6 +228,7 @@
 		}
 	}
 	s.permits = append(s.permits, now.Add(s.permitLifetime()))
+	t.openings++
 }
 
 // hasPermit removes the expired permits and reports whether one is left.
