exchange: an attempt that was never sent needs no retry budget

What callers saw: streams waited up to 10 s for an engine while others were there, and were truncated at their deadline or at the end of a stop.

Cause: a stream asks the retry budget for its next attempt also after one that was never sent, since its engine could not be connected to. The budget is shared: VMs whose connections fail use it up for all. Calls ask only after a target has refused them.

Class: a limit that protects targets is charged for what no target received.

Change: after an attempt that was not sent the next one needs no budget; the number of targets that may be tried stays limited.

TestUnsentStreamNeedsNoRetryBudget failed before with deadline_not_run.

--- /dev/null
+++ b/internal/request/exchange/retry_budget_test.go
@@ -0,0 +1,30 @@
+package exchange
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
+)
+
+// TestUnsentStreamNeedsNoRetryBudget guards against a stream that waits until its deadline for the
+// retry budget although no engine has received it: an attempt that was never sent costs its service
+// nothing.
+func TestUnsentStreamNeedsNoRetryBudget(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newTestNetwork()
+		w.engines(defaultEngine, "c", "d")
+		s, _ := w.service(emptyBudget{}, "a", "b", "c", "d") // a and b can't be connected to
+		for range 10 {
+			a := admitted(declared.Resumable, true)
+			rec := httptest.NewRecorder()
+			begin := time.Now()
+			assert.NilError(t, s.Serve(t.Context(), rec, a))
+			assert.Equal(t, rec.Body.String(), streamText(eventCount))
+			assert.Assert(t, time.Since(begin) < 2*time.Second, "served after %v", time.Since(begin))
+		}
+	})
+}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -46,7 +46,7 @@
 	// possibleRuns counts the engines that may have run the request, refused those that
 	// did not run it.
 	possibleRuns, refused int
-	// nextAllowed: the retry budget has allowed the next attempt.
+	// nextAllowed: the retry budget has allowed the next attempt, or it needs none.
 	nextAllowed bool
 	// errorResponse is the last error that an engine returned before the stream began.
 	errorResponse *attempt
@@ -210,7 +210,7 @@
 	defer st.watch.end()
 	g := st.newAttemptGuard(run, cancel)
 	result := st.dispatch(ctx, g, run, d)
-	st.nextAllowed = g.allowed()
+	st.nextAllowed = g.allowed() || result.outcome == outcomeNotSent
 	if result.final {
 		return true, result.err
 	}
