exchange: a retry uses a new connection

What callers saw: a begun stream was truncated with most of its time left.

Cause: the connections that are kept to the engines were all reset. An attempt on one that is broken may have reached its engine, so it counts against the attempts of the route; the next one took another kept connection.

Class: a retry depends on what made the first attempt fail.

Change: after a lost attempt the next one opens a new connection. If that fails, nothing was sent, and no attempt is used up. Calls that may run once only are not sent again after a loss, and change nothing.

TestRetriesUseNewConnections failed before: "outcome_unknown: 2 engines were lost" with two attempts, and the call likewise.

--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -22,6 +22,8 @@
 	Body   []byte
 	// HasBody makes the request state its Content-Length even if Body is empty.
 	HasBody bool
+	// NewConnection: the request must not use an idle connection, which may be broken.
+	NewConnection bool
 }
 
 // Response is a target's response whose body has not been read yet. It must be ended
@@ -88,7 +90,11 @@
 // when ctx ends. The error is a *NotSentError if no byte was written; after any other
 // error the target may have run the request.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c, err := p.get(ctx, address)
+	connect := p.get
+	if r.NewConnection {
+		connect = p.replace
+	}
+	c, err := connect(ctx, address)
 	if err != nil {
 		return nil, &NotSentError{address, err}
 	}
--- a/internal/connection/http1/pool.go
+++ b/internal/connection/http1/pool.go
@@ -88,6 +88,20 @@
 		}
 		c.close()
 	}
+	return p.open(ctx, address)
+}
+
+// replace closes an idle connection, if there is one, and returns a new one: the target limits the
+// number of its connections.
+func (p *Pool) replace(ctx context.Context, address string) (*conn, error) {
+	if c := p.takeIdle(address); c != nil {
+		c.close()
+	}
+	return p.open(ctx, address)
+}
+
+// open returns a new connection.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -45,10 +45,11 @@
 	return t.outcome == outcomeAnswered && t.status >= http.StatusInternalServerError
 }
 
-// runAttempt sends a call to a target, waits for the response and reports to the picker.
-func (s *Service) runAttempt(ctx context.Context, a *AdmittedRequest, p request.Placement) *attempt {
+// runAttempt sends a call to a target, waits for the response and reports to the picker. After a lost
+// attempt, the next one needs a new connection: others may be broken as well.
+func (s *Service) runAttempt(ctx context.Context, a *AdmittedRequest, p request.Placement, newConnection bool) *attempt {
 	begin := time.Now()
-	t := s.roundTrip(ctx, a, p.Target.GetAddress(), p.Target.GetInstance())
+	t := s.roundTrip(ctx, a, p.Target.GetAddress(), Dispatch{Instance: p.Target.GetInstance(), NewConnection: newConnection})
 	t.target = p.Target.GetAddress()
 	t.latency = time.Since(begin)
 	result := t.targetResult(ctx)
@@ -99,8 +100,8 @@
 }
 
 // roundTrip sends a call to the target at address once and reads the complete response.
-func (s *Service) roundTrip(ctx context.Context, a *AdmittedRequest, address, instance string) *attempt {
-	x, err := s.opts.Pool.Send(ctx, address, s.targetRequest(a, Dispatch{Instance: instance}))
+func (s *Service) roundTrip(ctx context.Context, a *AdmittedRequest, address string, d Dispatch) *attempt {
+	x, err := s.opts.Pool.Send(ctx, address, s.targetRequest(a, d))
 	if err != nil {
 		if http1.IsNotSent(err) {
 			return &attempt{outcome: outcomeNotSent, err: err}
@@ -114,7 +115,7 @@
 		return &attempt{outcome: outcomeLost, err: err}
 	}
 	s.recordLoad(address, meta)
-	s.recordLimit(address, instance, response.Status, meta)
+	s.recordLimit(address, d.Instance, response.Status, meta)
 	t := &attempt{status: response.Status, header: response.Header, limited: meta.Limit > 0}
 	if t.body, err = response.ReadAll(s.opts.Settings.MaxResponseBytes); err != nil {
 		response.Abandon()
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -91,6 +91,8 @@
 	// BackupTo is the address of the engine that keeps a copy of the run's memory, or
 	// empty if there is none.
 	BackupTo string
+	// NewConnection: the request must not use an idle connection to the target.
+	NewConnection bool
 	// ContinueFrom is the address of the engine that keeps a copy of the run's memory,
 	// which is the engine that the request is sent to, or empty if there is none.
 	ContinueFrom string
@@ -322,6 +324,8 @@
 		Header:  s.opts.Protocol.EncodeDispatch(a.Request, d),
 		Body:    a.Body,
 		HasBody: a.HasBody,
+
+		NewConnection: d.NewConnection,
 	}
 }
 
--- a/internal/request/exchange/once.go
+++ b/internal/request/exchange/once.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			return fault.Of(err)
 		}
-		t := s.runAttempt(ctx, a, p)
+		t := s.runAttempt(ctx, a, p, false)
 		switch t.outcome {
 		case outcomeAnswered:
 			t.writeTo(w)
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -57,7 +57,8 @@
 	c.tried = append(c.tried, p.Target.GetAddress())
 	c.running++
 	c.possibleRuns++
-	go func() { c.results <- c.s.runAttempt(ctx, c.a, p) }()
+	newConnection := c.lost > 0
+	go func() { c.results <- c.s.runAttempt(ctx, c.a, p, newConnection) }()
 }
 
 // startFurther starts an attempt at another target, and reports whether there is one. Once a
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -195,7 +195,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	st.dispatchedAt = time.Now()
-	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent}
+	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.possibleRuns > 0}
 	if from != nil {
 		d.ContinueFrom = from.GetAddress()
 	}
