frontend: requests are answered when the grace period ends

The log said "the caller went away".

Cause: at the end of the grace period http.Server.Close cancels the requests and closes their connections at the same time.

Class: an end that the process causes is treated as one that the caller caused.

Change: the requests that are left are cancelled 150 ms before their connections are closed, with a cause of its own. A request that no target has received is refused as not run and may be sent to another VM; any other ends with outcome_unknown. Streams that have begun are truncated as before.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -77,6 +77,9 @@
 	// open is the number of requests that are being served.
 	open     atomic.Int64
 	listener net.Listener
+	// ending ends when the requests that are still open must be answered at once.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // Listen starts serving on address (IP:port).
@@ -90,6 +93,7 @@
 
 func serve(ln net.Listener, opts Options, shortest timeouts) *Frontend {
 	f := &Frontend{opts: opts, listener: ln}
+	f.ending, f.end = context.WithCancel(context.Background())
 	f.http = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: shortest.header,
@@ -126,21 +130,33 @@
 // acceptedInterval is how often Shutdown checks whether accepted requests are complete.
 const acceptedInterval = 10 * time.Millisecond
 
-// Shutdown closes the listener and waits for open requests until ctx ends, then closes all
-// connections. RejectRequests must have been called: until the open requests are complete,
+// answerTime is the time from the end of the grace period in which open requests are answered.
+const answerTime = 150 * time.Millisecond
+
+// Shutdown closes the listener and waits for open requests until ctx ends. It then cancels those that
+// are left, which are answered within answerTime, and closes all connections. RejectRequests must have been called: until the open requests are complete,
 // further ones are refused. net/http would close the connections on which it reads them.
 func (f *Frontend) Shutdown(ctx context.Context) error {
 	if err := f.listener.Close(); err != nil {
 		f.opts.Logger.Warn(logging.ProcessDraining, logging.Fields{"reason": err})
 	}
-	for f.open.Load() > 0 && pause.For(ctx, acceptedInterval) {
-	}
+	f.awaitRequests(ctx)
+	f.end()
+	answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+	defer cancel()
+	f.awaitRequests(answering)
 	if err := f.http.Shutdown(ctx); err == nil {
 		return nil
 	}
 	return errors.Trace(f.http.Close())
 }
 
+// awaitRequests waits until no request is open or ctx ends.
+func (f *Frontend) awaitRequests(ctx context.Context) {
+	for f.open.Load() > 0 && pause.For(ctx, acceptedInterval) {
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -162,7 +178,10 @@
 		f.refuse(w, r, req.ID, err)
 		return
 	}
-	err = f.opts.Handler.Serve(r.Context(), w, a)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(f.ending, func() { cancel(exchange.ErrStopping) })()
+	err = f.opts.Handler.Serve(ctx, w, a)
 	var broken *exchange.TruncatedError
 	switch {
 	case errors.As(err, &broken):
--- a/internal/connection/frontend/shutdown_test.go
+++ b/internal/connection/frontend/shutdown_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
@@ -98,3 +99,26 @@
 		assert.Equal(t, answered.Load(), passedOn.Load())
 	}
 }
+
+// TestRequestsAreAnsweredWhenTheGracePeriodEnds guards against an accepted request whose connection
+// is closed without a response at the end of a shutdown.
+func TestRequestsAreAnsweredWhenTheGracePeriodEnds(t *testing.T) {
+	begun := make(chan struct{})
+	x := listen(t, func(ctx context.Context, _ http.ResponseWriter, _ *exchange.AdmittedRequest) error {
+		close(begun)
+		<-ctx.Done()
+		assert.Check(t, errors.Is(context.Cause(ctx), exchange.ErrStopping))
+		return fault.New(fault.OutcomeUnknown, "stopped")
+	})
+	c, r := x.dial(t)
+	answered := make(chan string, 1)
+	go func() {
+		text, _ := exchangeOn(c, r, "body") // an error leaves text incomplete
+		answered <- text
+	}()
+	<-begun
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	assert.NilError(t, x.Shutdown(ctx))
+	assert.Equal(t, <-answered, string(fault.OutcomeUnknown)+"\n")
+}
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
@@ -329,10 +330,17 @@
 	}
 }
 
-// contextError returns the error for a request whose deadline passed or whose caller
-// left.
+// ErrStopping is the cause of a context that ends because the process stops.
+const ErrStopping = errors.ConstError("the process stops")
+
+// contextError returns the error for a request whose deadline passed, whose caller left, or that a
+// process leaves undone when it stops.
 func contextError(ctx context.Context, mayHaveRun bool) *fault.Error {
 	switch {
+	case errors.Is(context.Cause(ctx), ErrStopping) && mayHaveRun:
+		return fault.New(fault.OutcomeUnknown, "no response before the process stopped")
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return fault.New(fault.Draining, "the process stopped before a target accepted the request")
 	case ctx.Err() == context.Canceled:
 		return fault.New(fault.Cancelled, "the caller went away")
 	case mayHaveRun:
