exchange: only a broken idle connection makes retries use new ones

Change: retries use new connections only once a request was lost on a connection that had carried an earlier one, before a byte of its response: that shows that idle connections may be broken.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -23,6 +23,8 @@
 	// idleUntil is the time from which the idle connection is not used any more, because
 	// the target may close it.
 	idleUntil time.Time
+	// reused: the connection has carried an earlier request.
+	reused bool
 }
 
 func newConn(raw net.Conn) *conn {
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -81,6 +81,22 @@
 	return errors.As(err, &e)
 }
 
+// ReusedError states that a connection that had carried an earlier request ended before a byte of
+// the response was read. Other idle connections may be broken as well.
+type ReusedError struct{ Err error }
+
+// Error returns the cause.
+func (e *ReusedError) Error() string { return "reused connection: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ReusedError) Unwrap() error { return e.Err }
+
+// IsReused reports whether err states that a reused connection was broken.
+func IsReused(err error) bool {
+	var e *ReusedError
+	return errors.As(err, &e)
+}
+
 // backgroundBodyBytes is the body size from which the body is written in the background
 // while the response is read: a target may respond before it has read a long body. It is
 // below the smallest TCP send buffer, so that writing a shorter body does not block.
@@ -113,7 +129,7 @@
 		if n == 0 {
 			return nil, &NotSentError{address, err}
 		}
-		return nil, errors.Annotatef(err, "write to target %s", address)
+		return nil, errors.Annotatef(x.connectionError(err), "write to target %s", address)
 	}
 	if len(r.Body) >= backgroundBodyBytes {
 		x.bodyWritten = make(chan error, 1)
@@ -149,7 +165,7 @@
 		resp, err := x.readHead()
 		if err != nil {
 			x.abandon()
-			return nil, errors.Annotatef(err, "read from target %s", x.address)
+			return nil, errors.Annotatef(x.connectionError(err), "read from target %s", x.address)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return x.response(resp), nil
@@ -159,6 +175,15 @@
 	return nil, errors.Annotatef(&LimitError{LimitInformational, maxInformational}, "read from target %s", x.address)
 }
 
+// connectionError returns err, or a *ReusedError if the connection may have been broken before the
+// request was sent.
+func (x *Exchange) connectionError(err error) error {
+	if !x.conn.reused || x.conn.head.bytes > 0 {
+		return err
+	}
+	return &ReusedError{err}
+}
+
 func (x *Exchange) readHead() (*http.Response, error) {
 	if err := x.conn.beginHead(); err != nil {
 		return nil, err
--- a/internal/connection/http1/pool.go
+++ b/internal/connection/http1/pool.go
@@ -84,6 +84,7 @@
 	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
 		if time.Now().Before(c.idleUntil) && c.isIdle() {
 			p.reused.Inc(1)
+			c.reused = true
 			return c, nil
 		}
 		c.close()
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -45,8 +45,7 @@
 	return t.outcome == outcomeAnswered && t.status >= http.StatusInternalServerError
 }
 
-// runAttempt sends a call to a target, waits for the response and reports to the picker. After a lost
-// attempt, the next one needs a new connection: others may be broken as well.
+// runAttempt sends a call to a target, waits for the response and reports to the picker.
 func (s *Service) runAttempt(ctx context.Context, a *AdmittedRequest, p request.Placement, newConnection bool) *attempt {
 	begin := time.Now()
 	t := s.roundTrip(ctx, a, p.Target.GetAddress(), Dispatch{Instance: p.Target.GetInstance(), NewConnection: newConnection})
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
@@ -49,15 +50,17 @@
 	possibleRuns, refused int
 	// errorResponse is the latest server error that a target returned.
 	errorResponse *attempt
-	// lost counts the attempts without a complete response.
-	lost int
+	// lost counts the attempts without a complete response. brokenConnection: one of them was sent
+	// on an idle connection that was broken.
+	lost             int
+	brokenConnection bool
 }
 
 func (c *hedgedCall) startAttempt(ctx context.Context, p request.Placement) {
 	c.tried = append(c.tried, p.Target.GetAddress())
 	c.running++
 	c.possibleRuns++
-	newConnection := c.lost > 0
+	newConnection := c.brokenConnection
 	go func() { c.results <- c.s.runAttempt(ctx, c.a, p, newConnection) }()
 }
 
@@ -119,6 +122,7 @@
 		c.errorResponse = t
 	case outcomeLost:
 		c.lost++
+		c.brokenConnection = c.brokenConnection || http1.IsReused(t.err)
 	default:
 		c.possibleRuns--
 		c.refused++
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
@@ -48,6 +49,8 @@
 	possibleRuns, refused int
 	// nextAllowed: the retry budget has allowed the next attempt, or it needs none.
 	nextAllowed bool
+	// brokenConnection: an attempt was sent on an idle connection that was broken.
+	brokenConnection bool
 	// errorResponse is the last error that an engine returned before the stream began.
 	errorResponse *attempt
 }
@@ -195,7 +198,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	st.dispatchedAt = time.Now()
-	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.possibleRuns > 0}
+	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.brokenConnection}
 	if from != nil {
 		d.ContinueFrom = from.GetAddress()
 	}
@@ -242,6 +245,7 @@
 // record updates the stream after an attempt: how many engines may have run the request,
 // which engines are not tried again, and whether a copy is left to continue from.
 func (st *stream) record(run *placement.Run, from *chicoryv1.ListedTarget, result attemptResult) {
+	st.brokenConnection = st.brokenConnection || http1.IsReused(result.err)
 	if result.outcome == outcomeLost || result.outcome == outcomeAnswered {
 		st.possibleRuns++
 	} else {
