frontend: answers at the end of the grace period are written before their connections are closed

What callers saw: nothing reported; found by a review. A request that is answered when the grace period ends may still get a closed connection.

Cause: a request counts as open until ServeHTTP returns, but net/http writes the end of its response after that. The grace period is over, so http.Server.Shutdown gave up at once, and Close closed the connection beneath the response.

Class: an end that the process causes is treated as one that the caller caused.

Change: Shutdown may use the time in which requests are answered. It ends as soon as all connections are idle.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -134,8 +134,9 @@
 const answerTime = 150 * time.Millisecond
 
 // Shutdown closes the listener and waits for open requests until ctx ends. It then cancels those that
-// are left, which are answered within answerTime, and closes all connections. RejectRequests must have been called: until the open requests are complete,
-// further ones are refused. net/http would close the connections on which it reads them.
+// are left, which are answered within answerTime, and closes all connections. RejectRequests must
+// have been called: until the open requests are complete, further ones are refused. net/http would
+// close the connections on which it reads them.
 func (f *Frontend) Shutdown(ctx context.Context) error {
 	if err := f.listener.Close(); err != nil {
 		f.opts.Logger.Warn(logging.ProcessDraining, logging.Fields{"reason": err})
@@ -145,8 +146,11 @@
 	answering, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
 	defer cancel()
 	f.awaitRequests(answering)
-	if err := f.http.Shutdown(ctx); err == nil {
-		return nil
+	// net/http writes the end of a response after ServeHTTP, and Close doesn't wait for it.
+	for _, c := range []context.Context{ctx, answering} {
+		if err := f.http.Shutdown(c); err == nil {
+			return nil
+		}
 	}
 	return errors.Trace(f.http.Close())
 }
--- a/internal/connection/frontend/frontend_test.go
+++ b/internal/connection/frontend/frontend_test.go
@@ -71,13 +71,19 @@
 var testTimeouts = timeouts{header: 100 * time.Millisecond, idle: 100 * time.Millisecond}
 
 func listen(t *testing.T, h handlerFunc) *testFrontend {
+	t.Helper()
+	return listenOn(t, func(ln net.Listener) net.Listener { return ln }, h)
+}
+
+// listenOn is like listen, with a listener that wrap returns.
+func listenOn(t *testing.T, wrap func(net.Listener) net.Listener, h handlerFunc) *testFrontend {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	started := make(chan struct{})
 	close(started)
 	x := &testFrontend{address: ln.Addr().String(), holder: &declared.Holder{}, log: &lines{}}
-	x.Frontend = serve(ln, Options{
+	x.Frontend = serve(wrap(ln), Options{
 		Codec: testCodec{}, Handler: h, Holder: x.holder, Started: started, Logger: logging.New(x.log, "entry", "e1"),
 		Registry: metrics.NewRegistry(), Random: func() uint64 { return 0 },
 	}, testTimeouts)
