exchange: a trial ends when an engine has begun its answer

What callers saw: nothing reported; found by a review. A stream that was the trial of a quarantine, and whose engine was lost later for another reason, was truncated at its deadline if it had tried all engines, though they took requests again. It did not continue from its copy either.

Cause: the second event clears the keys of the request, but the request stayed a trial, which is sent to no engine again and not to the one with its copy.

Class: a decision that is right until the response begins acts after it has begun.

Change: the request is no trial any more once its answer has begun.

TestTrialThatHasBegunContinuesLikeAnyStream and TestTrialThatHasBegunContinuesFromItsCopy failed before with `response truncated: deadline_unknown`.

--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -170,12 +170,14 @@
 	}
 }
 
-// markBegun records that an engine has begun the answer, which clears the keys of the request.
+// markBegun records that an engine has begun the answer, which clears the keys of the request and
+// ends its trial.
 func (st *stream) markBegun() {
 	if st.begun {
 		return
 	}
 	st.begun = true
+	st.a.trial = nil
 	st.s.opts.Quarantine.RecordBegun(st.a.keys, time.Now())
 }
 
