exchange: the trial of a begun stream may return to an engine that it has tried

In a service of three engines, a begun stream that had lost all three was granted a trial, waited for a fourth until its deadline and was truncated. No other request at its VM could be the trial meanwhile.

Cause: a trial is sent to no engine that the request has tried. A caller with a trial is refused then, but a begun stream waits.

Change: a begun stream on trial may be sent to an engine again that it has tried, unless that start of the engine was lost with its keys lately, as for any trial.

TestTrialOfABegunStreamMayReturnToATriedEngine failed before with a truncation at the deadline.

--- a/internal/request/exchange/begun_trial_test.go
+++ b/internal/request/exchange/begun_trial_test.go
@@ -46,3 +46,25 @@
 		assert.Assert(t, time.Since(begin) < 2*time.Second, "served after %v", time.Since(begin))
 	})
 }
+
+// TestTrialOfABegunStreamMayReturnToATriedEngine guards against a begun stream that is granted a
+// trial, waits until its deadline for an engine that it has not tried, and keeps others from the
+// trial meanwhile.
+func TestTrialOfABegunStreamMayReturnToATriedEngine(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newTestNetwork()
+		addresses := engineAddresses[:3]
+		s, _ := w.service(unlimitedBudget{}, addresses...)
+		for _, address := range addresses {
+			w.set(address, w.firstEventThen(func() { time.Sleep(50 * time.Millisecond) }))
+		}
+		time.AfterFunc(1500*time.Millisecond, func() { w.engines(defaultEngine, addresses...) })
+		time.AfterFunc(2*time.Second, func() { grantTrials(s.opts.Quarantine) })
+		a := withParts("p")
+		a.Deadline = time.Now().Add(20 * time.Second)
+		rec := httptest.NewRecorder()
+		assert.NilError(t, s.Serve(t.Context(), rec, a))
+		assert.Equal(t, rec.Body.String(), streamText(eventCount))
+		assert.Equal(t, w.runs(), 4)
+	})
+}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -109,17 +109,24 @@
 		}
 	}
 	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, Reserved: reserved}
+	run, err := st.placeAllowed(req)
+	if fault.Is(err, fault.NoTarget) && len(st.tried) > 0 && (st.a.trial == nil || st.headerSent) {
+		req.Exclude, req.Reserved = nil, "" // given back
+		run, err = st.placeAllowed(req)
+	}
+	return run, nil, err
+}
+
+// placeAllowed selects an engine. If the request is a trial, it is one that was not lost with its
+// keys.
+func (st *stream) placeAllowed(req placement.PlaceRequest) (*placement.Run, error) {
 	run, err := st.s.opts.Engines.Place(req)
 	for err == nil && st.a.trial != nil && st.s.opts.Quarantine.IsLost(targetOf(run.Target), st.a.trial.keys, time.Now()) {
 		run.Release()
 		req.Exclude, req.Reserved = append(slices.Clip(req.Exclude), run.Target.GetAddress()), ""
 		run, err = st.s.opts.Engines.Place(req)
 	}
-	if fault.Is(err, fault.NoTarget) && len(st.tried) > 0 && st.a.trial == nil {
-		req.Exclude, req.Reserved = nil, "" // given back
-		run, err = st.s.opts.Engines.Place(req)
-	}
-	return run, nil, err
+	return run, err
 }
 
 // awaitRetry waits until the retry budget allows another engine, or returns why none may
