exchange: a call that was never sent needs no retry budget

What callers saw: nothing reported; found by a review. While the retry budget of a service was used up, a call that may be repeated was refused with no_target after the first target that could not be connected to, though others were there.

Cause: such a call asks the retry budget for its next attempt also after one that was never sent.

Class: a limit that protects targets is charged for what no target received.

Change: after an attempt that was not sent the next one needs no budget; the number of targets that may be tried stays limited.

TestUnsentCallNeedsNoRetryBudget failed before with no_target.

--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -126,7 +126,7 @@
 }
 
 // retry starts another attempt after a failed one, if the attempts and the budget allow
-// it.
+// it. One that was never sent costs its service nothing.
 func (c *hedgedCall) retry(ctx context.Context, failed *attempt) bool {
 	if c.a.trial.wasSent() || c.lost > 1 && c.running > 0 {
 		return false // the call may crash targets: no further one beside those that run
@@ -134,7 +134,12 @@
 	if c.s.quarantineError(c.a, c.possibleRuns) != nil || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
 		return false
 	}
-	if ok, _ := c.s.opts.Budget(c.a.Service.Name).Allow(request.RetryCall); !ok || !c.startFurther(ctx) {
+	if failed.outcome != outcomeNotSent {
+		if ok, _ := c.s.opts.Budget(c.a.Service.Name).Allow(request.RetryCall); !ok {
+			return false
+		}
+	}
+	if !c.startFurther(ctx) {
 		return false
 	}
 	c.s.metrics.retried.Inc(1)
--- a/internal/request/exchange/retry_budget_test.go
+++ b/internal/request/exchange/retry_budget_test.go
@@ -28,3 +28,16 @@
 		}
 	})
 }
+
+// TestUnsentCallNeedsNoRetryBudget guards against a repeatable call that is refused for want of retry
+// budget although no target has received it.
+func TestUnsentCallNeedsNoRetryBudget(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newTestNetwork()
+		w.set("c", w.respondWith(200, "answer"))
+		s, _ := w.service(emptyBudget{}, "a", "b", "c") // a and b can't be connected to
+		rec := httptest.NewRecorder()
+		assert.NilError(t, s.Serve(t.Context(), rec, admitted(declared.Resumable, false)))
+		assert.Equal(t, rec.Body.String(), "answer")
+	})
+}
