ratelimit: a permit that a request gives back goes to another one

What callers saw: nothing reported; found by a review. Begun streams that have tried all engines of a service with limits waited although permits came, and used up the processor meanwhile.

Cause: a request that is offered a permit for a target that it has tried gives it back and waits again. The permit went to the next request that waits, which could do the same, and then to the first again, without end. A permit that is passed on does not expire, and other requests never got it.

Change: a permit for a target isn't offered to a request again within recheckInterval after it gave one back. If no request takes it, it is kept.

--- a/internal/request/ratelimit/queue.go
+++ b/internal/request/ratelimit/queue.go
@@ -53,6 +53,27 @@
 	since    time.Time
 	// openings is the number of openings when the request last joined a queue or tried again.
 	openings uint64
+	// offered is the address of the last permit, declined when permits were given back, by address.
+	offered  string
+	declined map[string]time.Time
+}
+
+// recordDeclined records that the last permit was given back: the request waits again.
+func (c *Claim) recordDeclined(now time.Time) {
+	if c.offered == "" {
+		return
+	}
+	if c.declined == nil {
+		c.declined = map[string]time.Time{}
+	}
+	c.declined[c.offered], c.offered = now, ""
+}
+
+// takes reports whether the request may use a permit for the target at address: it has given back
+// none lately.
+func (c *Claim) takes(address string, now time.Time) bool {
+	at, ok := c.declined[address]
+	return !ok || now.Sub(at) >= recheckInterval
 }
 
 // waiter is a claim that waits. ready receives the address of the target that the permit is
@@ -94,6 +115,7 @@
 		address = t.leave(w)
 	}
 	if ctx.Err() == nil {
+		c.offered = address
 		return address, nil
 	}
 	if address != "" {
@@ -107,6 +129,8 @@
 func (t *Table) join(c *Claim) (*waiter, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
+	c.recordDeclined(now)
 	if c.openings != t.openings {
 		c.openings = t.openings
 		return nil, nil
@@ -117,7 +141,6 @@
 		t.queues[c.Service] = q
 	}
 	if !c.admitted {
-		now := time.Now()
 		if wait, ok := t.mayWait(q, c, now); !ok {
 			t.refused.Inc(1)
 			retryAfter := time.Duration((0.5 + rand.Float64()) * float64(wait))
@@ -235,13 +258,13 @@
 	}
 }
 
-// takeFirst removes and returns the waiter that gets the next permit, or nil if there is none:
-// resumptions first, then by the weights of the classes, the teams of a class in turn, and
-// those of a team in the order of their claims.
-func (q *queue) takeFirst(now time.Time) *waiter {
+// takeFirst removes and returns the waiter that gets the next permit for the target at address, or
+// nil if there is none: resumptions first, then by the weights of the classes, the teams of a class
+// in turn, and those of a team in the order of their claims.
+func (q *queue) takeFirst(address string, now time.Time) *waiter {
 	var first *waiter
 	for _, w := range q.waiters {
-		if first == nil || q.precedes(w, first, now) {
+		if w.takes(address, now) && (first == nil || q.precedes(w, first, now)) {
 			first = w
 		}
 	}
--- a/internal/request/ratelimit/queue_test.go
+++ b/internal/request/ratelimit/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,3 +160,50 @@
 		})
 	}
 }
+
+// TestPermitThatIsGivenBackGoesToAnotherRequest guards against requests that can't use the permits of
+// one target, for example because it has failed them, and that pass one on to each other without
+// end: no other request gets it, and they use up the processor.
+func TestPermitThatIsGivenBackGoesToAnotherRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxOffers = 100
+		tb := limitedTable(2.7)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var offers atomic.Int64
+		for range 2 {
+			go func() {
+				c := Claim{Service: service, Class: ClassResume, Deadline: time.Now().Add(time.Hour)}
+				for offers.Load() < maxOffers {
+					address, err := tb.Await(ctx, &c)
+					if err != nil {
+						return
+					}
+					if address != "" {
+						offers.Add(1)
+						tb.Return(address)
+					}
+				}
+			}()
+		}
+		served := make(chan struct{})
+		go func() {
+			c := Claim{Service: service, Class: ClassOther, Deadline: time.Now().Add(time.Hour)}
+			for {
+				if address, err := tb.Await(ctx, &c); err != nil || address != "" {
+					close(served)
+					return
+				}
+			}
+		}()
+		time.Sleep(time.Second)
+		grant(tb, 1)
+		synctest.Wait()
+		select {
+		case <-served:
+		default:
+			t.Errorf("no other request got the permit after %d offers", offers.Load())
+		}
+		assert.Assert(t, offers.Load() <= 2, "%d offers", offers.Load())
+	})
+}
--- a/internal/request/ratelimit/table.go
+++ b/internal/request/ratelimit/table.go
@@ -222,7 +222,7 @@
 // caller holds mu.
 func (t *Table) deliver(address string, s *targetState, now time.Time) {
 	if q := t.queues[t.listed[address].service]; q != nil {
-		if w := q.takeFirst(now); w != nil {
+		if w := q.takeFirst(address, now); w != nil {
 			w.ready <- address
 			return
 		}
