Tests: TestLimitHoldsAndIsUsed reads its count of bytes with the lock

The race detector found, once in a run of the package, that the log line of the subtest "9 entry VMs/limit 0.3/load at one" reads the count without the lock. The check is unchanged.

--- a/internal/request/ratelimit/fleet_test.go
+++ b/internal/request/ratelimit/fleet_test.go
@@ -270,7 +270,9 @@
 					f.loadFor(ctx, contactTime+duration, 9*c.rate, f.all()[:loaded]...)
 					f.assertLimit(t, from)
 					f.assertUsed(t, minUsedShare, from, from.Add(duration))
-					t.Logf("worst window %d, %d bytes a second for each entry VM", f.worstWindow(from), int(float64(f.bytes)/(contactTime+duration).Seconds())/c.entries)
+					bytes := 0
+					f.change(func() { bytes = f.bytes })
+					t.Logf("worst window %d, %d bytes a second for each entry VM", f.worstWindow(from), int(float64(bytes)/(contactTime+duration).Seconds())/c.entries)
 				})
 			})
 		}
