Tests: the call of TestRetriesUseNewConnections finds a kept connection

The subtest of calls passed also without the new connection for the retry: by the time of the call, the first engine's connection had been idle for longer than the limit of 4 s, and was replaced. The engines are quicker now, and either subtest fails without its part of the change.

--- a/internal/request/exchange/kept_connections_test.go
+++ b/internal/request/exchange/kept_connections_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
@@ -41,7 +42,9 @@
 		t.Run(name, func(t *testing.T) {
 			inVirtualTime(t, func(t *testing.T) {
 				w := newTestNetwork()
-				w.engines(defaultEngine, engineAddresses...)
+				quick := defaultEngine
+				quick.first, quick.gap = 10*time.Millisecond, time.Millisecond // no connection is idle for too long
+				w.engines(quick, engineAddresses...)
 				s, _ := w.service(unlimitedBudget{}, engineAddresses...)
 				s.opts.Pool = http1.NewPoolWithDial(w.dialOnce, http1.Defaults(), metrics.NewRegistry())
 				defer s.opts.Pool.Close()
