--- a/test/soak/command_test.go
+++ b/test/soak/command_test.go
@@ -79,21 +79,7 @@
 
 // TestProxy checks each state of a link.
 func TestProxy(t *testing.T) {
-	echo, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = echo.Close() }()
-	go func() {
-		for {
-			c, err := echo.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
-		}
-	}()
-	p, err := startProxy("127.0.0.1:0", echo.Addr().String())
-	assert.NilError(t, err)
-	defer p.close()
+	p := startEchoProxy(t)
 	conn := dial(t, p)
 	assert.Equal(t, exchange(t, conn, time.Second), "ping")
 	for _, e := range []linkState{{holdInbound: true}, {holdOutbound: true}} {
@@ -117,14 +103,44 @@
 	assert.Equal(t, receive(conn, time.Second), "", "an open connection was not reset")
 }
 
+// startEchoProxy starts a proxy in front of a server that sends back what it receives.
+func startEchoProxy(t *testing.T) *proxy {
+	t.Helper()
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = echo.Close() })
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
+		}
+	}()
+	p, err := startProxy("127.0.0.1:0", echo.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(p.close)
+	return p
+}
+
 func dial(t *testing.T, p *proxy) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", p.listener.Addr().String())
+	return dialFrom(t, p, "127.0.0.1")
+}
+
+func dialFrom(t *testing.T, p *proxy, ip string) net.Conn {
+	t.Helper()
+	c, err := dialer(ip).Dial("tcp", p.listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	return c
 }
 
+func dialer(ip string) *net.Dialer {
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+}
+
 func exchange(t *testing.T, c net.Conn, wait time.Duration) string {
 	t.Helper()
 	_, err := c.Write([]byte("ping"))
--- a/test/soak/program_test.go
+++ b/test/soak/program_test.go
@@ -139,6 +139,16 @@
 	return p.starts
 }
 
+// pid returns the ID of the running process, or 0 if none is running.
+func (p *program) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.process == nil {
+		return 0
+	}
+	return p.process.Process.Pid
+}
+
 // close kills the process and prevents further starts.
 func (p *program) close() {
 	p.mu.Lock()
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -19,6 +19,8 @@
 	holdInbound, holdOutbound bool
 	// refuse resets each new connection.
 	refuse bool
+	// cut applies only to the connections of some programs.
+	cut cut
 }
 
 // proxy forwards connections from one address to another and injects network faults
@@ -31,11 +33,15 @@
 	state   linkState
 	changed chan struct{} // closed when state changes
 	conns   map[*proxyConn]bool
+	// owner returns the program that opened a connection to the proxy; nil if no cut is
+	// ever set.
+	owner func(caller *net.TCPConn) *program
 }
 
 // proxyConn is one forwarded connection.
 type proxyConn struct {
 	caller, target *net.TCPConn
+	owner          *program
 	closed         chan struct{}
 	once           sync.Once
 }
@@ -61,10 +67,37 @@
 	}
 }
 
-// setState replaces the state of the link.
+// setState replaces the state of the link except for its cut.
 func (p *proxy) setState(e linkState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	e.cut = p.state.cut
+	p.replaceLocked(e)
+}
+
+// setCut replaces the cut of the link.
+func (p *proxy) setCut(c cut) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.state
+	e.cut = c
+	p.replaceLocked(e)
+	for pc := range p.conns {
+		if c.resets(pc.owner) {
+			pc.close(true)
+		}
+	}
+}
+
+// setOwner sets the function that finds the owners of connections.
+func (p *proxy) setOwner(owner func(caller *net.TCPConn) *program) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owner = owner
+}
+
+// replaceLocked replaces the state. The caller holds mu.
+func (p *proxy) replaceLocked(e linkState) {
 	p.state = e
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -92,29 +125,52 @@
 
 func (p *proxy) forward(caller *net.TCPConn) {
 	const dialTimeout = time.Second
-	e, _ := p.currentState()
+	owner := p.ownerOf(caller)
 	target, err := net.DialTimeout("tcp", p.target, dialTimeout)
-	if err != nil || e.refuse {
+	if err != nil {
 		_ = caller.SetLinger(0) // discards unsent bytes, so that the caller sees a reset
 		_ = caller.Close()
-		if err == nil {
-			_ = target.Close()
-		}
 		return
 	}
-	pc := &proxyConn{caller: caller, target: target.(*net.TCPConn), closed: make(chan struct{})}
-	p.mu.Lock()
-	p.conns[pc] = true
-	p.mu.Unlock()
+	pc := &proxyConn{caller: caller, target: target.(*net.TCPConn), owner: owner, closed: make(chan struct{})}
+	if !p.add(pc) {
+		pc.close(true)
+		return
+	}
 	var directions sync.WaitGroup
-	directions.Go(func() { p.relay(pc, pc.caller, pc.target, func(e linkState) bool { return e.holdInbound }) })
-	directions.Go(func() { p.relay(pc, pc.target, pc.caller, func(e linkState) bool { return e.holdOutbound }) })
+	directions.Go(func() {
+		p.relay(pc, pc.caller, pc.target, func(e linkState) bool { return e.holdInbound || e.cut.holds(owner) })
+	})
+	directions.Go(func() {
+		p.relay(pc, pc.target, pc.caller, func(e linkState) bool { return e.holdOutbound || e.cut.holds(owner) })
+	})
 	directions.Wait()
 	p.mu.Lock()
 	delete(p.conns, pc)
 	p.mu.Unlock()
 }
 
+func (p *proxy) ownerOf(caller *net.TCPConn) *program {
+	p.mu.Lock()
+	owner := p.owner
+	p.mu.Unlock()
+	if owner == nil {
+		return nil
+	}
+	return owner(caller)
+}
+
+// add adds an open connection. It returns false if the state refuses the connection.
+func (p *proxy) add(pc *proxyConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.refuse || p.state.cut.refuses(pc.owner) {
+		return false
+	}
+	p.conns[pc] = true
+	return true
+}
+
 // relay forwards bytes in one direction. When one side ends, both connections are
 // closed.
 func (p *proxy) relay(pc *proxyConn, from, to *net.TCPConn, held func(e linkState) bool) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,7 +35,7 @@
 	s := &seedRun{options: o, rand: newRand(seed), limitRand: newLimitRand(seed)}
 	s.history = newHistory(func(text string) { fmt.Printf("seed %d: %s\n", seed, text) })
 	var err error
-	if s.testbed, err = newTestbed(o, seed, s.rand, s.history); err != nil {
+	if s.testbed, err = newTestbed(o, seed, randomSize(s.rand), s.history); err != nil {
 		return nil, err
 	}
 	defer s.testbed.close()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -83,9 +83,19 @@
 	targets    []*targetHost
 }
 
+// testbedSize is the number of VMs and targets of a testbed.
+type testbedSize struct {
+	deskTargets, modelTargets, keepers, entries int
+}
+
+// randomSize draws the size of a seed's testbed.
+func randomSize(r *rand.Rand) testbedSize {
+	return testbedSize{deskTargets: deskTargets, modelTargets: 4 + r.IntN(3), keepers: 3 + 2*r.IntN(2), entries: 2 + r.IntN(3)}
+}
+
 // newTestbed starts the stand-in platform and prepares the programs; startPrograms
 // starts them.
-func newTestbed(o options, seed uint64, r *rand.Rand, h *history) (*testbed, error) {
+func newTestbed(o options, seed uint64, size testbedSize, h *history) (*testbed, error) {
 	folder, err := filepath.Abs(o.folder(seed))
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -101,10 +111,10 @@
 		return nil, err
 	}
 	steps := []func() error{
-		func() error { return tb.addTargets(standin.Desk, deskTargets) },
-		func() error { return tb.addTargets(standin.Model, 4+r.IntN(3)) },
-		func() error { return tb.addKeepers(3 + 2*r.IntN(2)) },
-		func() error { return tb.addEntries(2 + r.IntN(3)) },
+		func() error { return tb.addTargets(standin.Desk, size.deskTargets) },
+		func() error { return tb.addTargets(standin.Model, size.modelTargets) },
+		func() error { return tb.addKeepers(size.keepers) },
+		func() error { return tb.addEntries(size.entries) },
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
