feed: entry VMs learn of each other

An entry VM that is partitioned from all targets can't send a request, though others still reach them, and it knows no other entry VM: nothing tells it their addresses.

ShareRequest carries the sender (ID, peer address, zone, whether it is cut off). The leader sends the entry VMs that share with it, like loads: all to a feed that it begins to lead, in parts of 100 that follow each other at once, and then the changes. A VM that has not shared for 2 s is removed; its ID is kept for a minute for the feeds that know it. A follower keeps the VMs of the previous leader until 2 s after the next one begins, since a partition may take the leader and the targets of a zone together and entry VMs share with the new leader one after the other. VMs of an earlier release are not named, and a leader of an earlier release names none. A change is shared and sent at once: with the intervals of 100 ms on both sides, cut_off is known within 200 ms (TestCutOffVMIsKnownWithinTwoTenths, in simulated time without network delay).

routingState has peers, isEntryVM and isTarget for the connections between entry VMs that use this, and isCutOff, which is not set yet: no VM reports that it is cut off.

Bytes from the leader to each follower at 300 entry VMs, for one that joins: 41, in a message of 48 (a keepalive has 7); all 300 when a feed begins: 12,099 (TestJoiningEntryVMIsSentAlone).

--- a/api/gen/chicory/v1/chicoryv1connect/control.connect.go
+++ b/api/gen/chicory/v1/chicoryv1connect/control.connect.go
@@ -323,9 +323,9 @@
 type FeedServiceClient interface {
 	// Follow streams changes, and messages without changes as keepalives.
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
-	// Share sends the engine loads, prompt places and service uses of an entry VM to the
-	// leading control VM. The leader forwards them to all entry VMs that follow it; they are
-	// not written to disk.
+	// Share sends the engine loads, prompt places, service uses and peer address of an entry
+	// VM to the leading control VM. The leader forwards them to all entry VMs that follow it;
+	// they are not written to disk.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
@@ -375,9 +375,9 @@
 type FeedServiceHandler interface {
 	// Follow streams changes, and messages without changes as keepalives.
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
-	// Share sends the engine loads, prompt places and service uses of an entry VM to the
-	// leading control VM. The leader forwards them to all entry VMs that follow it; they are
-	// not written to disk.
+	// Share sends the engine loads, prompt places, service uses and peer address of an entry
+	// VM to the leading control VM. The leader forwards them to all entry VMs that follow it;
+	// they are not written to disk.
 	Share(context.Context, *connect.Request[v1.ShareRequest]) (*connect.Response[v1.ShareResponse], error)
 }
 
--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -38,9 +38,10 @@
 	byPrompt map[string]*chicoryv1.PromptPlace
 	// version increases with every change of the loads.
 	version uint64
-	// suspects and limits have locks of their own.
+	// suspects, limits and entryVMs have locks of their own.
 	suspects *quarantine.Table
 	limits   *ratelimit.Allocator
+	entryVMs *entryVMList
 }
 
 // NewSharedState returns an empty SharedState.
@@ -50,16 +51,18 @@
 		totals:   newTotals(),
 		byPrompt: map[string]*chicoryv1.PromptPlace{},
 		limits:   ratelimit.NewAllocator(),
+		entryVMs: newEntryVMList(),
 		suspects: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
 	}
 }
 
-// Update replaces the shared loads and usage of one entry VM and adds its prompt
-// locations, suspect parts and limits.
+// Update replaces the shared loads and usage of one entry VM and what other entry VMs know of
+// it, and adds its prompt locations, suspect parts and limits.
 func (s *SharedState) Update(r *chicoryv1.ShareRequest, now time.Time) {
 	s.MergeSuspects(r.GetSuspects(), now)
 	s.suspects.GrantTrials(r.GetEntryId(), r.GetSuspects(), now)
 	s.limits.Update(r.GetEntryId(), r.GetLimits(), now)
+	s.entryVMs.update(r.GetEntryVm(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
@@ -125,6 +128,9 @@
 	Limits []*chicoryv1.TargetLimit
 	// EntryVMs is the number of entry VMs, including the excluded one.
 	EntryVMs int
+	// Peers are the other entry VMs by ID; only Sink.SetRemoteState gets them. They don't
+	// include VMs of earlier releases.
+	Peers []Peer
 }
 
 // RemoteState returns the sum of what all entry VMs except one share. It contains the
--- a/internal/connection/feed/changes.go
+++ b/internal/connection/feed/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -92,6 +93,10 @@
 	engines engineAddresses
 	// leader is the leader according to the last message that named one.
 	leader string
+	// peers holds the entry VMs that a leader named, by ID; nil before it named any.
+	peers map[string]Peer
+	// peersCompleteAt is the time at which every entry VM must have shared with that leader.
+	peersCompleteAt time.Time
 }
 
 // applyTargets updates the target list from a message, and reports whether the message
--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -90,6 +90,9 @@
 	version uint64
 	entries int
 	tokens  uint32
+	peers   []Peer
+	// self is shared if it has an ID.
+	self Peer
 }
 
 func (e *entryVM) ApplyDeclaration(d *chicoryv1.Declaration, _ string) {
@@ -107,14 +110,16 @@
 func (e *entryVM) SetRemoteState(o RemoteState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.entries, e.tokens = o.EntryVMs, 0
+	e.entries, e.tokens, e.peers = o.EntryVMs, 0, o.Peers
 	for _, l := range o.Loads {
 		e.tokens += l.GetTokens()
 	}
 }
 
 func (e *entryVM) LocalState(bool) *chicoryv1.ShareRequest {
-	return &chicoryv1.ShareRequest{Loads: []*chicoryv1.EngineLoad{{Address: "e1", Tokens: 100}}}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &chicoryv1.ShareRequest{Loads: []*chicoryv1.EngineLoad{{Address: "e1", Tokens: 100}}, EntryVm: e.self.EntryVM()}
 }
 
 func (e *entryVM) SetTargets(*chicoryv1.TargetList)                  {}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -55,8 +55,8 @@
 	// MergeSuspects adds what a control VM knows about parts of prompts that may crash
 	// engines. fromLeader reports whether that VM is the leader.
 	MergeSuspects(suspects []*chicoryv1.SuspectPart, fromLeader bool)
-	// LocalState returns the state that this entry VM shares: all of its loads and usage, the
-	// permits that it wants, and the prompt locations, suspect parts and limits of targets
+	// LocalState returns the state that this entry VM shares: all of its loads and usage, what
+	// others know of it, the permits that it wants, and the prompt locations, suspect parts and limits of targets
 	// added since the last call. If all is set, the receiver has none of this entry VM yet, and
 	// the latest locations, all suspect parts and all limits are returned instead. The result
 	// is nil if there is nothing to share.
@@ -93,6 +93,8 @@
 	lastFailure map[string]time.Time
 	// leader is the peer address of the leader, empty if unknown.
 	leader string
+	// peers holds the other entry VMs that the sink knows, by ID.
+	peers map[string]Peer
 }
 
 // NewFollower returns a follower. It starts to follow with Run.
@@ -265,7 +267,11 @@
 		if err := state.applyLoads(m); err != nil {
 			return errors.Annotatef(err, "feed of control VM %s", from)
 		}
-		f.opts.Sink.SetRemoteState(RemoteState{Loads: state.loadList(), Uses: m.GetUses(), Limits: m.GetLimits(), EntryVMs: int(m.GetEntries())})
+		now := time.Now()
+		state.applyEntryVMs(m, now)
+		f.opts.Sink.SetRemoteState(RemoteState{
+			Loads: state.loadList(), Uses: m.GetUses(), Limits: m.GetLimits(), EntryVMs: int(m.GetEntries()), Peers: f.updatePeers(m, state, now),
+		})
 	}
 	return nil
 }
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -5,10 +5,10 @@
 //
 // The leader's feed also distributes state that entry VMs share with each other: the load
 // that they cause on engines, and the prompt locations, that is, which engine has
-// processed a prompt, the parts of prompts that may crash engines, and the limits that targets
-// name with the permits for requests to them. Loads and limits are lost with the leader and
-// shared again with the next one; prompt locations and suspect parts are kept by all control
-// VMs.
+// processed a prompt, the parts of prompts that may crash engines, the limits that targets
+// name with the permits for requests to them, and the peer addresses of entry VMs. Loads,
+// limits and addresses are lost with the leader and shared again with the next one; prompt
+// locations and suspect parts are kept by all control VMs.
 package feed
 
 import (
@@ -81,7 +81,7 @@
 				return err
 			}
 		}
-		if len(f.unsentTargets) > 0 && ctx.Err() == nil {
+		if (len(f.unsentTargets) > 0 || f.moreEntryVMs) && ctx.Err() == nil {
 			continue
 		}
 		select {
@@ -119,6 +119,10 @@
 	// limitsVersion is the version up to which the limits of targets were sent.
 	limitsVersion uint64
 	numbers       engineNumbers
+	// entryVMsVersion is the version up to which changes of the entry VMs were sent;
+	// moreEntryVMs reports whether some were left to the next message.
+	entryVMsVersion uint64
+	moreEntryVMs    bool
 	// sentMembers and sentLeader are the members and the leader that the follower knows.
 	sentMembers []string
 	sentLeader  string
@@ -154,6 +158,9 @@
 	if f.addLimits(m, now) {
 		urgent = true
 	}
+	if f.addEntryVMs(m, now) {
+		urgent = true
+	}
 	if m.Declaration == nil && m.Targets == nil && m.TargetChange == nil && !urgent && now.Sub(f.sentAt) < KeepaliveInterval {
 		return nil, changed, listChanged
 	}
@@ -261,3 +268,18 @@
 	}
 	return len(m.GetLimits()) > 0
 }
+
+// addEntryVMs adds to a leader's message the changes of the entry VMs, or all of them if it
+// also adds all loads, and reports whether there are any.
+func (f *followerState) addEntryVMs(m *chicoryv1.FollowResponse, now time.Time) bool {
+	if !m.GetLeads() {
+		f.moreEntryVMs = false
+		return false
+	}
+	if m.GetLoadsAreWhole() {
+		f.entryVMsVersion, m.EntryVmsAreWhole = 0, true
+	}
+	c := f.server.sharedState.entryVMs.changesSince(f.entryVMsVersion, now)
+	m.EntryVms, m.EntryVmsGone, f.entryVMsVersion, f.moreEntryVMs = c.set, c.gone, c.version, c.more
+	return len(c.set)+len(c.gone) > 0
+}
--- a/internal/connection/feed/share.go
+++ b/internal/connection/feed/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
@@ -55,6 +56,9 @@
 	if len(previous.GetLimits()) > 0 || len(current.GetLimits()) > 0 || len(current.GetPlaces()) > 0 || len(current.GetSuspects()) > 0 || furtherAttempts(previous) != furtherAttempts(current) || len(previous.GetLoads()) != len(current.GetLoads()) {
 		return true
 	}
+	if !proto.Equal(previous.GetEntryVm(), current.GetEntryVm()) {
+		return true
+	}
 	loads := newEntryState(previous, time.Time{}).loads
 	for _, l := range current.GetLoads() {
 		if known, ok := loads[l.GetAddress()]; !ok || known != newLoad(l) {
--- /dev/null
+++ b/internal/process/entry/other_vms.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"net"
+	"net/netip"
+	"slices"
+
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
+)
+
+// otherVMs holds the other entry VMs. It is not modified.
+type otherVMs struct {
+	peers []feed.Peer
+	ips   map[netip.Addr]bool
+}
+
+// setPeers replaces the other entry VMs. A feed passes the same ones several times a second.
+func (r *routingState) setPeers(peers []feed.Peer) {
+	if slices.Equal(peers, r.peers()) {
+		return
+	}
+	next := &otherVMs{peers: peers, ips: map[netip.Addr]bool{}}
+	for _, p := range peers {
+		if host, _, err := net.SplitHostPort(p.PeerAddress); err == nil {
+			if ip, err := netip.ParseAddr(host); err == nil {
+				next.ips[ip.Unmap()] = true
+			}
+		}
+	}
+	r.otherVMs.Store(next)
+}
+
+// peers returns the other entry VMs by ID, those that are cut off included. The result must
+// not be modified.
+func (r *routingState) peers() []feed.Peer {
+	if others := r.otherVMs.Load(); others != nil {
+		return others.peers
+	}
+	return nil
+}
+
+// isEntryVM reports whether another entry VM has the IP address.
+func (r *routingState) isEntryVM(ip string) bool {
+	others := r.otherVMs.Load()
+	parsed, err := netip.ParseAddr(ip)
+	return err == nil && others != nil && others.ips[parsed.Unmap()]
+}
+
+// isTarget reports whether the latest list has a target with the address, which may be
+// leaving.
+func (r *routingState) isTarget(address string) bool {
+	addresses := r.targetAddresses.Load()
+	return addresses != nil && (*addresses)[address]
+}
+
+// localEntryVM returns what this VM shares of itself.
+func (r *routingState) localEntryVM() *chicoryv1.EntryVM {
+	self := r.self
+	self.CutOff = r.isCutOff != nil && r.isCutOff()
+	return self.EntryVM()
+}
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -68,6 +68,7 @@
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
 	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, Random: rand.Float64})
 	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, log)
+	p.routingState.self = s.peer()
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
 		Seeds:  settings.WithPort(s.Seeds, s.PeerPort),
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -38,6 +39,14 @@
 	limits       *ratelimit.Table
 	retryBudgets *retryBudgets
 	logger       *logging.Logger
+	// self is what other entry VMs know of this one, except whether it is cut off, which
+	// isCutOff reports; nil means that it isn't. Both are set before the feeds are followed.
+	self     feed.Peer
+	isCutOff func() bool
+	// otherVMs has the other entry VMs, targetAddresses the addresses of the listed targets.
+	// They have no lock, because each connection between entry VMs looks addresses up.
+	otherVMs        atomic.Pointer[otherVMs]
+	targetAddresses atomic.Pointer[map[string]bool]
 	// initialized is closed when a configuration and a target list are in force.
 	initialized chan struct{}
 
@@ -118,6 +127,7 @@
 	r.engines.SetRemoteLoads(o.Loads)
 	r.retryBudgets.setRemoteUsage(o.Uses, o.EntryVMs)
 	r.limits.SetRemoteState(o.Limits, o.EntryVMs, time.Now())
+	r.setPeers(o.Peers)
 }
 
 // AddPromptLocations implements feed.Sink.
@@ -133,7 +143,7 @@
 // LocalState implements feed.Sink. A single task calls it.
 func (r *routingState) LocalState(full bool) *chicoryv1.ShareRequest {
 	loads, places := r.engines.LocalState(full)
-	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage()}
+	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage(), EntryVm: r.localEntryVM()}
 	share.Limits = r.limits.LocalState(full, time.Now())
 	if full {
 		share.Suspects, r.sharedSuspects = r.quarantine.All(time.Now())
@@ -203,10 +213,10 @@
 // the changes since the previous list. The caller holds mu.
 func (r *routingState) trackStarts(list *chicoryv1.TargetList, now time.Time) listChange {
 	var change listChange
-	present := map[feed.TargetInstance]bool{}
+	present, addresses := map[feed.TargetInstance]bool{}, map[string]bool{}
 	for _, t := range list.GetTargets() {
 		start := feed.TargetInstanceOf(t)
-		present[start] = true
+		present[start], addresses[t.GetAddress()] = true, true
 		if !r.listed[start] {
 			change.added++
 		}
@@ -230,6 +240,7 @@
 		}
 	}
 	r.listed = present
+	r.targetAddresses.Store(&addresses)
 	return change
 }
 
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/settings"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/retry"
 )
@@ -23,7 +24,7 @@
 	// PlatformAddress is where the target list is read while no control VM provides it.
 	PlatformAddress settings.Address `yaml:"platform_address" settings:"required"`
 	// PeerPort is the port for connections between chicory processes, the same on all
-	// VMs.
+	// VMs. The peer address of an entry VM has the IP address of its CallerAddress.
 	PeerPort int `yaml:"peer_port" settings:"required"`
 	// Seeds are the operator addresses of control VMs.
 	Seeds []settings.Address `yaml:"seeds" settings:"required"`
@@ -32,6 +33,11 @@
 	Retry     RetrySettings     `yaml:"retry"`
 }
 
+// peer returns what other entry VMs know of this one.
+func (s *Settings) peer() feed.Peer {
+	return feed.Peer{ID: s.ID, PeerAddress: s.CallerAddress.WithPort(s.PeerPort), AvailabilityZone: string(s.AvailabilityZone)}
+}
+
 // RetrySettings limit the further attempts for one service, summed over all entry VMs.
 type RetrySettings struct {
 	// Ratio is the number of further attempts allowed per request.
