--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -51,6 +51,8 @@
 	TargetLimited        Event = "target_limited"
 	TargetLimitEnded     Event = "target_limit_ended"
 	ConnectionReplaced   Event = "connection_replaced"
+	RelayBegun           Event = "relay_begun"
+	RelayRefused         Event = "relay_refused"
 	RouterLost           Event = "router_lost"
 	AttemptEnded         Event = "attempt_ended"
 	StreamPlaced         Event = "stream_placed"
