entry: a VM that has no path to a target uses another VM's

Cause: a cut VM takes each target for sick, one after the other. What it sees alone doesn't show whether a target is down or the path to it is broken, and it has no other path.

Class: a conclusion about others from what only the observer has lost.

Change: internal/connection/paths opens the connections of the target pool and of engine probes. If a direct connection fails or takes 60 ms, another entry VM is asked to connect as well, in the own availability zone first, then in another one. If it connects and this VM doesn't, the path is broken: further connections go through other VMs, kept ones are no longer used, and the target is probed directly every 250 ms until the path works. A VM that loses two paths, hears from no target and reaches none of a sample is cut off, says so in its feed and helps nobody. A VM that reaches neither a target nor another VM refuses at once and isn't ready. Other VMs forward bytes only (internal/connection/relay): choice, permits, limits and at-most-once stay where they are.

Ruled out: leaving rotation alone (two missed checks of a second each, kept connections stay, and a zone may be cut as a whole).

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -27,8 +27,19 @@
 	reused bool
 }
 
+// keepAliveSetter is implemented by TCP connections.
+type keepAliveSetter interface {
+	SetKeepAliveConfig(net.KeepAliveConfig) error
+}
+
+// opener is implemented by connections that know whether they may carry another request.
+type opener interface{ IsOpen() bool }
+
+// unreader is implemented by connections that know whether they have unread bytes.
+type unreader interface{ HasUnread() bool }
+
 func newConn(raw net.Conn) *conn {
-	if tcp, ok := raw.(*net.TCPConn); ok {
+	if tcp, ok := raw.(keepAliveSetter); ok {
 		// An error is ignored: without keep-alive, only the detection of a dead peer
 		// takes longer.
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
@@ -54,6 +65,9 @@
 // hasUnread reports whether the target has sent bytes that wait in the socket. Unlike isIdle, it
 // may be called while another goroutine reads.
 func (c *conn) hasUnread() bool {
+	if u, ok := c.raw.(unreader); ok {
+		return u.HasUnread()
+	}
 	sys, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return false
@@ -77,6 +91,12 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if o, ok := c.raw.(opener); ok && !o.IsOpen() {
+		return false
+	}
+	if u, ok := c.raw.(unreader); ok {
+		return !u.HasUnread()
+	}
 	sys, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return true
--- /dev/null
+++ b/internal/connection/paths/helpers.go
@@ -0,0 +1,257 @@
+package paths
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/relay"
+)
+
+const (
+	// maxAsked is the number of entry VMs that are asked for one connection.
+	maxAsked = 3
+	// helpersPerGroup is the number of entry VMs of one group among which connections are
+	// spread. Each of them has a connection to this VM.
+	helpersPerGroup = 3
+	// maxCutOffPerHelper is the number of VMs that are cut off for each sound one, in this VM's
+	// availability zone, up to which only that zone's VMs are asked first.
+	maxCutOffPerHelper = 2
+)
+
+// helpers selects the entry VMs that open connections for this one.
+type helpers struct {
+	opts Options
+
+	mu sync.Mutex // guards the fields below
+	// failedAt is when a VM last could not help, open the number of connections through each,
+	// both by address.
+	failedAt map[string]time.Time
+	open     map[string]int
+}
+
+func newHelpers(o Options) *helpers {
+	return &helpers{opts: o, failedAt: map[string]time.Time{}, open: map[string]int{}}
+}
+
+// candidates returns the VMs to ask for a connection, the best first. The second one is in another
+// availability zone than the first if possible: the VMs of a zone may be cut off together.
+func (h *helpers) candidates(now time.Time) []string {
+	own, others, cutOff := h.groups(now)
+	if len(own)*maxCutOffPerHelper < cutOff {
+		own, others = slices.Concat(own, others), nil
+	}
+	own, others = h.nearest(own), h.nearest(others)
+	var asked []string
+	for len(asked) < maxAsked && len(own)+len(others) > 0 {
+		if p, ok := h.takeLeastUsed(&own); ok {
+			asked = append(asked, p.PeerAddress)
+		}
+		if p, ok := h.takeLeastUsed(&others); ok && len(asked) < maxAsked {
+			asked = append(asked, p.PeerAddress)
+		}
+	}
+	return asked
+}
+
+// groups returns the VMs that may help, those of this VM's availability zone apart, and the number
+// of VMs of that zone that are cut off, this one included.
+func (h *helpers) groups(now time.Time) (own, others []feed.Peer, cutOff int) {
+	cutOff = 1
+	for _, p := range h.opts.Peers() {
+		sameZone := p.AvailabilityZone == h.opts.AvailabilityZone
+		switch {
+		case p.ID == h.opts.ID || p.PeerAddress == "":
+		case p.CutOff && sameZone:
+			cutOff++
+		case p.CutOff || h.hasFailed(p.PeerAddress, now):
+		case sameZone:
+			own = append(own, p)
+		default:
+			others = append(others, p)
+		}
+	}
+	return own, others, cutOff
+}
+
+// nearest returns the few VMs that come first in an order that differs for each VM, so that the
+// load of many VMs that are cut off is spread.
+func (h *helpers) nearest(peers []feed.Peer) []feed.Peer {
+	rank := func(p feed.Peer) uint64 {
+		sum := fnv.New64a()
+		_, _ = sum.Write([]byte(h.opts.ID + "/" + p.ID)) // a hash returns no errors
+		return sum.Sum64()
+	}
+	slices.SortFunc(peers, func(a, b feed.Peer) int {
+		if rank(a) < rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return peers[:min(len(peers), helpersPerGroup)]
+}
+
+// takeLeastUsed removes and returns the VM through which the fewest connections are open.
+func (h *helpers) takeLeastUsed(peers *[]feed.Peer) (feed.Peer, bool) {
+	if len(*peers) == 0 {
+		return feed.Peer{}, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rand.Shuffle(len(*peers), func(i, j int) { (*peers)[i], (*peers)[j] = (*peers)[j], (*peers)[i] })
+	best := 0
+	for i, p := range *peers {
+		if h.open[p.PeerAddress] < h.open[(*peers)[best].PeerAddress] {
+			best = i
+		}
+	}
+	p := (*peers)[best]
+	*peers = slices.Delete(*peers, best, best+1)
+	return p, true
+}
+
+func (h *helpers) hasFailed(address string, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	failedAt, ok := h.failedAt[address]
+	if ok && now.Sub(failedAt) >= h.opts.Settings.HelperBackoff {
+		delete(h.failedAt, address)
+		return false
+	}
+	return ok
+}
+
+// mayHelp reports whether the VM at address is known, not cut off, and has not failed lately.
+func (h *helpers) mayHelp(address string, now time.Time) bool {
+	known := slices.ContainsFunc(h.opts.Peers(), func(p feed.Peer) bool { return p.PeerAddress == address && !p.CutOff })
+	return known && !h.hasFailed(address, now)
+}
+
+// anyWorks reports whether there is a VM that may help.
+func (h *helpers) anyWorks(now time.Time) bool {
+	own, others, _ := h.groups(now)
+	return len(own)+len(others) > 0
+}
+
+// areKnown reports whether there are other entry VMs.
+func (h *helpers) areKnown() bool {
+	return slices.ContainsFunc(h.opts.Peers(), func(p feed.Peer) bool { return p.ID != h.opts.ID })
+}
+
+func (h *helpers) failed(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failedAt[address] = time.Now()
+}
+
+// failedAll records VMs through which a target did not answer that answered through another one.
+func (h *helpers) failedAll(addresses []string) {
+	for _, address := range addresses {
+		h.failed(address)
+	}
+}
+
+func (h *helpers) opened(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open[address]++
+}
+
+func (h *helpers) released(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.open[address]--; h.open[address] <= 0 {
+		delete(h.open, address)
+	}
+}
+
+// isHelperError reports whether err says nothing about the target: no entry VM could be asked, or
+// none has answered.
+func isHelperError(err error) bool {
+	var target *relay.TargetError
+	return !errors.As(err, &target)
+}
+
+// relayResult is the answer of one entry VM.
+type relayResult struct {
+	helper string
+	conn   net.Conn
+	err    error
+}
+
+// dialRelayed opens a connection through another entry VM. It asks a further one when one fails or
+// takes long. The error is a *relay.TargetError if those that answered could not connect to the target.
+func (t *Table) dialRelayed(ctx context.Context, p *path) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.opts.Settings.RelayTimeout)
+	defer cancel()
+	err := error(errNoHelper)
+	candidates := t.helpers.candidates(time.Now())
+	if len(candidates) == 0 {
+		return nil, err
+	}
+	results := make(chan relayResult, len(candidates))
+	running := 0
+	ask := func() {
+		if len(candidates) > 0 {
+			t.ask(ctx, candidates[0], p, results)
+			candidates = candidates[1:]
+			running++
+		}
+	}
+	ask()
+	next := time.NewTicker(t.opts.Settings.HelperDelay)
+	defer next.Stop()
+	for running > 0 {
+		select {
+		case r := <-results:
+			running--
+			if r.err == nil {
+				go closeRelayed(results, running)
+				return t.relayedConn(r, p), nil
+			}
+			if isHelperError(err) {
+				err = r.err
+			}
+			ask()
+		case <-next.C:
+			ask()
+		case <-ctx.Done():
+			go closeRelayed(results, running)
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+// ask asks one entry VM for a connection.
+func (t *Table) ask(ctx context.Context, helper string, p *path, results chan<- relayResult) {
+	go func() {
+		c, err := t.opts.Relay.Dial(ctx, helper, p.address)
+		if err != nil && isHelperError(err) && !errors.Is(ctx.Err(), context.Canceled) {
+			t.helpers.failed(helper)
+		}
+		results <- relayResult{helper, c, err}
+	}()
+}
+
+// closeRelayed closes the connections of the answers that are still to come.
+func closeRelayed(results <-chan relayResult, n int) {
+	for range n {
+		if r := <-results; r.err == nil {
+			_ = r.conn.Close() // nothing was written
+		}
+	}
+}
+
+func (t *Table) relayedConn(r relayResult, p *path) net.Conn {
+	t.relayed.Inc(1)
+	t.helpers.opened(r.helper)
+	return &relayedConn{Conn: r.conn, path: p, helper: r.helper}
+}
--- a/internal/process/entry/other_vms.go
+++ b/internal/process/entry/other_vms.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -54,6 +55,24 @@
 	return addresses != nil && (*addresses)[address]
 }
 
+// targetList returns the addresses of the latest list.
+func (r *routingState) targetList() []string {
+	addresses := r.targetAddresses.Load()
+	if addresses == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(*addresses))
+}
+
+// selfIP returns the IP address that other entry VMs know this one by.
+func (r *routingState) selfIP() net.IP {
+	host, _, err := net.SplitHostPort(r.self.PeerAddress)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
+
 // localEntryVM returns what this VM shares of itself.
 func (r *routingState) localEntryVM() *chicoryv1.EntryVM {
 	self := r.self
--- a/internal/process/entry/other_vms_test.go
+++ b/internal/process/entry/other_vms_test.go
@@ -97,6 +97,8 @@
 	return nil, errors.New("there is no platform")
 }
 
+func (noPlatform) DialEngines(func(ctx context.Context, network, address string) (net.Conn, error)) {}
+
 // TestStartedEntryVMIsKnownToOthers checks that a VM that starts shares its own settings, and
 // that it knows the others from its feed.
 func TestStartedEntryVMIsKnownToOthers(t *testing.T) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +15,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/frontend"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/monitor"
@@ -31,6 +34,10 @@
 	exchange.EngineProber
 	observe.TargetReader
 	Decoder
+	// DialEngines makes probes of engines open their connections with dial. It is called once,
+	// before the first probe.
+	DialEngines(dial func(ctx context.Context, network, address string) (net.Conn, error))
+	paths.Prober
 }
 
 // Process is a running entry VM.
@@ -40,6 +47,7 @@
 	registry     metrics.Registry
 	routingState *routingState
 	follower     *feed.Follower
+	relaying     *relaying
 	pool         *http1.Pool
 	retryBudgets *retryBudgets
 
@@ -47,6 +55,9 @@
 	ready   *monitor.Server
 	monitor *monitor.Server
 
+	// draining: the process is about to stop.
+	draining atomic.Bool
+
 	ctx   context.Context
 	stop  context.CancelFunc
 	tasks sync.WaitGroup
@@ -61,7 +72,6 @@
 		settings:     s,
 		log:          log,
 		registry:     registry,
-		pool:         http1.NewPool(http1.Defaults(), registry),
 		retryBudgets: newRetryBudgets(s.Retry, registry),
 	}
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
@@ -69,6 +79,10 @@
 	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, Random: rand.Float64})
 	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, log)
 	p.routingState.self = s.peer()
+	p.relaying = p.newRelaying(adapter, engines)
+	p.routingState.isCutOff = p.cannotRelay
+	p.pool = http1.NewPoolWithDial(p.relaying.paths.Dial, http1.Defaults(), registry)
+	adapter.DialEngines(p.relaying.paths.Dial)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
 		Seeds:  settings.WithPort(s.Seeds, s.PeerPort),
@@ -111,20 +125,38 @@
 		Logger:     p.log,
 		Registry:   p.registry,
 		Settings:   exchange.Defaults(),
+		Paths:      p.relaying.paths,
 	})
+	if err := p.relaying.listen(p.routingState.self.PeerAddress); err != nil {
+		return errors.Trace(err)
+	}
 	var err error
 	if p.front, err = frontend.Listen(string(p.settings.CallerAddress), frontend.Options{
 		Codec: adapter, Handler: server, Holder: p.routingState.declared, Started: p.routingState.initialized, Logger: p.log, Registry: p.registry, Random: rand.Uint64,
 	}); err != nil {
 		return errors.Trace(err)
 	}
-	if p.ready, err = monitor.Listen(string(p.settings.ReadyAddress), p.registry, p.routingState.ready); err != nil {
+	if p.ready, err = monitor.Listen(string(p.settings.ReadyAddress), p.registry, p.isReady); err != nil {
 		return errors.Trace(err)
 	}
-	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.routingState.ready)
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.isReady)
 	return errors.Trace(err)
 }
 
+// isReady reports whether requests can be served, and the reason if not.
+func (p *Process) isReady() (bool, string) {
+	if !p.relaying.paths.CanReachTargets() {
+		return false, "neither this VM nor another one that it reaches has a path to the targets"
+	}
+	return p.routingState.ready()
+}
+
+// cannotRelay reports whether this VM opens no connections for others: it reaches no target, or is
+// about to stop.
+func (p *Process) cannotRelay() bool {
+	return p.draining.Load() || p.relaying.paths.IsCutOff()
+}
+
 // Reload applies the settings that may change while the process runs: the seeds.
 func (p *Process) Reload(s Settings) {
 	p.follower.AddSeeds(settings.WithPort(s.Seeds, s.PeerPort))
@@ -149,15 +181,18 @@
 func (p *Process) Stop() {
 	begin := time.Now()
 	p.log.Info(logging.ProcessDraining, nil)
+	p.draining.Store(true)
 	p.ready.Drain()
 	p.front.StartDraining()
 	time.Sleep(min(loadBalancerDelay, p.settings.StopGrace.Std()/2))
 	p.front.RejectRequests()
+	p.relaying.server.Drain()
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(p.settings.StopGrace.Std()-shutdownMargin))
 	defer cancel()
 	if err := p.front.Shutdown(ctx); err != nil {
 		p.log.Warn(logging.ProcessDraining, logging.Fields{"reason": err})
 	}
+	p.relaying.drain(ctx)
 	p.closeAll()
 	p.tasks.Wait()
 	p.log.Info(logging.ProcessStopped, nil)
@@ -167,6 +202,7 @@
 func (p *Process) closeAll() {
 	p.stop()
 	p.pool.Close()
+	p.relaying.close()
 	for _, m := range []*monitor.Server{p.ready, p.monitor} {
 		if m != nil {
 			_ = m.Close()
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -75,6 +75,10 @@
 	PlacesLost           Event = "places_lost"
 	FeedLost             Event = "feed_lost"
 	FeedFound            Event = "feed_found"
+	TargetPathLost       Event = "target_path_lost"
+	TargetPathFound      Event = "target_path_found"
+	TargetsCutOff        Event = "targets_cut_off"
+	TargetsReached       Event = "targets_reached"
 	SettingsReloaded     Event = "settings_reloaded"
 	LinesLeftOut         Event = "lines_left_out"
 )
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -150,6 +150,13 @@
 	Report(ctx context.Context, address, id string) (EngineReport, error)
 }
 
+// Paths knows the paths from this VM to targets.
+type Paths interface {
+	// Suspect is called when a target is silent. isCall states that it should have answered a call
+	// by now, and not only begun a stream.
+	Suspect(address string, isCall bool)
+}
+
 // Settings are the limits for requests.
 type Settings struct {
 	// MaxResponseBytes limits a response that is not a stream; it is buffered completely
@@ -204,7 +211,7 @@
 	}
 }
 
-// Options are the dependencies of a Service. All are required.
+// Options are the dependencies of a Service. All are required except Paths.
 type Options struct {
 	Pool     *http1.Pool
 	Protocol TargetProtocol
@@ -223,6 +230,8 @@
 	Logger   *logging.Logger
 	Registry metrics.Registry
 	Settings Settings
+	// Paths is nil if each failure is that of a target.
+	Paths Paths
 }
 
 // Service forwards requests. It is safe for concurrent use.
--- a/internal/request/exchange/once.go
+++ b/internal/request/exchange/once.go
@@ -54,7 +54,7 @@
 		if ctx.Err() != nil {
 			return contextError(ctx, false)
 		}
-		if len(tried) >= s.opts.Settings.MaxRefusals {
+		if len(tried) >= s.opts.Settings.MaxRefusals || isIsolated(t.err) {
 			return s.noTargetError(a, len(tried))
 		}
 		if t.outcome == outcomeNotRun {
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -135,6 +135,9 @@
 	if c.a.trial.wasSent() || c.lost > 1 && c.running > 0 {
 		return false // the call may crash targets: no further one beside those that run
 	}
+	if isIsolated(failed.err) {
+		return false
+	}
 	if c.s.quarantineError(c.a, c.possibleRuns) != nil || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
 		return false
 	}
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -51,6 +51,8 @@
 	nextAllowed bool
 	// brokenConnection: an attempt was sent on an idle connection that was broken.
 	brokenConnection bool
+	// isolated: this VM reached no target at the last attempt.
+	isolated bool
 	// errorResponse is the last error that an engine returned before the stream began.
 	errorResponse *attempt
 }
@@ -149,6 +151,8 @@
 		return fault.New(fault.OutcomeUnknown, "engine lost and route %q is not resumable", st.a.Route.Name)
 	case st.possibleRuns >= st.a.maxAttempts():
 		return fault.New(fault.OutcomeUnknown, "%d engines were lost", st.possibleRuns)
+	case (st.isolated || st.refused >= st.s.opts.Settings.MaxRefusals) && !st.headerSent && st.possibleRuns == 0:
+		return st.s.noTargetError(st.a, st.refused)
 	case st.refused >= st.s.opts.Settings.MaxRefusals && !st.headerSent:
 		return st.s.noTargetError(st.a, st.refused)
 	}
@@ -225,6 +229,7 @@
 		return true, result.err
 	}
 	st.logAttemptEnded(run, from, result, context.Cause(ctx))
+	st.isolated = isIsolated(result.err)
 	st.record(run, from, result)
 	st.recordLoss(ctx, run, result)
 	if engineLost(ctx, result) {
--- a/internal/request/exchange/stream_guard.go
+++ b/internal/request/exchange/stream_guard.go
@@ -93,6 +93,7 @@
 	}
 	g.suspected = true
 	g.run.MarkLost()
+	g.st.s.suspectPath(g.run.Target.GetAddress(), false)
 	g.st.s.opts.Logger.Warn(logging.EngineSilent, logging.Fields{
 		"request": g.st.a.ID, "route": g.st.a.Route.Name, "target": g.run.Target.GetAddress(), "movable": g.movable,
 	})
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -29,6 +29,8 @@
 	st.s.recordSent(st.a)
 	g.sent(x)
 	go st.watchEngineLoss(ctx, g, run)
+	silence := time.AfterFunc(st.s.opts.Settings.FirstEventTimeout, func() { st.s.suspectPath(run.Target.GetAddress(), false) })
+	defer silence.Stop()
 	response, meta, err := st.s.readResponse(x, st.a.ID)
 	if err != nil {
 		return attemptResult{outcome: outcomeLost, err: err}
--- a/internal/request/placement/run.go
+++ b/internal/request/placement/run.go
@@ -73,6 +73,20 @@
 	x.lost = make(chan struct{})
 }
 
+// PathLost records that this VM has lost its path to the engine at address, which other VMs reach:
+// runs there that wait for their first event may move, and its losses were none.
+func (e *EngineTable) PathLost(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x := e.byAddress[address]
+	if x == nil {
+		return
+	}
+	close(x.lost)
+	x.lost = make(chan struct{})
+	x.avoidUntil, x.losses = time.Time{}, 0
+}
+
 // MarkStale records that another instance than the listed one responded at the engine's
 // address.
 func (r *Run) MarkStale() {
