exchange: what a VM loses by its own path is no failure of targets

What callers saw: VMs that were not cut refused up to 31 of 60 streams with prompt_quarantined beside VMs that were cut off from all targets and whose connections were reset, though all targets worked for the others. Refusals of that kind went on after the cut had healed.

Cause: the connections that a cut VM lost counted as crashes of their targets. Parts of prompts that all VMs share were in quarantine after three of them, and the control VMs passed that on. On the VM itself, targets were ejected and engines put in cooldown.

Class: the observations of one VM become the fleet's without a check against what others see.

Change: before a lost or silent attempt is reported to the picker, to the engine table or to the quarantine, the target is connected to, directly and through another VM. If only the other one reaches it, or no other VM answers a VM that knows some, the attempt says nothing about the target. A request waits 50 ms at most for that, since a request that crashes targets must not be sent to a further one before its losses are counted; a target that is down refuses the connection at once.

Looked at for the same: loads and prompt locations in the feed come from runs that engines have begun; learned limits from answers only; permits are granted by the leader; the retry budget is charged for attempts that were sent.

--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -53,16 +53,10 @@
 	stop()
 	t.target = p.Target.GetAddress()
 	t.latency = time.Since(begin)
-	result := t.targetResult(ctx)
-	latency := time.Duration(0)
-	if result == request.ResultSuccess {
-		latency = t.latency
-	}
-	p.Done(result, latency)
 	if t.outcome == outcomeLost && ctx.Err() == nil {
 		s.opts.Pool.CloseIdle(t.target)
 	}
-	s.recordCall(ctx, a, t, p, begin)
+	s.reportCall(ctx, a, t, p, begin)
 	s.logAttempt(a, t)
 	return t
 }
--- /dev/null
+++ b/internal/request/exchange/blame.go
@@ -0,0 +1,94 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+)
+
+const (
+	// blameTimeout limits the time to find out whether a target or the path to it failed.
+	blameTimeout = 400 * time.Millisecond
+	// maxBlameWait is how long a request waits for that. A request that crashes targets must not
+	// be sent to a further one before its losses are counted.
+	maxBlameWait = 50 * time.Millisecond
+)
+
+// afterBlame calls f with whether a failed attempt shows a failure of the target. It returns when f
+// has returned, after maxWait or when ctx ends: f may be called later.
+func (s *Service) afterBlame(ctx context.Context, maxWait time.Duration, target string, sentAt time.Time, err error, f func(blamed bool)) {
+	if s.opts.Paths == nil {
+		f(true)
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameTimeout)
+		defer cancel()
+		f(s.opts.Paths.BlamesTarget(checkCtx, target, sentAt, err))
+	}()
+	wait := time.NewTimer(maxWait)
+	defer wait.Stop()
+	select {
+	case <-done:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
+// reportCall reports an attempt to the picker and to the quarantine.
+func (s *Service) reportCall(ctx context.Context, a *AdmittedRequest, t *attempt, p request.Placement, sentAt time.Time) {
+	result := t.targetResult(ctx)
+	switch result {
+	case request.ResultSuccess:
+		p.Done(result, t.latency)
+	case request.ResultReset, request.ResultSilent:
+		lost := t.outcome == outcomeLost && ctx.Err() == nil && isConnectionEnd(t.err)
+		s.afterBlame(ctx, maxBlameWait, t.target, sentAt, t.err, func(blamed bool) {
+			if !blamed {
+				p.Done(request.ResultUnreached, 0)
+				return
+			}
+			p.Done(result, 0)
+			if lost {
+				s.recordTargetLoss(a, targetOf(p.Target), sentAt)
+			}
+		})
+	default:
+		p.Done(result, 0)
+	}
+	if t.outcome == outcomeAnswered && t.status < http.StatusMultipleChoices {
+		s.opts.Quarantine.RecordBegun(a.keys, time.Now())
+	}
+}
+
+// reportEngine records that an engine was lost, if the attempt shows it.
+func (st *stream) reportEngine(ctx context.Context, run *placement.Run, result attemptResult) {
+	showsLoss, lost := st.showsLoss(ctx, result), engineLost(ctx, result)
+	if lost {
+		st.s.opts.Pool.CloseIdle(run.Target.GetAddress())
+	}
+	if !showsLoss && !lost {
+		return
+	}
+	sentAt, maxWait := st.dispatchedAt, time.Duration(0)
+	if showsLoss {
+		maxWait = maxBlameWait
+	}
+	waitCtx := context.WithoutCancel(ctx) // an attempt that was given up has ended ctx
+	st.s.afterBlame(waitCtx, maxWait, run.Target.GetAddress(), sentAt, result.err, func(blamed bool) {
+		if !blamed {
+			return
+		}
+		if showsLoss {
+			st.s.recordTargetLoss(st.a, targetOf(run.Target), sentAt)
+		}
+		if lost {
+			run.MarkLost()
+		}
+	})
+}
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,7 +17,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
-	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 )
 
@@ -148,26 +146,14 @@
 	return false
 }
 
-// recordCall records whether a target that was sent a call was lost or answered it.
-func (s *Service) recordCall(ctx context.Context, a *AdmittedRequest, t *attempt, p request.Placement, sentAt time.Time) {
-	switch {
-	case t.outcome == outcomeAnswered && t.status < http.StatusMultipleChoices:
-		s.opts.Quarantine.RecordBegun(a.keys, time.Now())
-	case t.outcome == outcomeLost && ctx.Err() == nil && isConnectionEnd(t.err):
-		s.recordTargetLoss(a, targetOf(p.Target), sentAt)
-	}
-}
-
-// recordLoss records the loss of an engine that had not begun the answer. If an earlier
-// engine had begun it, the request is not the cause.
-func (st *stream) recordLoss(ctx context.Context, run *placement.Run, result attemptResult) {
+// showsLoss reports whether an attempt at an engine that had not begun the answer shows that the
+// engine was lost. If an earlier engine had begun it, the request is not the cause.
+func (st *stream) showsLoss(ctx context.Context, result attemptResult) bool {
 	if st.begun || result.outcome != outcomeLost {
-		return
+		return false
 	}
 	cause := context.Cause(ctx)
-	if cause == nil && isConnectionEnd(result.err) || errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost) {
-		st.s.recordTargetLoss(st.a, targetOf(run.Target), st.dispatchedAt)
-	}
+	return cause == nil && isConnectionEnd(result.err) || errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost)
 }
 
 // markBegun records that an engine has begun the answer, which clears the keys of the request and
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -231,11 +231,7 @@
 	st.logAttemptEnded(run, from, result, context.Cause(ctx))
 	st.isolated = isIsolated(result.err)
 	st.record(run, from, result)
-	st.recordLoss(ctx, run, result)
-	if engineLost(ctx, result) {
-		st.s.opts.Pool.CloseIdle(run.Target.GetAddress())
-		run.MarkLost()
-	}
+	st.reportEngine(ctx, run, result)
 	return false, nil
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -93,6 +93,8 @@
 	ResultReplaced
 	// ResultAbandoned means that the attempt ended for a reason unrelated to the target.
 	ResultAbandoned
+	// ResultUnreached means that this VM's path to the target failed, and not the target.
+	ResultUnreached
 )
 
 // Placement is a target chosen for one attempt.
--- a/internal/request/routing/endpoint.go
+++ b/internal/request/routing/endpoint.go
@@ -226,6 +226,9 @@
 func (e *endpoint) recordResult(r request.Result, latency, elapsed time.Duration, s *Settings) (reason string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if r == request.ResultUnreached {
+		return ""
+	}
 	if r == request.ResultAbandoned {
 		return e.recordAbandoned(elapsed, s)
 	}
--- a/internal/request/routing/group.go
+++ b/internal/request/routing/group.go
@@ -101,7 +101,7 @@
 // the target again after a failure and restores it after ProbeSuccesses successes.
 func (g *group) recordProbeResult(e *endpoint, r request.Result, reason string) {
 	now := time.Now()
-	if now.UnixNano() < e.ejectedUntil.Load() || r == request.ResultAbandoned {
+	if now.UnixNano() < e.ejectedUntil.Load() || r == request.ResultAbandoned || r == request.ResultUnreached {
 		return
 	}
 	g.mu.Lock()
