--- a/internal/connection/paths/paths_test.go
+++ b/internal/connection/paths/paths_test.go
@@ -43,7 +43,14 @@
 	directDials               map[string]int  // by target
 	asked                     []string        // helpers
 	broken                    []string        // targets, as reported to OnBroken
-	ends                      []net.Conn      // far ends of direct connections
+	ends                      []net.Conn      // far ends of all connections
+	// others are the entry VMs, targets those of the list.
+	others  []feed.Peer
+	targets []string
+	// opened counts the connections that were opened through each helper.
+	opened map[string]int
+	// refusals are the errors with which helpers refuse, by address.
+	refusals map[string]error
 }
 
 const (
@@ -64,7 +71,8 @@
 func newNetwork() *network {
 	return &network{
 		direct: map[string]reaction{}, viaPeers: map[string]reaction{}, helpers: map[string]reaction{},
-		cutOff: map[string]bool{}, directDials: map[string]int{},
+		cutOff: map[string]bool{}, directDials: map[string]int{}, others: peers, targets: targets,
+		opened: map[string]int{}, refusals: map[string]error{},
 	}
 }
 
@@ -129,8 +137,11 @@
 func (n *network) Dial(ctx context.Context, helper, target string) (net.Conn, error) {
 	n.mu.Lock()
 	n.asked = append(n.asked, helper)
-	h, r := n.helpers[helper], n.viaPeers[target]
+	h, r, refusal := n.helpers[helper], n.viaPeers[target], n.refusals[helper]
 	n.mu.Unlock()
+	if refusal != nil {
+		return nil, &relay.HelperError{Helper: helper, Err: refusal}
+	}
 	if err := n.react(ctx, h); err != nil {
 		return nil, errors.Annotatef(err, "entry VM %s", helper)
 	}
@@ -138,6 +149,10 @@
 		return nil, &relay.TargetError{Helper: helper, Target: target, Err: err}
 	}
 	near, far := net.Pipe()
+	n.mu.Lock()
+	n.opened[helper]++
+	n.ends = append(n.ends, far)
+	n.mu.Unlock()
 	go n.serve(far, func() reaction { return n.viaPeers[target] })
 	return near, nil
 }
@@ -145,17 +160,20 @@
 func (n *network) peers() []feed.Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	list := slices.Clone(peers)
+	list := slices.Clone(n.others)
 	for i := range list {
 		list[i].CutOff = n.cutOff[list[i].PeerAddress]
 	}
 	return list
 }
 
-func (n *network) table() *paths.Table {
+func (n *network) table() *paths.Table { return n.tableOf("self", "a") }
+
+// tableOf returns the table of an entry VM.
+func (n *network) tableOf(id, zone string) *paths.Table {
 	return paths.NewTable(paths.Options{
-		ID: "self", AvailabilityZone: "a", Dial: n.dial, Relay: n, Prober: n, Peers: n.peers,
-		Targets: func() []string { return targets },
+		ID: id, AvailabilityZone: zone, Dial: n.dial, Relay: n, Prober: n, Peers: n.peers,
+		Targets: func() []string { return n.targets },
 		OnBroken: func(address string) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -185,15 +203,22 @@
 		table := n.table()
 		defer func() {
 			table.Close()
-			for _, c := range n.ends {
-				_ = c.Close()
-			}
+			n.close()
 			time.Sleep(2 * time.Second) // dials, checks and timers that are still running end
 		}()
 		f(t, n, table)
 	})
 }
 
+// close closes all connections.
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.ends {
+		_ = c.Close()
+	}
+}
+
 // connect opens a connection, closes it and returns the time that it took.
 func connect(t *testing.T, table *paths.Table, address string) (time.Duration, error) {
 	t.Helper()
