--- a/internal/connection/paths/conn.go
+++ b/internal/connection/paths/conn.go
@@ -73,6 +73,8 @@
 	net.Conn
 	path   *path
 	helper string
+	// released makes only the first Close count.
+	released sync.Once
 }
 
 // IsOpen reports whether the connection may carry another request: the path is still broken and
@@ -91,8 +93,8 @@
 	return ok && u.HasUnread()
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It may be called several times.
 func (c *relayedConn) Close() error {
-	c.path.table.helpers.released(c.helper)
+	c.released.Do(func() { c.path.table.helpers.released(c.helper) })
 	return c.Conn.Close()
 }
