--- a/internal/connection/paths/conn.go
+++ b/internal/connection/paths/conn.go
@@ -84,7 +84,7 @@
 	if open, ok := c.Conn.(interface{ IsOpen() bool }); ok && !open.IsOpen() {
 		return false
 	}
-	return t.isBroken(c.path) && t.helpers.mayHelp(c.helper, time.Now())
+	return t.isBroken(c.path) && t.helpers.maintains(c.helper, time.Now())
 }
 
 // HasUnread reports whether bytes were received that Read has not returned yet.
--- a/internal/connection/paths/helpers.go
+++ b/internal/connection/paths/helpers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/relay"
+	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 )
 
 const (
@@ -31,14 +33,21 @@
 	opts Options
 
 	mu sync.Mutex // guards the fields below
-	// failedAt is when a VM last could not help, open the number of connections through each,
-	// both by address.
-	failedAt map[string]time.Time
+	// failures are those of VMs that could not help lately, open is the number of connections
+	// through each, both by address.
+	failures map[string]helperFailure
 	open     map[string]int
 }
 
+// helperFailure is the last failure of a VM to help.
+type helperFailure struct {
+	at time.Time
+	// isFull: the VM took no further connection. Those that are open work.
+	isFull bool
+}
+
 func newHelpers(o Options) *helpers {
-	return &helpers{opts: o, failedAt: map[string]time.Time{}, open: map[string]int{}}
+	return &helpers{opts: o, failures: map[string]helperFailure{}, open: map[string]int{}}
 }
 
 // candidates returns the VMs to ask for a connection, the best first. The second one is in another
@@ -120,18 +129,25 @@
 func (h *helpers) hasFailed(address string, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	failedAt, ok := h.failedAt[address]
-	if ok && now.Sub(failedAt) >= h.opts.Settings.HelperBackoff {
-		delete(h.failedAt, address)
-		return false
-	}
+	_, ok := h.failureLocked(address, now)
 	return ok
 }
 
-// mayHelp reports whether the VM at address is known, not cut off, and has not failed lately.
-func (h *helpers) mayHelp(address string, now time.Time) bool {
+// failureLocked returns the failure of a VM that is not asked for a connection now. The caller
+// holds mu.
+func (h *helpers) failureLocked(address string, now time.Time) (helperFailure, bool) {
+	f, ok := h.failures[address]
+	return f, ok && now.Sub(f.at) < h.opts.Settings.HelperBackoff
+}
+
+// maintains reports whether the open connections through the VM at address may carry further
+// requests: it is known, not cut off, and has not failed lately, or only had no room.
+func (h *helpers) maintains(address string, now time.Time) bool {
 	known := slices.ContainsFunc(h.opts.Peers(), func(p feed.Peer) bool { return p.PeerAddress == address && !p.CutOff })
-	return known && !h.hasFailed(address, now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f, failed := h.failureLocked(address, now)
+	return known && (!failed || f.isFull)
 }
 
 // anyWorks reports whether there is a VM that may help.
@@ -145,16 +161,22 @@
 	return slices.ContainsFunc(h.opts.Peers(), func(p feed.Peer) bool { return p.ID != h.opts.ID })
 }
 
-func (h *helpers) failed(address string) {
+// failed records that a VM could not help. A VM that had failed otherwise shortly before is not
+// taken for a full one.
+func (h *helpers) failed(address string, err error) {
+	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failedAt[address] = time.Now()
+	f, failed := h.failureLocked(address, now)
+	isFull := fault.Is(err, fault.Overloaded) && (!failed || f.isFull)
+	maps.DeleteFunc(h.failures, func(_ string, f helperFailure) bool { return now.Sub(f.at) >= h.opts.Settings.HelperBackoff })
+	h.failures[address] = helperFailure{now, isFull}
 }
 
 // failedAll records VMs through which a target did not answer that answered through another one.
 func (h *helpers) failedAll(addresses []string) {
 	for _, address := range addresses {
-		h.failed(address)
+		h.failed(address, errNoAnswer)
 	}
 }
 
@@ -235,7 +257,7 @@
 	go func() {
 		c, err := t.opts.Relay.Dial(ctx, helper, p.address)
 		if err != nil && isHelperError(err) && !errors.Is(ctx.Err(), context.Canceled) {
-			t.helpers.failed(helper)
+			t.helpers.failed(helper, err)
 		}
 		results <- relayResult{helper, c, err}
 	}()
