paths: check a silent path while other targets are heard

A VM that lost the targets of one service and heard from those of another one never checked the silent paths: requests on kept connections waited for their deadline, and the targets were taken for sick. A path from which nothing came for MaxSilence is checked, at most once in SuspectInterval, whatever the others send.

--- a/internal/connection/paths/check.go
+++ b/internal/connection/paths/check.go
@@ -29,17 +29,22 @@
 }
 
 // Suspect is called when the target at address sends nothing. The path is checked if no target has
-// sent anything for a while. isCall states that the target usually answers within that time, so that
-// a connection alone does not show that the path works.
+// sent anything for a while, or this one has not for longer and was not checked lately: it may be one
+// of several lost paths, while others work. isCall states that the target usually answers within that
+// time, so that a connection alone does not show that the path works.
 func (t *Table) Suspect(address string, isCall bool) {
 	p, s, now := t.path(address), t.opts.Settings, time.Now()
 	silence := s.MaxSilence
 	if isCall {
 		silence = s.SilenceDelay
 	}
-	if now.Sub(t.lastDirect.Load()) >= silence && !t.isBroken(p) {
-		t.startCheck(p, isCall)
+	allSilent := now.Sub(t.lastDirect.Load()) >= silence
+	pathSilent := now.Sub(p.lastReceived.Load()) >= s.MaxSilence && now.Sub(p.suspectedAt.Load()) >= s.SuspectInterval
+	if !(allSilent || pathSilent) || t.isBroken(p) {
+		return
 	}
+	p.suspectedAt.Store(now)
+	t.startCheck(p, isCall)
 }
 
 // probeRequest returns the request of a probe, nil if it only connects, and how far it must get.
--- a/internal/connection/paths/conn.go
+++ b/internal/connection/paths/conn.go
@@ -15,6 +15,8 @@
 	address string
 	// lastReceived is when a byte last came directly from the target.
 	lastReceived atomicTime
+	// suspectedAt is when the path was last checked because its target sent nothing.
+	suspectedAt atomicTime
 	// unreachableUntil is the time until which other entry VMs are not asked.
 	unreachableUntil atomicTime
 
--- a/internal/connection/paths/paths.go
+++ b/internal/connection/paths/paths.go
@@ -55,6 +55,9 @@
 	// checked that should have answered a call, MaxSilence that for one that should have begun a
 	// stream.
 	SilenceDelay, MaxSilence time.Duration
+	// SuspectInterval is the minimum time between two checks of a path whose target is silent while
+	// others are not.
+	SuspectInterval time.Duration
 	// HoldTime is how long a new connection must stay open to show that its path works.
 	HoldTime time.Duration
 	// ProbeInterval is the time between two rounds of direct connections over broken paths.
@@ -75,6 +78,7 @@
 		RelayTimeout:    250 * time.Millisecond,
 		SilenceDelay:    150 * time.Millisecond,
 		MaxSilence:      600 * time.Millisecond,
+		SuspectInterval: time.Second,
 		HoldTime:        25 * time.Millisecond,
 		ProbeInterval:   250 * time.Millisecond,
 		UnreachableTime: 500 * time.Millisecond,
