paths: use many healed paths again within a second

Broken paths were probed three in 250 ms. A VM that had lost 40 of 60 targets and reached the others, so that no cut was recorded, used other VMs for some of them for 3 s after the end. A round that reaches a target is followed at once by a larger one, of at most 48 targets. TestManyBrokenPathsHealWithinASecond failed before.

--- a/internal/connection/paths/paths.go
+++ b/internal/connection/paths/paths.go
@@ -342,18 +342,35 @@
 	return paths[:min(len(paths), n)]
 }
 
-// sampledPaths is the number of targets that are probed in one round.
-const sampledPaths = 3
+const (
+	// sampledPaths is the number of targets that are probed in one round.
+	sampledPaths = 3
+	// maxSampledPaths is that after rounds in which some were reached.
+	maxSampledPaths = 48
+)
 
 // probeBroken probes the targets of broken paths until none is left.
 func (t *Table) probeBroken() {
 	for pause.For(t.ctx, t.opts.Settings.ProbeInterval) {
+		if t.probeWhileReached() {
+			return
+		}
+	}
+}
+
+// probeWhileReached probes the targets of some broken paths, and of more while some are reached: paths
+// that were lost together are likely to work again together. It reports whether probing has ended.
+func (t *Table) probeWhileReached() (ended bool) {
+	for n := sampledPaths; t.ctx.Err() == nil; n = min(2*n, maxSampledPaths) {
 		broken := t.brokenPaths()
 		if len(broken) == 0 && t.endProbing() {
-			return
+			return true
+		}
+		if !t.probeAll(t.sample(broken, n)) {
+			break
 		}
-		t.probeAll(t.sample(broken, sampledPaths))
 	}
+	return false
 }
 
 // endProbing ends the task that probes unless a path was found broken meanwhile. A VM whose broken
