paths: a VM without targets and without other VMs refuses at once

A VM that lost the other entry VMs together with the targets was never found cut off: a path counts as broken only if another VM reaches the target. Its callers waited, and /ready said 200. One that lost them later was ready again one second after each failed question. Now a target that this VM doesn't reach while the other VMs that it asks are lost counts as a broken path, and the usual check of other targets confirms the cut. A VM that is cut off and that nobody helped for HelperBackoff refuses at once, is not ready, and asks for help only in the background, once a round, until one helps. A VM that answers with a refusal is not lost. TestVMWithoutTargetsAndOtherVMsRefusesAtOnce and TestVMThatLosesTheOtherVMsLaterIsNotReady failed before.

--- a/internal/connection/paths/check.go
+++ b/internal/connection/paths/check.go
@@ -139,6 +139,8 @@
 	relayed := startProbe(func() (progress, error) { return t.probeRelayed(p, request) })
 	d, r := <-direct, <-relayed
 	switch {
+	case d.reached == connected && r.reached == unconnected && isHelperError(r.err) && t.markUnknown(p, wanted, d.err, r.err):
+		return ReachUnknown
 	case d.reached >= r.reached && d.reached > unconnected:
 		return ReachDirect
 	case r.reached > d.reached:
--- a/internal/connection/paths/dial.go
+++ b/internal/connection/paths/dial.go
@@ -49,6 +49,9 @@
 // errRecentlyUnreachable means that other entry VMs were asked a moment ago and could not connect.
 const errRecentlyUnreachable = errors.ConstError("no entry VM could connect a moment ago")
 
+// errIsolated means that this VM is cut off and that other entry VMs are asked in the background.
+const errIsolated = errors.ConstError("this VM reaches neither targets nor other entry VMs")
+
 // errSlowConnect means that another entry VM has connected long before this one.
 const errSlowConnect = errors.ConstError("no direct connection, while another entry VM has one")
 
@@ -56,6 +59,9 @@
 // error is a *DialError unless ctx ended.
 func (t *Table) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	p := t.path(address)
+	if t.isIsolated() {
+		return nil, &DialError{Target: address, Reach: ReachUnknown, Isolated: true, Err: errIsolated}
+	}
 	if t.isBroken(p) {
 		c, err := t.dialRelayed(ctx, p)
 		if err == nil || ctx.Err() != nil {
@@ -194,6 +200,7 @@
 	switch {
 	case errors.Is(relayErr, errRecentlyUnreachable):
 	case isHelperError(relayErr):
+		t.markUnknown(p, connected, directErr, relayErr)
 		e.Reach, e.Isolated = ReachUnknown, t.IsCutOff()
 	default:
 		p.unreachableUntil.Store(time.Now().Add(t.opts.Settings.UnreachableTime))
--- a/internal/connection/paths/helpers.go
+++ b/internal/connection/paths/helpers.go
@@ -31,6 +31,9 @@
 // helpers selects the entry VMs that open connections for this one.
 type helpers struct {
 	opts Options
+	// helpedAt is when an entry VM last connected to a target or said that it can't be reached,
+	// failedAt when none did.
+	helpedAt, failedAt atomicTime
 
 	mu sync.Mutex // guards the fields below
 	// failures are those of VMs that could not help lately, open is the number of connections
@@ -156,6 +159,28 @@
 	return len(own)+len(others) > 0
 }
 
+// record records whether an entry VM has helped. err is nil or the error of those that were asked.
+func (h *helpers) record(err error) {
+	now := time.Now()
+	switch {
+	case err == nil || !isHelperError(err):
+		h.helpedAt.Store(now)
+	case !isRefusal(err) || !h.anyWorks(now):
+		h.failedAt.Store(now)
+	}
+}
+
+// areLost reports whether no entry VM has helped for a while, and those that were asked last did not.
+func (h *helpers) areLost(now time.Time) bool {
+	helpedAt := h.helpedAt.Load()
+	return h.failedAt.Load().After(helpedAt) && !h.isTested(now)
+}
+
+// isTested reports whether an entry VM has helped lately.
+func (h *helpers) isTested(now time.Time) bool {
+	return now.Sub(h.helpedAt.Load()) < h.opts.Settings.HelperBackoff
+}
+
 // areKnown reports whether there are other entry VMs.
 func (h *helpers) areKnown() bool {
 	return slices.ContainsFunc(h.opts.Peers(), func(p feed.Peer) bool { return p.ID != h.opts.ID })
@@ -201,6 +226,20 @@
 	return !errors.As(err, &target)
 }
 
+// isRefusal reports whether err is the refusal of an entry VM that was reached.
+func isRefusal(err error) bool {
+	var refusal *fault.Error
+	return errors.As(err, &refusal)
+}
+
+// saysMore reports whether err says more about the target, or else about other entry VMs, than old.
+func saysMore(err, old error) bool {
+	if !isHelperError(old) {
+		return false
+	}
+	return !isHelperError(err) || isRefusal(err) || !isRefusal(old)
+}
+
 // relayResult is the answer of one entry VM.
 type relayResult struct {
 	helper string
@@ -208,9 +247,16 @@
 	err    error
 }
 
-// dialRelayed opens a connection through another entry VM. It asks a further one when one fails or
-// takes long. The error is a *relay.TargetError if those that answered could not connect to the target.
+// dialRelayed opens a connection through another entry VM, and records whether one helps. The error is
+// a *relay.TargetError if those that answered could not connect to the target.
 func (t *Table) dialRelayed(ctx context.Context, p *path) (net.Conn, error) {
+	c, err := t.askHelpers(ctx, p)
+	t.helpers.record(err)
+	return c, err
+}
+
+// askHelpers asks one entry VM for a connection, and a further one when one fails or takes long.
+func (t *Table) askHelpers(ctx context.Context, p *path) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.opts.Settings.RelayTimeout)
 	defer cancel()
 	err := error(errNoHelper)
@@ -238,7 +284,7 @@
 				go closeRelayed(results, running)
 				return t.relayedConn(r, p), nil
 			}
-			if isHelperError(err) {
+			if saysMore(r.err, err) {
 				err = r.err
 			}
 			ask()
--- a/internal/connection/paths/paths.go
+++ b/internal/connection/paths/paths.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
@@ -165,7 +166,12 @@
 }
 
 // CanReachTargets reports whether this VM reaches targets directly or through another entry VM.
-func (t *Table) CanReachTargets() bool { return !t.IsCutOff() || t.helpers.anyWorks(time.Now()) }
+func (t *Table) CanReachTargets() bool {
+	return !t.IsCutOff() || t.helpers.anyWorks(time.Now()) && !t.isIsolated()
+}
+
+// isIsolated reports whether this VM is cut off and no other entry VM helps.
+func (t *Table) isIsolated() bool { return t.IsCutOff() && t.helpers.areLost(time.Now()) }
 
 // path returns the path to the target at address.
 func (t *Table) path(address string) *path {
@@ -238,6 +244,17 @@
 	t.checkOthers(needed)
 }
 
+// markUnknown records that this VM doesn't reach the target and has lost the other entry VMs that it
+// asked, so that its own network is likely to have failed. It reports false if that isn't so. One that
+// refuses is reached.
+func (t *Table) markUnknown(p *path, needed progress, cause, relayErr error) bool {
+	if isRefusal(relayErr) || errors.Is(relayErr, errRecentlyUnreachable) || !t.helpers.areKnown() {
+		return false
+	}
+	t.markBroken(p, needed, cause)
+	return true
+}
+
 func (t *Table) notifyBroken(paths ...*path) {
 	if t.opts.OnBroken == nil {
 		return
@@ -352,12 +369,29 @@
 // probeBroken probes the targets of broken paths until none is left.
 func (t *Table) probeBroken() {
 	for pause.For(t.ctx, t.opts.Settings.ProbeInterval) {
-		if t.probeWhileReached() {
+		var test sync.WaitGroup
+		test.Go(t.testHelpers)
+		ended := t.probeWhileReached()
+		test.Wait()
+		if ended {
 			return
 		}
 	}
 }
 
+// testHelpers finds out whether another entry VM helps, if this VM is cut off and no request has shown
+// it lately.
+func (t *Table) testHelpers() {
+	if !t.IsCutOff() || t.helpers.isTested(time.Now()) {
+		return
+	}
+	for _, p := range t.sample(t.brokenPaths(), 1) {
+		if c, err := t.dialRelayed(t.ctx, p); err == nil {
+			_ = c.Close() // nothing was written
+		}
+	}
+}
+
 // probeWhileReached probes the targets of some broken paths, and of more while some are reached: paths
 // that were lost together are likely to work again together. It reports whether probing has ended.
 func (t *Table) probeWhileReached() (ended bool) {
--- a/internal/connection/paths/probe.go
+++ b/internal/connection/paths/probe.go
@@ -74,7 +74,7 @@
 	var silent []string
 	for range candidates {
 		r := <-results
-		if r.reached > best.reached || r.reached == unconnected && isHelperError(best.err) {
+		if r.reached > best.reached || r.reached == unconnected && best.reached == unconnected && saysMore(r.err, best.err) {
 			best = r
 		}
 		if best.reached == answered {
