paths: a VM that reaches few targets is not cut off

A VM that lost most targets at once and probed three more of them took itself for cut off while others answered it: the probes failed before the next byte could arrive. It helped no other VM, and stayed so until a broken path worked. The confirmation now listens for SilenceDelay, and a VM that is cut off also probes the paths that it only presumes to be broken, within the same number of probes; one of them ends the cut and leaves the broken paths broken.

--- a/internal/connection/paths/partial_test.go
+++ b/internal/connection/paths/partial_test.go
@@ -240,3 +240,34 @@
 		assert.NilError(t, c.Close())
 	})
 }
+
+// TestVMThatReachesFewTargetsIsNotCutOff guards against a VM that takes itself for cut off, and helps
+// no other one, because the few targets that it probed are among many lost ones.
+func TestVMThatReachesFewTargetsIsNotCutOff(t *testing.T) {
+	for _, busy := range []bool{true, false} {
+		t.Run(fmt.Sprintf("busy_%t", busy), func(t *testing.T) {
+			run(t, func(t *testing.T, n *network, table *paths.Table) {
+				n.targets = nil
+				for i := range 60 {
+					n.targets = append(n.targets, fmt.Sprintf("m%d:1", i))
+				}
+				lost, reached := n.targets[:56], n.targets[59]
+				if busy {
+					keepReceiving(t, table, reached)
+				}
+				n.set(refuses, lost...)
+				for _, address := range lost[:30] {
+					_, err := connect(t, table, address)
+					assert.NilError(t, err)
+				}
+				if busy {
+					time.Sleep(time.Second)
+					assert.Assert(t, !table.IsCutOff())
+					return
+				}
+				time.Sleep(2 * knownTime)
+				assert.Assert(t, !table.IsCutOff())
+			})
+		})
+	}
+}
--- a/internal/connection/paths/paths.go
+++ b/internal/connection/paths/paths.go
@@ -277,10 +277,13 @@
 }
 
 // confirmCutOff probes some of the targets whose paths are not known to be broken, and records that
-// this VM is cut off if none of them answers.
+// this VM is cut off if none of them answers and nothing comes from any target meanwhile.
 func (t *Table) confirmCutOff() {
 	begin := time.Now()
 	reached := t.probeAll(t.sample(t.workingPaths(), sampledPaths))
+	if !reached {
+		_ = pause.For(t.ctx, t.opts.Settings.SilenceDelay-time.Since(begin)) // probes may fail at once
+	}
 	t.mu.Lock()
 	t.confirming = false
 	if reached || t.lastDirect.Load().After(begin) || t.lostPaths() < minBrokenPaths {
@@ -312,9 +315,9 @@
 	t.mu.Lock()
 	broken, cutOff := !p.brokenAt.IsZero(), !t.cutOffAt.IsZero()
 	p.brokenAt = time.Time{}
-	if cutOff {
+	t.cutOffAt = time.Time{}
+	if cutOff && broken {
 		// The other paths are likely to work as well. One that doesn't is found again.
-		t.cutOffAt = time.Time{}
 		for _, other := range t.paths {
 			other.brokenAt = time.Time{}
 		}
@@ -342,6 +345,20 @@
 	return broken
 }
 
+// presumedPaths returns the paths to listed targets that are only presumed to be broken.
+func (t *Table) presumedPaths() []*path {
+	var presumed []*path
+	for _, address := range t.opts.Targets() {
+		p := t.path(address)
+		t.mu.Lock()
+		if p.brokenAt.IsZero() && t.isBrokenLocked(p) {
+			presumed = append(presumed, p)
+		}
+		t.mu.Unlock()
+	}
+	return presumed
+}
+
 // workingPaths returns the paths to listed targets that are not known to be broken.
 func (t *Table) workingPaths() []*path {
 	var working []*path
@@ -400,6 +417,9 @@
 		if len(broken) == 0 && t.endProbing() {
 			return true
 		}
+		if t.IsCutOff() {
+			broken = append(broken, t.presumedPaths()...)
+		}
 		if !t.probeAll(t.sample(broken, n)) {
 			break
 		}
