--- a/internal/connection/paths/helpers.go
+++ b/internal/connection/paths/helpers.go
@@ -256,8 +256,8 @@
 }
 
 // askHelpers asks one entry VM for a connection, and a further one when one fails or takes long.
-func (t *Table) askHelpers(ctx context.Context, p *path) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.opts.Settings.RelayTimeout)
+func (t *Table) askHelpers(requestCtx context.Context, p *path) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(requestCtx, t.opts.Settings.RelayTimeout)
 	defer cancel()
 	err := error(errNoHelper)
 	candidates := t.helpers.candidates(time.Now())
@@ -268,7 +268,7 @@
 	running := 0
 	ask := func() {
 		if len(candidates) > 0 {
-			t.ask(ctx, candidates[0], p, results)
+			t.ask(ctx, requestCtx, candidates[0], p, results)
 			candidates = candidates[1:]
 			running++
 		}
@@ -298,11 +298,11 @@
 	return nil, err
 }
 
-// ask asks one entry VM for a connection.
-func (t *Table) ask(ctx context.Context, helper string, p *path, results chan<- relayResult) {
+// ask asks one entry VM for a connection. The VM has not failed if the request ended meanwhile.
+func (t *Table) ask(ctx, requestCtx context.Context, helper string, p *path, results chan<- relayResult) {
 	go func() {
 		c, err := t.opts.Relay.Dial(ctx, helper, p.address)
-		if err != nil && isHelperError(err) && !errors.Is(ctx.Err(), context.Canceled) {
+		if err != nil && isHelperError(err) && requestCtx.Err() == nil && !errors.Is(ctx.Err(), context.Canceled) {
 			t.helpers.failed(helper, err)
 		}
 		results <- relayResult{helper, c, err}
--- a/internal/connection/paths/paths_test.go
+++ b/internal/connection/paths/paths_test.go
@@ -445,6 +445,25 @@
 	}
 }
 
+// TestEndOfARequestIsNoFailureOfAHelper guards against a cut VM that uses sound helpers no longer
+// because requests with little time left ended while they were asked.
+func TestEndOfARequestIsNoFailureOfAHelper(t *testing.T) {
+	run(t, func(t *testing.T, n *network, table *paths.Table) {
+		n.set(refuses, targets...)
+		assertServed(t, table)
+		assert.Assert(t, table.IsCutOff())
+		n.setHelpers(hangs)
+		for range 2 * len(peers) {
+			ctx, cancel := context.WithTimeout(t.Context(), connectTime)
+			_, err := table.Dial(ctx, "tcp", targets[0])
+			cancel()
+			assert.Assert(t, err != nil)
+		}
+		n.setHelpers(accepts)
+		assertServed(t, table)
+	})
+}
+
 // TestVMWithoutAnyPathSaysSo guards against requests that wait for their deadline at a VM that
 // reaches neither a target nor another entry VM.
 func TestVMWithoutAnyPathSaysSo(t *testing.T) {
