paths: a request that ends does not show that no VM helps

The end of a request while other VMs were asked was recorded as if none of them could help, and all requests were refused at once until one was asked again: TestEndOfARequestIsNoFailureOfAHelper, written before that record existed, failed with "this VM reaches neither targets nor other entry VMs".

--- a/internal/connection/paths/helpers.go
+++ b/internal/connection/paths/helpers.go
@@ -251,7 +251,9 @@
 // a *relay.TargetError if those that answered could not connect to the target.
 func (t *Table) dialRelayed(ctx context.Context, p *path) (net.Conn, error) {
 	c, err := t.askHelpers(ctx, p)
-	t.helpers.record(err)
+	if err == nil || ctx.Err() == nil {
+		t.helpers.record(err) // a request that has ended shows nothing
+	}
 	return c, err
 }
 
--- a/internal/connection/paths/paths_test.go
+++ b/internal/connection/paths/paths_test.go
@@ -451,6 +451,7 @@
 	run(t, func(t *testing.T, n *network, table *paths.Table) {
 		n.set(refuses, targets...)
 		assertServed(t, table)
+		time.Sleep(time.Second)
 		assert.Assert(t, table.IsCutOff())
 		n.setHelpers(hangs)
 		for range 2 * len(peers) {
