--- a/internal/connection/paths/helpers.go
+++ b/internal/connection/paths/helpers.go
@@ -1,8 +1,9 @@
 package paths
 
 import (
+	"cmp"
 	"context"
-	"hash/fnv"
+	"hash/maphash"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -22,7 +23,7 @@
 	maxAsked = 3
 	// helpersPerGroup is the number of entry VMs of one group among which connections are
 	// spread. Each of them has a connection to this VM.
-	helpersPerGroup = 3
+	helpersPerGroup = 48
 	// maxCutOffPerHelper is the number of VMs that are cut off for each sound one, in this VM's
 	// availability zone, up to which only that zone's VMs are asked first.
 	maxCutOffPerHelper = 2
@@ -31,6 +32,7 @@
 // helpers selects the entry VMs that open connections for this one.
 type helpers struct {
 	opts Options
+	seed maphash.Seed
 	// helpedAt is when an entry VM last connected to a target or said that it can't be reached,
 	// failedAt when none did.
 	helpedAt, failedAt atomicTime
@@ -47,27 +49,31 @@
 	at time.Time
 	// isFull: the VM took no further connection. Those that are open work.
 	isFull bool
+	// hasNoPath: the VM was reached and has no path to a target itself.
+	hasNoPath bool
 }
 
 func newHelpers(o Options) *helpers {
-	return &helpers{opts: o, failures: map[string]helperFailure{}, open: map[string]int{}}
+	return &helpers{opts: o, seed: maphash.MakeSeed(), failures: map[string]helperFailure{}, open: map[string]int{}}
 }
 
 // candidates returns the VMs to ask for a connection, the best first. The second one is in another
 // availability zone than the first if possible: the VMs of a zone may be cut off together.
 func (h *helpers) candidates(now time.Time) []string {
 	own, others, cutOff := h.groups(now)
-	if len(own)*maxCutOffPerHelper < cutOff {
-		own, others = slices.Concat(own, others), nil
+	if len(own)*maxCutOffPerHelper < cutOff || h.mostRefuse(own, cutOff) {
+		own = slices.Concat(own, others)
 	}
 	own, others = h.nearest(own), h.nearest(others)
 	var asked []string
 	for len(asked) < maxAsked && len(own)+len(others) > 0 {
 		if p, ok := h.takeLeastUsed(&own); ok {
 			asked = append(asked, p.PeerAddress)
+			others = slices.DeleteFunc(others, func(o feed.Peer) bool { return o == p })
 		}
 		if p, ok := h.takeLeastUsed(&others); ok && len(asked) < maxAsked {
 			asked = append(asked, p.PeerAddress)
+			own = slices.DeleteFunc(own, func(o feed.Peer) bool { return o == p })
 		}
 	}
 	return asked
@@ -81,7 +87,7 @@
 		sameZone := p.AvailabilityZone == h.opts.AvailabilityZone
 		switch {
 		case p.ID == h.opts.ID || p.PeerAddress == "":
-		case p.CutOff && sameZone:
+		case sameZone && (p.CutOff || h.hasNoPath(p.PeerAddress, now)):
 			cutOff++
 		case p.CutOff || h.hasFailed(p.PeerAddress, now):
 		case sameZone:
@@ -93,20 +99,26 @@
 	return own, others, cutOff
 }
 
+// mostRefuse reports whether most of the VMs of this VM's availability zone that are known to help or
+// to be cut off are cut off. The others of the zone may be as well: a VM says so only when asked, until
+// the control VMs have told all others.
+func (h *helpers) mostRefuse(own []feed.Peer, cutOff int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	helping := 0
+	for _, p := range own {
+		if h.open[p.PeerAddress] > 0 {
+			helping++
+		}
+	}
+	return cutOff > 1 && helping*maxCutOffPerHelper < cutOff
+}
+
 // nearest returns the few VMs that come first in an order that differs for each VM, so that the
 // load of many VMs that are cut off is spread.
 func (h *helpers) nearest(peers []feed.Peer) []feed.Peer {
-	rank := func(p feed.Peer) uint64 {
-		sum := fnv.New64a()
-		_, _ = sum.Write([]byte(h.opts.ID + "/" + p.ID)) // a hash returns no errors
-		return sum.Sum64()
-	}
-	slices.SortFunc(peers, func(a, b feed.Peer) int {
-		if rank(a) < rank(b) {
-			return -1
-		}
-		return 1
-	})
+	rank := func(p feed.Peer) uint64 { return maphash.String(h.seed, p.ID) }
+	slices.SortFunc(peers, func(a, b feed.Peer) int { return cmp.Compare(rank(a), rank(b)) })
 	return peers[:min(len(peers), helpersPerGroup)]
 }
 
@@ -143,6 +155,14 @@
 	return f, ok && now.Sub(f.at) < h.opts.Settings.HelperBackoff
 }
 
+// hasNoPath reports whether the VM at address said lately that it has no path to a target.
+func (h *helpers) hasNoPath(address string, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f, failed := h.failureLocked(address, now)
+	return failed && f.hasNoPath
+}
+
 // maintains reports whether the open connections through the VM at address may carry further
 // requests: it is known, not cut off, and has not failed lately, or only had no room.
 func (h *helpers) maintains(address string, now time.Time) bool {
@@ -195,7 +215,7 @@
 	f, failed := h.failureLocked(address, now)
 	isFull := fault.Is(err, fault.Overloaded) && (!failed || f.isFull)
 	maps.DeleteFunc(h.failures, func(_ string, f helperFailure) bool { return now.Sub(f.at) >= h.opts.Settings.HelperBackoff })
-	h.failures[address] = helperFailure{now, isFull}
+	h.failures[address] = helperFailure{at: now, isFull: isFull, hasNoPath: fault.Is(err, fault.NotReady)}
 }
 
 // failedAll records VMs through which a target did not answer that answered through another one.
