exchange: a silent engine that accepts connections has not crashed

Cause: an engine that was silent was given up and counted as crashed by the request, though this VM itself had closed the connection.

Class: silence is taken for loss.

Change: a silent engine counts as crashed only if it can't be connected to, directly or through another VM. It is avoided for new runs as before.

TestPausedEnginesPutNoPartInQuarantine failed before: the paused engines put the part in quarantine; engines that are gone still do.

--- a/internal/connection/paths/check.go
+++ b/internal/connection/paths/check.go
@@ -58,33 +58,45 @@
 	return nil, connected
 }
 
-// BlamesTarget reports whether an attempt at the target at address that was sent at sentAt and failed
-// with err shows a failure of the target, and not of this VM's path to it. It connects to the target
-// to find out.
-func (t *Table) BlamesTarget(ctx context.Context, address string, sentAt time.Time, err error) bool {
+// Blame is what a failed attempt at a target shows.
+type Blame int
+
+// The values of Blame.
+const (
+	// BlamePath: the path or a helper failed, or nothing is known about the target.
+	BlamePath Blame = iota
+	// BlameTarget: the target has failed, and accepts connections.
+	BlameTarget
+	// BlameGone: the target accepts no connections.
+	BlameGone
+)
+
+// Blame returns what an attempt at the target at address shows that was sent at sentAt and failed with
+// err. It connects to the target to find out.
+func (t *Table) Blame(ctx context.Context, address string, sentAt time.Time, err error) Blame {
 	var helperErr *relay.HelperError
 	var dialErr *DialError
 	switch {
 	case errors.As(err, &helperErr):
-		return false
+		return BlamePath
 	case errors.As(err, &dialErr):
-		return t.blames(dialErr.Reach)
+		return t.blame(dialErr.Reach)
 	case t.wasBroken(address, sentAt):
-		return true // the attempt used another entry VM
+		return BlameTarget // the attempt used another entry VM
 	}
-	return t.blames(t.Check(ctx, address))
+	return t.blame(t.Check(ctx, address))
 }
 
-// blames reports whether a target of which that is known may have failed. A VM that knows other
-// entry VMs and hears from none of them knows nothing about targets that it doesn't reach.
-func (t *Table) blames(reach Reach) bool {
-	switch reach {
-	case ReachRelayed:
-		return false
-	case ReachUnknown:
-		return !t.helpers.areKnown()
+// blame returns what it shows how far a target is reached. A VM that knows other entry VMs and hears
+// from none of them knows nothing about targets that it doesn't reach.
+func (t *Table) blame(reach Reach) Blame {
+	switch {
+	case reach == ReachDirect:
+		return BlameTarget
+	case reach == ReachNone, reach == ReachUnknown && !t.helpers.areKnown():
+		return BlameGone
 	}
-	return true
+	return BlamePath
 }
 
 // wasBroken reports whether the path was broken before a time, so that a request that was sent then
--- a/internal/request/exchange/blame.go
+++ b/internal/request/exchange/blame.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 )
@@ -17,11 +18,11 @@
 	maxBlameWait = 50 * time.Millisecond
 )
 
-// afterBlame calls f with whether a failed attempt shows a failure of the target. It returns when f
-// has returned, after maxWait or when ctx ends: f may be called later.
-func (s *Service) afterBlame(ctx context.Context, maxWait time.Duration, target string, sentAt time.Time, err error, f func(blamed bool)) {
+// afterBlame calls f with what a failed attempt shows. It returns when f has returned, after maxWait or
+// when ctx ends: f may be called later.
+func (s *Service) afterBlame(ctx context.Context, maxWait time.Duration, target string, sentAt time.Time, err error, f func(paths.Blame)) {
 	if s.opts.Paths == nil {
-		f(true)
+		f(paths.BlameGone)
 		return
 	}
 	done := make(chan struct{})
@@ -29,7 +30,7 @@
 		defer close(done)
 		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameTimeout)
 		defer cancel()
-		f(s.opts.Paths.BlamesTarget(checkCtx, target, sentAt, err))
+		f(s.opts.Paths.Blame(checkCtx, target, sentAt, err))
 	}()
 	wait := time.NewTimer(maxWait)
 	defer wait.Stop()
@@ -48,8 +49,8 @@
 		p.Done(result, t.latency)
 	case request.ResultReset, request.ResultSilent:
 		lost := t.outcome == outcomeLost && ctx.Err() == nil && isConnectionEnd(t.err)
-		s.afterBlame(ctx, maxBlameWait, t.target, sentAt, t.err, func(blamed bool) {
-			if !blamed {
+		s.afterBlame(ctx, maxBlameWait, t.target, sentAt, t.err, func(b paths.Blame) {
+			if b == paths.BlamePath {
 				p.Done(request.ResultUnreached, 0)
 				return
 			}
@@ -66,9 +67,10 @@
 	}
 }
 
-// reportEngine records that an engine was lost, if the attempt shows it.
+// reportEngine records that an engine was lost, if the attempt shows it. An engine that is silent and
+// accepts connections may only be paused: it is avoided, but no request has crashed it.
 func (st *stream) reportEngine(ctx context.Context, run *placement.Run, result attemptResult) {
-	showsLoss, lost := st.showsLoss(ctx, result), engineLost(ctx, result)
+	showsLoss, silent, lost := st.showsLoss(ctx, result), isSilence(context.Cause(ctx)), engineLost(ctx, result)
 	if lost {
 		st.s.opts.Pool.CloseIdle(run.Target.GetAddress())
 	}
@@ -80,11 +82,11 @@
 		maxWait = maxBlameWait
 	}
 	waitCtx := context.WithoutCancel(ctx) // an attempt that was given up has ended ctx
-	st.s.afterBlame(waitCtx, maxWait, run.Target.GetAddress(), sentAt, result.err, func(blamed bool) {
-		if !blamed {
+	st.s.afterBlame(waitCtx, maxWait, run.Target.GetAddress(), sentAt, result.err, func(b paths.Blame) {
+		if b == paths.BlamePath {
 			return
 		}
-		if showsLoss {
+		if showsLoss && (!silent || b == paths.BlameGone) {
 			st.s.recordTargetLoss(st.a, targetOf(run.Target), sentAt)
 		}
 		if lost {
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -18,6 +18,7 @@
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
@@ -152,10 +153,9 @@
 
 // Paths knows the paths from this VM to targets.
 type Paths interface {
-	// BlamesTarget reports whether an attempt that was sent at sentAt and failed with err shows a
-	// failure of the target, and not of this VM's path to it. It connects to the target to find
-	// out.
-	BlamesTarget(ctx context.Context, address string, sentAt time.Time, err error) bool
+	// Blame returns what an attempt shows that was sent at sentAt and failed with err. It connects
+	// to the target to find out.
+	Blame(ctx context.Context, address string, sentAt time.Time, err error) paths.Blame
 	// Suspect is called when a target is silent. isCall states that it should have answered a call
 	// by now, and not only begun a stream.
 	Suspect(address string, isCall bool)
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -153,7 +153,12 @@
 		return false
 	}
 	cause := context.Cause(ctx)
-	return cause == nil && isConnectionEnd(result.err) || errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost)
+	return cause == nil && isConnectionEnd(result.err) || isSilence(cause)
+}
+
+// isSilence reports whether an attempt was given up because its engine was silent.
+func isSilence(cause error) bool {
+	return errors.Is(cause, pace.ErrSilenceTimeout) || errors.Is(cause, errEngineLost)
 }
 
 // markBegun records that an engine has begun the answer, which clears the keys of the request and
