--- a/internal/connection/paths/dial.go
+++ b/internal/connection/paths/dial.go
@@ -59,10 +59,10 @@
 // error is a *DialError unless ctx ended.
 func (t *Table) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	p := t.path(address)
-	if t.isIsolated() {
-		return nil, &DialError{Target: address, Reach: ReachUnknown, Isolated: true, Err: errIsolated}
-	}
 	if t.isBroken(p) {
+		if t.isIsolated() {
+			return nil, &DialError{Target: address, Reach: ReachUnknown, Isolated: true, Err: errIsolated}
+		}
 		c, err := t.dialRelayed(ctx, p)
 		if err == nil || ctx.Err() != nil {
 			return c, err
