entry: a VM that lost the control VMs too is still helped

Cause: a VM that loses the control VMs together with its targets is listed no longer after 2 s, and the others then refused its connections as those of a stranger.

Change: the address of an entry VM stays known for a minute after it was last listed.

--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -127,7 +127,7 @@
 	r.engines.SetRemoteLoads(o.Loads)
 	r.retryBudgets.setRemoteUsage(o.Uses, o.EntryVMs)
 	r.limits.SetRemoteState(o.Limits, o.EntryVMs, time.Now())
-	r.setPeers(o.Peers)
+	r.setPeers(o.Peers, time.Now())
 }
 
 // AddPromptLocations implements feed.Sink.
