soak: cuts from targets add up and may concern one service

cutFromTargets replaced the cut of all targets, so that of two cuts that overlapped the later one ended the earlier one. A cut is now added to those of a link and ended on its own; TestCutsAddUp guards that. The kinds of cuts become kinds of faults, with names that differ from those of the faults between callers and VMs.

--- a/test/soak/cut_test.go
+++ b/test/soak/cut_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"syscall"
 	"testing"
@@ -14,33 +15,49 @@
 	"gotest.tools/v3/assert"
 )
 
-// Kinds of cuts between some VMs and all targets.
+// Kinds of cuts between entry VMs and targets; they are kinds of faults of the VMs.
 const (
 	// cutHang holds the bytes of all connections in both directions. A new connection is
 	// established and its bytes are held, because a process on loopback can't leave a SYN
 	// without an answer for some callers only. TCP keep-alive probes are answered. What a
 	// caller sent before it closed its connection is delivered after the cut, as TCP
 	// retransmits it.
-	cutHang = "hang"
+	cutHang = "cut-hang"
 	// cutReset resets open and new connections. A new one may be established and its first
 	// bytes be sent before the reset arrives.
-	cutReset = "reset"
+	cutReset = "cut-reset"
 	// cutRefuse resets new connections as cutReset does; open ones live on.
-	cutRefuse = "refuse"
+	cutRefuse = "cut-refuse"
 )
 
-// cut is a fault of the connections that some programs opened; the zero value is none.
+var cutKinds = []string{cutHang, cutReset, cutRefuse}
+
+// isCut reports whether a kind of fault is a cut.
+func isCut(kind string) bool { return slices.Contains(cutKinds, kind) }
+
+// cut is a fault of the connections that some programs opened.
 type cut struct {
 	kind     string
 	programs map[*program]bool
 }
 
-func (c cut) holds(owner *program) bool  { return c.kind == cutHang && c.programs[owner] }
-func (c cut) resets(owner *program) bool { return c.kind == cutReset && c.programs[owner] }
-func (c cut) refuses(owner *program) bool {
+func (c *cut) holds(owner *program) bool  { return c.kind == cutHang && c.programs[owner] }
+func (c *cut) resets(owner *program) bool { return c.kind == cutReset && c.programs[owner] }
+func (c *cut) refuses(owner *program) bool {
 	return (c.kind == cutReset || c.kind == cutRefuse) && c.programs[owner]
 }
 
+// cuts are the cuts of a link, which add up.
+type cuts []*cut
+
+func (l cuts) hold(owner *program) bool {
+	return slices.ContainsFunc(l, func(c *cut) bool { return c.holds(owner) })
+}
+
+func (l cuts) refuse(owner *program) bool {
+	return slices.ContainsFunc(l, func(c *cut) bool { return c.refuses(owner) })
+}
+
 // trackOwners lets the proxies in front of the targets find the owners of their
 // connections, for cutFromTargets.
 func (tb *testbed) trackOwners() {
@@ -49,14 +66,23 @@
 	}
 }
 
-// cutFromTargets cuts entry VMs from all targets; the kind "" ends the cut.
-func (tb *testbed) cutFromTargets(kind string, entries ...*vm) {
-	c := cut{kind: kind, programs: map[*program]bool{}}
+// cutFromTargets cuts entry VMs from the targets of a service, or from all if service is
+// empty. The returned function ends the cut.
+func (tb *testbed) cutFromTargets(kind, service string, entries ...*vm) (end func()) {
+	c := &cut{kind: kind, programs: map[*program]bool{}}
 	for _, e := range entries {
 		c.programs[e.program] = true
 	}
+	var ends []func()
 	for _, host := range tb.targets {
-		host.proxy.setCut(c)
+		if service == "" || host.service == service {
+			ends = append(ends, host.proxy.addCut(c))
+		}
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
 	}
 }
 
@@ -189,12 +215,12 @@
 		}
 		return nil
 	})
-	for _, kind := range []string{cutHang, cutReset, cutRefuse} {
+	for _, kind := range cutKinds {
 		t.Run(kind, func(t *testing.T) {
 			open, other := dialFrom(t, p, cutIP), dialFrom(t, p, otherIP)
 			assert.Equal(t, exchange(t, open, time.Second), "ping")
 			assert.Equal(t, exchange(t, other, time.Second), "ping")
-			p.setCut(cut{kind: kind, programs: map[*program]bool{cutProgram: true}})
+			end := p.addCut(&cut{kind: kind, programs: map[*program]bool{cutProgram: true}})
 			p.setState(linkState{}) // must not end the cut
 			assert.Equal(t, exchange(t, other, time.Second), "ping")
 			assert.Equal(t, exchange(t, dialFrom(t, p, otherIP), time.Second), "ping")
@@ -210,7 +236,7 @@
 				_, _ = open.Write([]byte("ping"))
 				assert.Equal(t, receive(open, 100*time.Millisecond), "")
 			}
-			p.setCut(cut{})
+			end()
 			assert.Equal(t, exchange(t, dialFrom(t, p, cutIP), time.Second), "ping")
 			if kind == cutHang {
 				assert.NilError(t, err)
@@ -221,6 +247,31 @@
 	}
 }
 
+// TestCutsAddUp guards against a cut that ends or weakens another one of the same link.
+func TestCutsAddUp(t *testing.T) {
+	cutProgram := &program{}
+	p := startEchoProxy(t)
+	p.setOwner(func(*net.TCPConn) *program { return cutProgram })
+	programs := map[*program]bool{cutProgram: true}
+	open := dial(t, p)
+	assert.Equal(t, exchange(t, open, time.Second), "ping")
+	endHang := p.addCut(&cut{kind: cutHang, programs: programs})
+	endRefuse := p.addCut(&cut{kind: cutRefuse, programs: programs})
+	endOther := p.addCut(&cut{kind: cutHang, programs: programs})
+	assert.Equal(t, exchange(t, open, 100*time.Millisecond), "")
+	endOther()
+	assert.Equal(t, receive(open, 100*time.Millisecond), "", "the end of one cut ended another one")
+	endHang()
+	assert.Equal(t, receive(open, time.Second), "ping")
+	refused, err := dialer("127.0.0.1").Dial("tcp", p.listener.Addr().String())
+	if err == nil { // the reset may come before or after the dial has returned
+		defer func() { _ = refused.Close() }()
+		assert.Equal(t, receive(refused, time.Second), "", "the end of other cuts ended this one")
+	}
+	endRefuse()
+	assert.Equal(t, exchange(t, dial(t, p), time.Second), "ping")
+}
+
 // TestSocketOwner checks that the owner of a connection is found while it is open.
 func TestSocketOwner(t *testing.T) {
 	p := startEchoProxy(t)
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -19,8 +20,8 @@
 	holdInbound, holdOutbound bool
 	// refuse resets each new connection.
 	refuse bool
-	// cut applies only to the connections of some programs.
-	cut cut
+	// cuts apply only to the connections of some programs.
+	cuts cuts
 }
 
 // proxy forwards connections from one address to another and injects network faults
@@ -67,26 +68,36 @@
 	}
 }
 
-// setState replaces the state of the link except for its cut.
+// setState replaces the state of the link except for its cuts.
 func (p *proxy) setState(e linkState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e.cut = p.state.cut
+	e.cuts = p.state.cuts
 	p.replaceLocked(e)
 }
 
-// setCut replaces the cut of the link.
-func (p *proxy) setCut(c cut) {
+// addCut adds a cut to the link. The returned function ends it.
+func (p *proxy) addCut(c *cut) (end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := p.state
-	e.cut = c
-	p.replaceLocked(e)
+	p.replaceCutsLocked(append(slices.Clone(p.state.cuts), c))
 	for pc := range p.conns {
 		if c.resets(pc.owner) {
 			pc.close(true)
 		}
 	}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.replaceCutsLocked(slices.DeleteFunc(slices.Clone(p.state.cuts), func(x *cut) bool { return x == c }))
+	}
+}
+
+// replaceCutsLocked replaces the cuts of the link. The caller holds mu.
+func (p *proxy) replaceCutsLocked(l cuts) {
+	e := p.state
+	e.cuts = l
+	p.replaceLocked(e)
 }
 
 // setOwner sets the function that finds the owners of connections.
@@ -139,10 +150,10 @@
 	}
 	var directions sync.WaitGroup
 	directions.Go(func() {
-		p.relay(pc, pc.caller, pc.target, func(e linkState) bool { return e.holdInbound || e.cut.holds(owner) })
+		p.relay(pc, pc.caller, pc.target, func(e linkState) bool { return e.holdInbound || e.cuts.hold(owner) })
 	})
 	directions.Go(func() {
-		p.relay(pc, pc.target, pc.caller, func(e linkState) bool { return e.holdOutbound || e.cut.holds(owner) })
+		p.relay(pc, pc.target, pc.caller, func(e linkState) bool { return e.holdOutbound || e.cuts.hold(owner) })
 	})
 	directions.Wait()
 	p.mu.Lock()
@@ -164,7 +175,7 @@
 func (p *proxy) add(pc *proxyConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state.refuse || p.state.cut.refuses(pc.owner) {
+	if p.state.refuse || p.state.cuts.refuse(pc.owner) {
 		return false
 	}
 	p.conns[pc] = true
