soak: entry VMs that are cut from targets

Most bursts now cut one entry VM, some or an availability zone from all targets or from those of one service for 1 to 5 s, in the three kinds of cuts, with a kill, pause or stop of an entry VM or a control VM meanwhile. The draws come from a generator of their own, so that the seeds that are kept have the plan that they had, with cuts in addition.

The checks excuse a cut only where it is a cause: requests that are refused or end unknown at its VM and, if bytes were held, requests that reach targets late. It excuses no request at another VM, no old configuration, and, unless bytes were held, neither a target's limit, a leaving target nor a call that crashes targets. A graceful stop of a cut VM may leave a request unknown, but not without an answer. A new check requires an answer to each request at a VM whose process and link to callers have no fault.

--- a/test/soak/checks_of_promises_test.go
+++ b/test/soak/checks_of_promises_test.go
@@ -91,6 +91,69 @@
 			h.addRequest("look-1", 20, 21, setStatus(503))
 			h.addFault(faultKill, "entry 1", 9, 9.5)
 		}, "not served although there was no fault"},
+		"not served while another VM is cut": {func(h scriptedHistory) {
+			h.addRequest("look-1", 10, 11, setStatus(503))
+			h.addFault(cutReset, "entry 2", 9, 12)
+		}, "not served although there was no fault"},
+		"not served while its VM is cut": {func(h scriptedHistory) {
+			h.addRequest("look-1", 10, 11, setStatus(503))
+			h.addFault(cutReset, "entry 1", 9, 12)
+		}, ""},
+		"a payment unknown while its VM is cut": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 11, setStatus(502))
+			h.addRun("pay-1", "target 1", 10, 10.5)
+			h.addFault(cutHang, "entry 1", 9, 12)
+		}, ""},
+		"no answer while its VM is cut": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 11, setAborted)
+			h.addFault(cutHang, "entry 1", 9, 12)
+		}, "got no answer"},
+		"no answer in time while its VM is cut": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 13, func(r *request) { setAborted(r); r.cancelled = true })
+			h.addFault(cutHang, "entry 1", 9, 12)
+		}, "got no answer"},
+		"no answer while its VM is paused": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 11, setAborted)
+			h.addFault(faultPause, "entry 1", 9, 12)
+		}, ""},
+		"no answer for a caller who left while its VM is cut": {func(h scriptedHistory) {
+			h.addRequest("draft-1", 10, 10.5, func(r *request) { setAborted(r); r.cancelled = true })
+			h.addFault(cutHang, "entry 1", 9, 12)
+		}, ""},
+		"an old configuration while its VM is cut": {func(h scriptedHistory) {
+			h.addDeclaration(1, 1, 2)
+			h.addDeclaration(2, 3, 4)
+			h.addRequest("mark-1", 7, 7.1, setServed(1))
+			h.addFault(cutHang, "entry 1", 5, 8)
+		}, "was served by version 1; 2 was confirmed"},
+		"back to an older configuration while its VM is cut": {func(h scriptedHistory) {
+			h.addRequest("mark-1", 7, 7.1, setServed(5))
+			h.addRequest("mark-2", 7.5, 7.6, setServed(4))
+			h.addFault(cutReset, "entry 1", 6, 8)
+		}, "the same process had served version 5"},
+		"a target gets more requests than it names while a VM is cut without held bytes": {func(h scriptedHistory) {
+			h.addLimit(2, 14)
+			h.addFault(cutRefuse, "entry 2", 12, 13)
+		}, "names a limit of 2.0 requests a second, received 18"},
+		"a target gets more requests than it names after bytes were held": {func(h scriptedHistory) {
+			h.addLimit(2, 14)
+			h.addFault(cutHang, "entry 2", 12, 13)
+		}, ""},
+		"a leaving target gets new requests while a VM is cut without held bytes": {func(h scriptedHistory) {
+			h.addFault(faultLeave, "target 1", 10, 15)
+			h.addFault(cutReset, "entry 1", 10, 12)
+			h.addRun("look-1", "target 1", 14, 14.1)
+		}, "shows the target as leaving"},
+		"a leaving target gets requests that were held": {func(h scriptedHistory) {
+			h.addFault(faultLeave, "target 1", 10, 15)
+			h.addFault(cutHang, "entry 1", 10, 12)
+			h.addRun("look-1", "target 1", 14, 14.1)
+		}, ""},
+		"work continues after the caller of a cut VM went away": {func(h scriptedHistory) {
+			h.addRequest("draft-1", 10, 11, func(r *request) { r.cancelled = true })
+			h.addRun("draft-1", "target 1", 10, 14)
+			h.addFault(cutHang, "entry 1", 10.5, 14)
+		}, ""},
 		"an old configuration": {func(h scriptedHistory) {
 			h.addDeclaration(1, 1, 2)
 			h.addDeclaration(2, 3, 4)
@@ -274,6 +337,21 @@
 		}, true},
 		"a request that did not run is refused":                {func(h scriptedHistory) { h.addRequest("pay-1", 10, 12, setStatus(503)) }, false},
 		"a connection is closed while a request is on its way": {func(h scriptedHistory) { h.addRequest("pay-1", 12, 12.1, setAborted) }, false},
+		"a running request is abandoned at a cut VM": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(502))
+			h.addRun("pay-1", "target 1", 10.1, 12)
+			h.addFault(cutHang, "entry 1", 9, 13)
+		}, false},
+		"a running request is abandoned before its VM is cut": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(502))
+			h.addRun("pay-1", "target 1", 10.1, 12)
+			h.addFault(cutHang, "entry 1", 12.5, 13)
+		}, true},
+		"a running request is cut off at a cut VM": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setAborted)
+			h.addRun("pay-1", "target 1", 10.1, 12)
+			h.addFault(cutHang, "entry 1", 9, 13)
+		}, true},
 		"the target was faulty": {func(h scriptedHistory) {
 			h.addRequest("pay-1", 10, 12, setAborted)
 			h.addRun("pay-1", "target 1", 10.1, 12)
@@ -300,18 +378,20 @@
 func TestDeadlyCallsThatReachTargetsLateAreFound(t *testing.T) {
 	for name, c := range map[string]struct {
 		received []float64
-		faulty   bool
+		fault    string
 		found    bool
 	}{
-		"four times late":                      {[]float64{16, 17, 18, 19}, false, true},
-		"three times late":                     {[]float64{16, 17, 18}, false, false},
-		"before all VMs know":                  {[]float64{12.5, 13, 14, 15}, false, false},
-		"four times late while a VM is faulty": {[]float64{16, 17, 18, 19}, true, false},
+		"four times late":                       {[]float64{16, 17, 18, 19}, "", true},
+		"three times late":                      {[]float64{16, 17, 18}, "", false},
+		"before all VMs know":                   {[]float64{12.5, 13, 14, 15}, "", false},
+		"four times late while a VM is faulty":  {[]float64{16, 17, 18, 19}, faultPause, false},
+		"four times late while a VM is cut":     {[]float64{16, 17, 18, 19}, cutReset, true},
+		"four times late after bytes were held": {[]float64{16, 17, 18, 19}, cutHang, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newScriptedHistory()
-			if c.faulty {
-				h.addFault(faultPause, "entry 1", 15, 16)
+			if c.fault != "" {
+				h.addFault(c.fault, "entry 1", 15, 16)
 			}
 			var received []time.Time
 			for _, s := range c.received {
--- a/test/soak/command_test.go
+++ b/test/soak/command_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +79,39 @@
 	}
 }
 
+// TestCutsArePlanned guards against seeds that never cut a zone, several VMs, all targets, one
+// service, or that cut in one way only.
+func TestCutsArePlanned(t *testing.T) {
+	kinds, services, members, overlaps := map[string]bool{}, map[string]bool{}, map[string]bool{}, 0
+	for seed := range uint64(50) {
+		plan := newCutFaults(newCutRand(seed), 30*time.Second, 3, 4)
+		assert.DeepEqual(t, plan, newCutFaults(newCutRand(seed), 30*time.Second, 3, 4), cmp.AllowUnexported(plannedFault{}))
+		cutAt := map[time.Duration][]int{}
+		for i, f := range plan {
+			if !isCut(f.kind) {
+				continue
+			}
+			kinds[f.kind], services[f.service] = true, true
+			cutAt[f.at] = append(cutAt[f.at], f.entry)
+			for _, other := range plan[:i] {
+				if isCut(other.kind) && other.entry == f.entry && other.at < f.at+f.duration && f.at < other.at+other.duration {
+					overlaps++
+				}
+			}
+		}
+		for _, entries := range cutAt {
+			slices.Sort(entries)
+			members[fmt.Sprint(entries)] = true
+		}
+	}
+	assert.Equal(t, len(kinds), len(cutKinds))
+	assert.Equal(t, len(services), 3)
+	for _, m := range []string{"[0]", "[3]", "[0 3]", "[1 2]", "[0 1 2 3]"} {
+		assert.Assert(t, members[m], "entry VMs %s are never cut", m)
+	}
+	assert.Assert(t, overlaps > 0)
+}
+
 // TestProxy checks each state of a link.
 func TestProxy(t *testing.T) {
 	p := startEchoProxy(t)
--- a/test/soak/deadly_test.go
+++ b/test/soak/deadly_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/pause"
@@ -65,19 +64,16 @@
 }
 
 // checkDeadly checks that a deadly call stays out of the targets once all VMs can know that it
-// crashes them. What it reaches while a VM is faulty doesn't count.
+// crashes them. What it reaches during faults that match onAnyVM doesn't count.
 func (h *history) checkDeadly(crashes, received []time.Time) {
 	if len(crashes) < maxDeadlyCrashes {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	onVM := func(f *fault) bool {
-		return strings.HasPrefix(f.subject, "entry") || strings.HasPrefix(f.subject, "keeper")
-	}
 	limit, late := crashes[maxDeadlyCrashes-1].Add(settleTime+timingTolerance), 0
 	for _, at := range received {
-		if at.After(limit) && h.faultFree(at.Add(-settleTime), at, onVM) {
+		if at.After(limit) && h.faultFree(at.Add(-settleTime), at, onAnyVM) {
 			late++
 		}
 	}
--- a/test/soak/harm_test.go
+++ b/test/soak/harm_test.go
@@ -57,6 +57,10 @@
 		if err := m.start(); err != nil {
 			tb.history.addViolation("%v", err)
 		}
+	case cutHang, cutReset, cutRefuse:
+		endCut := tb.cutFromTargets(f.kind, f.service, m)
+		pause.For(ctx, f.duration)
+		endCut()
 	default:
 		injectLinkFault(ctx, m.proxy, f)
 	}
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/chicoryswitch/chicoryswitch/platform/standin"
 )
 
 // Kinds of injected faults.
@@ -49,6 +51,8 @@
 	keeper, entry, target int
 	// limit is the limit that the target names, in requests per second, for faultLimit.
 	limit float64
+	// service is the service from whose targets a cut separates the entry VM; empty means all.
+	service string
 }
 
 const (
@@ -63,7 +67,10 @@
 	// minWipeInterval keeps two disk losses apart: the system tolerates one at a time.
 	minWipeInterval = 10 * time.Second
 	// limitTime is the duration of faultLimit. It covers a pause between two bursts.
-	limitTime = burstLength + burstGap + time.Second
+	limitTime    = burstLength + burstGap + time.Second
+	maxBurstCuts = 3 // cuts per burst
+	minCutTime   = time.Second
+	maxCutTime   = 5 * time.Second
 	// maxLimit is the highest limit that a target names, in requests per second.
 	maxLimit = 10
 )
@@ -144,6 +151,59 @@
 	return plan
 }
 
+// newCutFaults returns, for most bursts, cuts of entry VMs from targets, each with a fault of a VM
+// that may have to help meanwhile.
+func newCutFaults(r *rand.Rand, length time.Duration, keepers, entries int) []plannedFault {
+	var plan []plannedFault
+	for begin := time.Duration(0); begin < length; begin += burstLength + burstGap {
+		for range r.IntN(maxBurstCuts + 1) {
+			f := plannedFault{
+				at:       begin + time.Duration(r.Int64N(int64(burstLength))),
+				duration: minCutTime + time.Duration(r.Int64N(int64(maxCutTime-minCutTime))),
+				kind:     randomKind(r, cutKinds), keeper: -1, target: -1,
+				service: randomKind(r, []string{"", "", standin.Desk, standin.Model}),
+			}
+			for _, f.entry = range entriesToCut(r, entries) {
+				plan = append(plan, f)
+			}
+			plan = append(plan, newFaultDuring(r, f, keepers, entries))
+		}
+	}
+	return plan
+}
+
+// entriesToCut returns the indexes of one entry VM, of some or of those of an availability zone.
+func entriesToCut(r *rand.Rand, entries int) []int {
+	switch first := r.IntN(entries); r.IntN(3) {
+	case 0:
+		return []int{first}
+	case 1:
+		return r.Perm(entries)[:1+r.IntN(entries)]
+	default:
+		var zone []int
+		for i := first % len(availabilityZones); i < entries; i += len(availabilityZones) {
+			zone = append(zone, i)
+		}
+		return zone
+	}
+}
+
+// newFaultDuring draws a fault of an entry VM or of a control VM that begins during a cut.
+func newFaultDuring(r *rand.Rand, cut plannedFault, keepers, entries int) plannedFault {
+	f := plannedFault{
+		at:       cut.at + time.Duration(r.Int64N(int64(cut.duration))),
+		duration: minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime))),
+		kind:     randomKind(r, []string{faultKill, faultPause, faultStop}),
+		keeper:   -1, entry: -1, target: -1,
+	}
+	if r.IntN(4) == 0 {
+		f.keeper = r.IntN(keepers)
+	} else {
+		f.entry = r.IntN(entries)
+	}
+	return f
+}
+
 // randomTarget returns the index of a target; each service is drawn with the same
 // probability.
 func randomTarget(r *rand.Rand, targets int) int {
@@ -158,5 +218,8 @@
 // newRand returns the random number generator of a seed.
 func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
 
+// newCutRand returns a third generator of a seed, for the cuts from targets.
+func newCutRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 2)) }
+
 // newLimitRand returns a second generator of a seed, for the faults that newPlan doesn't draw.
 func newLimitRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -102,19 +102,38 @@
 	return func(f *fault) bool { return slices.Contains(subjects, f.subject) }
 }
 
+// onProcess matches the faults of an entry VM's process and of its link to callers. A cut from
+// targets leaves both intact.
+func onProcess(entry string) func(f *fault) bool {
+	return func(f *fault) bool { return f.subject == entry && !isCut(f.kind) }
+}
+
 // onControlPath matches the faults that can keep an entry VM from receiving its
 // configuration.
 func onControlPath(entry string) func(f *fault) bool {
-	return func(f *fault) bool { return f.subject == entry || strings.HasPrefix(f.subject, "keeper") }
+	process := onProcess(entry)
+	return func(f *fault) bool { return process(f) || strings.HasPrefix(f.subject, "keeper") }
+}
+
+// onAnyVM matches the faults that can keep a VM from knowing what the others know, or delay its
+// requests to targets. Of the cuts, only one that holds bytes back does.
+func onAnyVM(f *fault) bool {
+	isVM := strings.HasPrefix(f.subject, "entry") || strings.HasPrefix(f.subject, "keeper")
+	return isVM && (!isCut(f.kind) || f.kind == cutHang)
 }
 
-func anyFault(*fault) bool { return true }
+// onServing matches the faults that can keep an entry VM from serving requests. A cut of another
+// VM doesn't.
+func onServing(entry string) func(f *fault) bool {
+	return func(f *fault) bool { return !isCut(f.kind) || f.subject == entry }
+}
 
 // checkAll checks the guarantees that need the whole history.
 func (h *history) checkAll() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.checkServedWithoutFaults()
+	h.checkAnswered()
 	h.checkApplied()
 	h.checkNoRegression()
 	h.checkReads()
@@ -131,12 +150,27 @@
 		if !isOneOf(kindOf(r.id), kindIdempotent, kindNonIdempotent, kindStream) || r.cancelled || r.served() {
 			continue
 		}
-		if h.faultFree(r.sent.Add(-settleTime), r.ended, anyFault) {
+		if h.faultFree(r.sent.Add(-settleTime), r.ended, onServing(r.entry)) {
 			h.addViolationLocked("request %s at %s, sent at %s, was not served although there was no fault: status %d, %v", r.id, r.entry, h.elapsed(r.sent), r.status, r.err)
 		}
 	}
 }
 
+// checkAnswered checks that a process answers each request whatever happens at targets, control
+// VMs and other entry VMs, and within the time that the request allows.
+func (h *history) checkAnswered() {
+	for _, r := range h.requests {
+		timeout := callTimeout
+		if kindOf(r.id) == kindStream {
+			timeout = streamTimeout
+		}
+		left := r.cancelled && r.ended.Sub(r.sent) < timeout
+		if r.status == 0 && !left && h.faultFree(r.sent, r.ended, onProcess(r.entry)) {
+			h.addViolationLocked("request %s at %s, sent at %s, got no answer: %v", r.id, r.entry, h.elapsed(r.sent), r.err)
+		}
+	}
+}
+
 // newestConfirmed returns the newest confirmed configuration, or nil.
 func (h *history) newestConfirmed() *declaration {
 	h.mu.Lock()
@@ -198,7 +232,7 @@
 				continue
 			}
 			tolerance := regressionTolerance
-			if !h.faultFree(newer.ended, r.ended, onSubjects(r.entry)) {
+			if !h.faultFree(newer.ended, r.ended, onProcess(r.entry)) {
 				tolerance = faultyRegressionTolerance
 			}
 			if r.sent.After(newer.ended.Add(tolerance)) {
@@ -241,7 +275,7 @@
 				if r.target != f.subject || r.began.Before(limit) {
 					continue
 				}
-				if h.faultFree(f.from, r.began, func(x *fault) bool { return !strings.HasPrefix(x.subject, "target") }) {
+				if h.faultFree(f.from, r.began, func(x *fault) bool { return onAnyVM(x) || x.kind == faultList }) {
 					h.addViolationLocked("request %s began to run at %s at %s; the list shows the target as leaving since %s", id, r.target, h.elapsed(r.began), h.elapsed(f.from))
 				}
 			}
@@ -284,7 +318,7 @@
 }
 
 // checkLimits checks that a target that names a limit doesn't receive more from all entry VMs
-// together, from settleTime after it first named the limit. VMs that are faulty are excused.
+// together, from settleTime after it first named the limit. Faults that match onAnyVM excuse it.
 func (h *history) checkLimits() {
 	for _, l := range h.limits {
 		allowed := limitFactor*l.rate*limitWindow.Seconds() + limitExtra
@@ -299,7 +333,7 @@
 				}
 			}
 			mayHold := func(f *fault) bool {
-				return strings.HasPrefix(f.subject, "entry") || strings.HasPrefix(f.subject, "keeper") || f.subject == l.target && f.kind != faultLimit
+				return onAnyVM(f) || f.subject == l.target && f.kind != faultLimit
 			}
 			if float64(n) > allowed && h.faultFree(begin.Add(-settleTime), begin.Add(limitWindow), mayHold) {
 				h.addViolationLocked("%s, which names a limit of %.1f requests a second, received %d in %v from %s on; allowed %.0f", l.target, l.rate, n, limitWindow, h.elapsed(begin), allowed)
@@ -314,7 +348,7 @@
 func (h *history) checkGracefulStop(entry string, from, to time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.faultFree(from, to, func(f *fault) bool { return f.subject == entry && f.kind != faultStop }) {
+	if !h.faultFree(from, to, func(f *fault) bool { return onProcess(entry)(f) && f.kind != faultStop }) {
 		return
 	}
 	for _, r := range h.requests {
@@ -326,8 +360,9 @@
 		faulty := slices.ContainsFunc(runs, func(x *targetRun) bool {
 			return !h.faultFree(r.sent, r.ended, onSubjects(x.target))
 		})
+		cut := r.status != 0 && !h.faultFree(r.sent, r.ended, func(f *fault) bool { return f.subject == entry && isCut(f.kind) })
 		read := len(runs) > 0 || r.ended.Sub(r.sent) > unreadTolerance+timingTolerance
-		if read && !faulty {
+		if read && !faulty && !cut {
 			h.addViolationLocked("request %s at %s, sent at %s, was interrupted by a graceful stop that began at %s: status %d, %v", r.id, entry, h.elapsed(r.sent), h.elapsed(from), r.status, r.err)
 		}
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -22,17 +22,19 @@
 	rand    *rand.Rand
 	// limitRand draws the limits that targets name, and the deadly calls.
 	limitRand *rand.Rand
-	deadly    *deadlyCalls
-	history   *history
-	testbed   *testbed
-	load      *loadGenerator
-	operator  *operator
+	// cutRand draws the cuts of entry VMs from targets.
+	cutRand  *rand.Rand
+	deadly   *deadlyCalls
+	history  *history
+	testbed  *testbed
+	load     *loadGenerator
+	operator *operator
 }
 
 // runSeed runs one seed and returns the violated guarantees. It fails if the run could
 // not be started.
 func runSeed(ctx context.Context, o options, seed uint64) ([]string, error) {
-	s := &seedRun{options: o, rand: newRand(seed), limitRand: newLimitRand(seed)}
+	s := &seedRun{options: o, rand: newRand(seed), limitRand: newLimitRand(seed), cutRand: newCutRand(seed)}
 	s.history = newHistory(func(text string) { fmt.Printf("seed %d: %s\n", seed, text) })
 	var err error
 	if s.testbed, err = newTestbed(o, seed, randomSize(s.rand), s.history); err != nil {
@@ -42,6 +44,7 @@
 	for _, t := range s.testbed.targets {
 		t.changeBehavior(resetTimings)
 	}
+	s.testbed.trackOwners()
 	s.operator = newOperator(s.testbed, s.history)
 	s.load = &loadGenerator{history: s.history, operator: s.operator}
 	if err := s.start(ctx); err != nil {
@@ -104,6 +107,7 @@
 func (s *seedRun) runWithFaults(ctx context.Context) {
 	plan := newPlan(s.rand, s.options.faultPhase, len(s.testbed.keepers), len(s.testbed.entries), len(s.testbed.targets))
 	plan = append(plan, newLimitFaults(s.limitRand, s.options.faultPhase, len(s.testbed.targets))...)
+	plan = append(plan, newCutFaults(s.cutRand, s.options.faultPhase, len(s.testbed.keepers), len(s.testbed.entries))...)
 	s.deadly = newDeadlyCalls(s.limitRand, s.testbed.fleet, s.options.faultPhase)
 	workCtx, stop := context.WithCancel(ctx)
 	var tasks sync.WaitGroup
