--- a/test/soak/helpers_of_cut_vms_test.go
+++ b/test/soak/helpers_of_cut_vms_test.go
@@ -79,12 +79,12 @@
 	callers.Go(func() { p.measureStalls(ctx) })
 	pause.For(ctx, time.Second)
 	p.began = time.Now()
-	p.testbed.cutFromTargets(p.scenario.kind, cutVMs...)
+	end := p.testbed.cutFromTargets(p.scenario.kind, "", cutVMs...)
 	pause.For(ctx, helpTime)
 	fail(helper)
 	pause.For(ctx, helperFaultTime)
 	p.ended = time.Now()
-	p.testbed.cutFromTargets("")
+	end()
 	pause.For(ctx, healTime)
 	stop()
 	callers.Wait()
@@ -129,7 +129,7 @@
 	t.Parallel()
 	p := newPartition(t, buildPrograms(t), cutScenario{kind: cutHang, vms: []int{1}})
 	cut := p.testbed.entries[0]
-	p.testbed.cutFromTargets(cutHang, cut)
+	p.testbed.cutFromTargets(cutHang, "", cut)
 	c := p.load.newParallelCaller(cut)
 	defer c.client.CloseIdleConnections()
 	for range 20 { // finds the cut
@@ -161,7 +161,7 @@
 func TestAllVMsCutRefuseAtOnce(t *testing.T) {
 	t.Parallel()
 	p := newPartition(t, buildPrograms(t), cutScenario{kind: cutReset, vms: []int{1, 2, 3, 4, 5, 6}})
-	p.testbed.cutFromTargets(cutReset, p.testbed.entries...)
+	end := p.testbed.cutFromTargets(cutReset, "", p.testbed.entries...)
 	e := p.testbed.entries[0]
 	c := p.load.newParallelCaller(e)
 	ctx, stop := context.WithTimeout(t.Context(), settleTime)
@@ -172,7 +172,7 @@
 		assert.Equal(t, r, http.StatusServiceUnavailable)
 		assert.Assert(t, retryAfter != "", "no Retry-After")
 	}
-	p.testbed.cutFromTargets("")
+	end()
 	time.Sleep(healTime)
 	r := c.send(requestSpec{kind: kindIdempotent, path: standin.PathLook + "x", timeout: callTimeout})
 	assert.Assert(t, r.served(), "%d %s", r.status, r.body)
