--- a/internal/connection/relay/relay_test.go
+++ b/internal/connection/relay/relay_test.go
@@ -435,3 +435,25 @@
 	_, err = c.Dial(t.Context(), h.address, target)
 	assert.Assert(t, err != nil, "the client is closed")
 }
+
+// TestHelperWithoutAPathSaysNothingAboutTheTarget guards against a target that is taken for down because
+// the helper has lost its own path to it.
+func TestHelperWithoutAPathSaysNothingAboutTheTarget(t *testing.T) {
+	h := newHelper(t, ServerOptions{Dial: func(context.Context, string, string) (net.Conn, error) {
+		return nil, fault.New(fault.NotReady, "no path")
+	}})
+	_, err := newClient(t).Dial(t.Context(), h.address, newTarget(t, echo))
+	var helperErr *HelperError
+	assert.Assert(t, errors.As(err, &helperErr), "%v", err)
+	assert.Assert(t, fault.Is(helperErr.Err, fault.NotReady), "%v", err)
+}
+
+// TestClientUsesItsOwnAddress guards against a VM with several addresses that its helpers don't know.
+func TestClientUsesItsOwnAddress(t *testing.T) {
+	from := make(chan string, 1)
+	h := newHelper(t, ServerOptions{IsEntryVM: func(ip string) bool { from <- ip; return true }})
+	c := NewClient(ClientOptions{Logger: logging.Discard(), Registry: metrics.NewRegistry(), LocalIP: net.IPv4(127, 0, 0, 9)})
+	t.Cleanup(c.Close)
+	dial(t, c, h.address, newTarget(t, echo))
+	assert.Equal(t, <-from, "127.0.0.9")
+}
