exchange: a loss counts from the time at which it happened

An answer that had begun meanwhile did not clear it.

TestLossCountsFromItsOwnTime failed before: one loss was left.

--- a/internal/request/exchange/blame.go
+++ b/internal/request/exchange/blame.go
@@ -43,7 +43,7 @@
 
 // reportCall reports an attempt to the picker and to the quarantine.
 func (s *Service) reportCall(ctx context.Context, a *AdmittedRequest, t *attempt, p request.Placement, sentAt time.Time) {
-	result := t.targetResult(ctx)
+	result, endedAt := t.targetResult(ctx), time.Now()
 	switch result {
 	case request.ResultSuccess:
 		p.Done(result, t.latency)
@@ -56,7 +56,7 @@
 			}
 			p.Done(result, 0)
 			if lost {
-				s.recordTargetLoss(a, targetOf(p.Target), sentAt)
+				s.recordTargetLoss(a, targetOf(p.Target), sentAt, endedAt)
 			}
 		})
 	default:
@@ -77,7 +77,7 @@
 	if !showsLoss && !lost {
 		return
 	}
-	sentAt, maxWait := st.dispatchedAt, time.Duration(0)
+	sentAt, endedAt, maxWait := st.dispatchedAt, time.Now(), time.Duration(0)
 	if showsLoss {
 		maxWait = maxBlameWait
 	}
@@ -87,7 +87,7 @@
 			return
 		}
 		if showsLoss && (!silent || b == paths.BlameGone) {
-			st.s.recordTargetLoss(st.a, targetOf(run.Target), sentAt)
+			st.s.recordTargetLoss(st.a, targetOf(run.Target), sentAt, endedAt)
 		}
 		if lost {
 			run.MarkLost()
--- a/internal/request/exchange/paused_engines_test.go
+++ b/internal/request/exchange/paused_engines_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -50,3 +52,32 @@
 		})
 	}
 }
+
+// slowBlame finds after a while that each target is gone.
+type slowBlame struct{ constantBlame }
+
+const blameTime = 300 * time.Millisecond
+
+func (slowBlame) Blame(context.Context, string, time.Time, error) paths.Blame {
+	time.Sleep(blameTime)
+	return paths.BlameGone
+}
+
+// TestLossCountsFromItsOwnTime guards against a loss that counts after an answer has cleared it, since its
+// target was checked until after the answer.
+func TestLossCountsFromItsOwnTime(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newTestNetwork()
+		w.set("a", func(net.Conn, *http.Request) { w.countRun() }) // ends the connection
+		s, _ := w.service(unlimitedBudget{}, "a")
+		s.opts.Paths = slowBlame{}
+		a := admitted(declared.AtMostOnce, false)
+		assert.Assert(t, s.Serve(t.Context(), httptest.NewRecorder(), a) != nil)
+		s.opts.Quarantine.RecordBegun(a.keys, time.Now())
+		time.Sleep(blameTime)
+		keys, _ := s.opts.Quarantine.All(time.Now())
+		for _, key := range keys {
+			assert.Equal(t, len(key.GetLosses()), 0, key.GetPart())
+		}
+	})
+}
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -101,12 +101,12 @@
 	return quarantine.Target{Address: t.GetAddress(), Instance: t.GetInstance(), AvailabilityZone: t.GetAvailabilityZone()}
 }
 
-// recordTargetLoss records that a target was lost before it began the answer to a, and logs the
-// quarantine that follows.
-func (s *Service) recordTargetLoss(a *AdmittedRequest, target quarantine.Target, sentAt time.Time) {
+// recordTargetLoss records that a target was lost at lostAt, before it began the answer to a, and logs
+// the quarantine that follows.
+func (s *Service) recordTargetLoss(a *AdmittedRequest, target quarantine.Target, sentAt, lostAt time.Time) {
 	s.metrics.targetLosses.Inc(1)
 	now := time.Now()
-	l := quarantine.Loss{Target: target, SentAt: sentAt, At: now}
+	l := quarantine.Loss{Target: target, SentAt: sentAt, At: lostAt}
 	if a.trial != nil {
 		l.TrialKeys = a.trial.keys
 	}
