paths: a VM that has reached no target yet blames none

Class: what only the observer has lost is counted against others.

Change: a VM that has heard from no target since it started, and knows no VM to ask, counts nothing. TestVMThatHasReachedNoTargetBlamesNone failed before.

--- a/internal/connection/paths/check.go
+++ b/internal/connection/paths/check.go
@@ -88,12 +88,13 @@
 }
 
 // blame returns what it shows how far a target is reached. A VM that knows other entry VMs and hears
-// from none of them knows nothing about targets that it doesn't reach.
+// from none of them, or that has heard from no target since it started, knows nothing about targets that
+// it doesn't reach.
 func (t *Table) blame(reach Reach) Blame {
 	switch {
 	case reach == ReachDirect:
 		return BlameTarget
-	case reach == ReachNone, reach == ReachUnknown && !t.helpers.areKnown():
+	case reach == ReachNone, reach == ReachUnknown && !t.helpers.areKnown() && !t.lastDirect.Load().IsZero():
 		return BlameGone
 	}
 	return BlamePath
--- a/internal/connection/paths/partial_test.go
+++ b/internal/connection/paths/partial_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"syscall"
 	"testing"
 	"time"
 
@@ -272,3 +273,22 @@
 		})
 	}
 }
+
+// TestVMThatHasReachedNoTargetBlamesNone guards against a VM that starts while it is cut off and counts
+// the targets that it can't reach as crashed, before it knows another VM.
+func TestVMThatHasReachedNoTargetBlamesNone(t *testing.T) {
+	run(t, func(t *testing.T, n *network, table *paths.Table) {
+		n.others = nil
+		n.set(refuses, targets...)
+		assert.Equal(t, table.Blame(t.Context(), targets[0], time.Now(), syscall.ECONNRESET), paths.BlamePath)
+		n.set(accepts, targets[1])
+		c, err := table.Dial(t.Context(), "tcp", targets[1])
+		assert.NilError(t, err)
+		_, err = c.Write([]byte("request"))
+		assert.NilError(t, err)
+		_, err = c.Read(make([]byte, 1))
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+		assert.Equal(t, table.Blame(t.Context(), targets[0], time.Now(), syscall.ECONNRESET), paths.BlameGone)
+	})
+}
