review: a late copy of a refusal makes an unsafe request run twice

Cause: a refusal that names its request leaves its connection in the pool, and a request that all targets have refused is sent to one of them again. A late copy of the refusal on that connection has the expected ID and is taken for the answer to the second send, which runs. Change: case 1 of the review; two thirds instead of six tenths of the servers' rate as the usual load of the case. No code of the programs is changed.

--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -15,7 +15,7 @@
 
 const (
 	commissionWait = 2500 * time.Millisecond
-	usualRate      = 180.0 // a second, six tenths of what the servers run
+	usualRate      = 195.0 // a second, about two thirds of what the servers run
 	// burstFactor and burstTime are the burst of the site files, x = 1.7 and for_s = 3.0.
 	burstFactor = 1.7
 	burstTime   = 3 * time.Second
