--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 )
 
@@ -11,11 +12,11 @@
 	services: []service{{name: "ledger", slots: 6, queue: 2, work: 60 * time.Millisecond, servers: 3}},
 }
 
-const copiesConfig = `{"version":7,"routes":[{"name":"commission","host":"desk.example","path_prefix":"/commission/","type":"unsafe","timeout_ms":2500,"target_latency_ms":150,"priority":2,"service":"ledger","max_attempts":1,"public":false}],"services":[{"name":"ledger","health_path":"/healthz","max_connections":96,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"workshop","api_keys":["key-1"],"priority":1}]}`
+const copiesConfig = `{"version":7,"routes":[{"name":"commission","host":"desk.example","path_prefix":"/commission/","type":"unsafe","timeout_ms":600,"target_latency_ms":100,"priority":2,"service":"ledger","max_attempts":1,"public":false}],"services":[{"name":"ledger","health_path":"/healthz","max_connections":96,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"workshop","api_keys":["key-1"],"priority":1}]}`
 
 const (
-	commissionWait = 2500 * time.Millisecond
-	usualRate      = 195.0 // a second, about two thirds of what the servers run
+	commissionWait = 600 * time.Millisecond // the deadline of place-commission
+	usualRate      = 195.0                  // a second, about two thirds of what the servers run
 	// burstFactor and burstTime are the burst of the site files, x = 1.7 and for_s = 3.0.
 	burstFactor = 1.7
 	burstTime   = 3 * time.Second
@@ -30,7 +31,8 @@
 )
 
 // playCopies sends requests that must run at most once, in bursts, to servers of which one sends
-// late copies of some answers.
+// late copies of some answers. Without the disruption there are neither bursts nor copies, or only
+// bursts if BURST=1 is set.
 func playCopies(b *bed, trouble bool) (string, error) {
 	if err := b.putConfig(copiesConfig, startLimit); err != nil {
 		return "", err
@@ -40,6 +42,10 @@
 	}
 	time.Sleep(3 * time.Second)
 	c := &caller{b: b}
+	rate := usualRate
+	if trouble || os.Getenv("BURST") == "1" {
+		rate *= burstFactor
+	}
 	var all []attempt
 	for i := range bursts {
 		all = append(all, c.sendMany("POST", "/commission/place", commissionWait, usualRate, calmTime)...)
@@ -49,7 +55,7 @@
 			s.setSecondAnswers(copyShare)
 			time.AfterFunc(copyTime, func() { s.setSecondAnswers(0) })
 		}
-		all = append(all, c.sendMany("POST", "/commission/place", commissionWait, usualRate*burstFactor, burstTime)...)
+		all = append(all, c.sendMany("POST", "/commission/place", commissionWait, rate, burstTime)...)
 	}
 	return judgeCopies(b, all), nil
 }
