--- a/internal/connection/feed/changes.go
+++ b/internal/connection/feed/changes.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 )
 
 // TargetInstance identifies one run of a target, from one start to the next.
@@ -88,7 +89,10 @@
 // feedState is the state accumulated from the messages of one feed. It is used by a
 // single goroutine.
 type feedState struct {
-	list    *chicoryv1.TargetList
+	list *chicoryv1.TargetList
+	// reading is when list was read, by clock.
+	reading observe.Reading
+	clock   feedClock
 	loads   map[string]*chicoryv1.EngineLoad
 	engines engineAddresses
 	// leader is the leader according to the last message that named one.
@@ -99,18 +103,41 @@
 	peersCompleteAt time.Time
 }
 
-// applyTargets updates the target list from a message, and reports whether the message
-// contained an update after which the list is complete.
-func (s *feedState) applyTargets(m *chicoryv1.FollowResponse) bool {
+// applyTargets updates the target list and its reading from a message that is received at now, and
+// reports whether the list is complete and either of them has changed.
+func (s *feedState) applyTargets(m *chicoryv1.FollowResponse, now time.Time) bool {
+	changed := true
 	switch {
 	case m.GetTargets() != nil:
 		s.list = m.GetTargets()
 	case m.GetTargetChange() != nil:
 		s.list = applyTargetChange(s.list, m.GetTargetChange())
 	default:
+		changed = false
+	}
+	if m.GetListContinues() || s.list == nil {
+		return false
+	}
+	return s.applyReading(m, changed, now) || changed
+}
+
+// applyReading updates the reading of the list, and reports whether it is another one. Control VMs of
+// earlier releases send the age of a recent reading only.
+func (s *feedState) applyReading(m *chicoryv1.FollowResponse, listChanged bool, now time.Time) bool {
+	if r := m.GetListReading(); r != nil {
+		began := s.clock.received(r.GetSentMs(), now).Add(time.Duration(r.GetBeganMs()) * time.Millisecond)
+		s.reading = observe.Reading{Began: began, Ended: began.Add(time.Duration(r.GetDurationMs()) * time.Millisecond)}
+		return true
+	}
+	if !m.GetListIsFresh() || !s.clock.began.IsZero() {
+		return false
+	}
+	began := now.Add(-time.Duration(m.GetListAgeMs()) * time.Millisecond)
+	if !listChanged && began.Sub(s.reading.Began) < observe.ListReadInterval/2 {
 		return false
 	}
-	return !m.GetListContinues()
+	s.reading = observe.Reading{Began: began, Ended: now}
+	return true
 }
 
 // applyLoads updates the loads from a message of the leader. It fails if a load has a number
--- a/internal/connection/feed/changes_test.go
+++ b/internal/connection/feed/changes_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 )
 
 // TestTargetListChangeYieldsNewList checks that applying the change between two lists to
@@ -194,7 +195,7 @@
 	for complete := false; !complete; messages++ {
 		m, _, _ := f.nextMessage()
 		assert.Assert(t, len(m.GetTargets().GetTargets())+len(m.GetTargetChange().GetSet()) <= maxTargetsPerMessage)
-		complete = received.applyTargets(m)
+		complete = received.applyTargets(m, time.Now())
 		assert.Equal(t, m.GetListIsFresh(), complete)
 		assert.Equal(t, len(f.unsentTargets) == 0, complete)
 	}
@@ -296,8 +297,8 @@
 
 func (s *staticSource) Declaration() (*chicoryv1.Declaration, <-chan struct{}) { return nil, nil }
 
-func (s *staticSource) Targets() (*chicoryv1.TargetList, time.Time, <-chan struct{}) {
-	return s.list, time.Now(), nil
+func (s *staticSource) Targets() (*chicoryv1.TargetList, observe.Reading, <-chan struct{}) {
+	return s.list, observe.Reading{Began: time.Now(), Ended: time.Now()}, nil
 }
 
 func (s *staticSource) Members() (addresses []string, leader string, leads bool) {
--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -13,6 +13,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
@@ -46,8 +47,8 @@
 	return v.cluster.declaration, v.cluster.changed
 }
 
-func (v *controlVM) Targets() (*chicoryv1.TargetList, time.Time, <-chan struct{}) {
-	return &chicoryv1.TargetList{}, time.Now(), nil
+func (v *controlVM) Targets() (*chicoryv1.TargetList, observe.Reading, <-chan struct{}) {
+	return &chicoryv1.TargetList{}, observe.Reading{Began: time.Now(), Ended: time.Now()}, nil
 }
 
 func (v *controlVM) Members() (addresses []string, leader string, leads bool) {
@@ -122,8 +123,8 @@
 	return &chicoryv1.ShareRequest{Loads: []*chicoryv1.EngineLoad{{Address: "e1", Tokens: 100}}, EntryVm: e.self.EntryVM()}
 }
 
-func (e *entryVM) SetTargets(*chicoryv1.TargetList)                  {}
-func (e *entryVM) ConfirmTargets(time.Duration)                      {}
+func (e *entryVM) SetTargets(*chicoryv1.TargetList, observe.Reading) {}
+func (e *entryVM) ConfirmTargets()                                   {}
 func (e *entryVM) AddPromptLocations([]*chicoryv1.PromptPlace, bool) {}
 
 func (e *entryVM) MergeSuspects([]*chicoryv1.SuspectPart, bool) {}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -13,6 +13,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
@@ -24,7 +25,7 @@
 	// off from the leader.
 	defaultFeeds = 3
 	// feedTimeout is the time without a message after which a feed is abandoned.
-	feedTimeout = 3 * KeepaliveInterval
+	feedTimeout = observe.MaxFeedDelay
 	// noLeaderTimeout is the time for which a control VM without a leader is followed. An
 	// election takes up to one second.
 	noLeaderTimeout = 1500 * time.Millisecond
@@ -40,11 +41,11 @@
 	// ApplyDeclaration applies a declaration received from the control VM with the given
 	// address. It must ignore a declaration that is older than the current one.
 	ApplyDeclaration(d *chicoryv1.Declaration, from string)
-	// SetTargets replaces the target list.
-	SetTargets(list *chicoryv1.TargetList)
-	// ConfirmTargets is called when the last target list still matches the platform's, as
-	// it was read the given time ago.
-	ConfirmTargets(age time.Duration)
+	// SetTargets is called with the target list of a feed when the list changes, and when it was
+	// read again without a change. Another feed may have passed a later reading.
+	SetTargets(list *chicoryv1.TargetList, reading observe.Reading)
+	// ConfirmTargets is called when the control VM of a feed has read its list recently.
+	ConfirmTargets()
 	// DeclaredVersion returns the version of the current declaration.
 	DeclaredVersion() uint64
 	// SetRemoteState replaces what the other entry VMs share through the leader.
@@ -257,17 +258,17 @@
 	if m.GetDeclaration() != nil {
 		f.opts.Sink.ApplyDeclaration(m.GetDeclaration(), from)
 	}
-	if state.applyTargets(m) {
-		f.opts.Sink.SetTargets(state.list)
+	now := time.Now()
+	if state.applyTargets(m, now) {
+		f.opts.Sink.SetTargets(state.list, state.reading)
 	}
 	if m.GetListIsFresh() {
-		f.opts.Sink.ConfirmTargets(time.Duration(m.GetListAgeMs()) * time.Millisecond)
+		f.opts.Sink.ConfirmTargets()
 	}
 	if m.GetLeads() {
 		if err := state.applyLoads(m); err != nil {
 			return errors.Annotatef(err, "feed of control VM %s", from)
 		}
-		now := time.Now()
 		state.applyEntryVMs(m, now)
 		f.opts.Sink.SetRemoteState(RemoteState{
 			Loads: state.loadList(), Uses: m.GetUses(), Limits: m.GetLimits(), EntryVMs: int(m.GetEntries()), Peers: f.updatePeers(m, state, now),
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -42,7 +42,7 @@
 	Declaration() (*chicoryv1.Declaration, <-chan struct{})
 	// Targets returns the latest list, or nil if there is none yet, and when it was read
 	// from the platform.
-	Targets() (list *chicoryv1.TargetList, readAt time.Time, changed <-chan struct{})
+	Targets() (list *chicoryv1.TargetList, reading observe.Reading, changed <-chan struct{})
 	// Members returns the peer addresses of the control VMs, the peer address of the
 	// leader (empty if this VM has no contact with one), and whether this VM is the
 	// leader.
@@ -70,7 +70,7 @@
 // Follow implements chicoryv1connect.FeedServiceHandler. It returns when ctx is done or
 // sending fails.
 func (s *Server) Follow(ctx context.Context, req *connect.Request[chicoryv1.FollowRequest], stream *connect.ServerStream[chicoryv1.FollowResponse]) error {
-	f := &followerState{server: s, entryID: req.Msg.GetEntryId(), declaredVersion: req.Msg.GetDeclaredVersion()}
+	f := &followerState{server: s, began: time.Now(), entryID: req.Msg.GetEntryId(), declaredVersion: req.Msg.GetDeclaredVersion()}
 	f.numbers.enabled, f.knowsPartialLists = req.Msg.GetKnowsEngineNumbers(), req.Msg.GetKnowsPartialLists()
 	ticker := time.NewTicker(ShareInterval)
 	defer ticker.Stop()
@@ -96,10 +96,14 @@
 
 // followerState records what has been sent to one follower.
 type followerState struct {
-	server          *Server
+	server *Server
+	// began is when the feed began.
+	began           time.Time
 	entryID         string
 	declaredVersion uint64
 	list            *chicoryv1.TargetList
+	// sentReading is the reading that the follower knows.
+	sentReading observe.Reading
 	// unsentTargets is the part of list that was not sent yet.
 	unsentTargets     []*chicoryv1.ListedTarget
 	knowsPartialLists bool
@@ -142,10 +146,10 @@
 		f.declaredVersion = declaration.GetVersion()
 		m.Declaration = declaration
 	}
-	list, readAt, listChanged := f.server.source.Targets()
+	list, reading, listChanged := f.server.source.Targets()
 	f.addTargets(m, list)
-	if age := time.Since(readAt); list != nil && !m.GetListContinues() && !observe.IsStale(list, age) {
-		m.ListIsFresh, m.ListAgeMs = true, uint32(age.Milliseconds())
+	if list != nil && list == f.list && !m.GetListContinues() {
+		f.addReading(m, reading)
 	}
 	urgent := f.addMembers(m)
 	now := time.Now()
@@ -201,6 +205,24 @@
 	m.ListContinues = len(f.unsentTargets) > 0
 }
 
+// addReading adds when the list that the follower now has was read, if the follower doesn't know,
+// and whether that was recently.
+func (f *followerState) addReading(m *chicoryv1.FollowResponse, r observe.Reading) {
+	now := time.Now()
+	if age := now.Sub(r.Began); !observe.IsStale(f.list, age) {
+		m.ListIsFresh, m.ListAgeMs = true, uint32(age.Milliseconds())
+	}
+	if r == f.sentReading {
+		return
+	}
+	f.sentReading = r
+	m.ListReading = &chicoryv1.ListReading{
+		BeganMs:    r.Began.Sub(f.began).Milliseconds(),
+		DurationMs: uint32(r.Ended.Sub(r.Began).Milliseconds()) + 1,
+		SentMs:     uint64(now.Sub(f.began).Milliseconds()),
+	}
+}
+
 // nextTargets removes and returns the next part of the list.
 func (f *followerState) nextTargets() []*chicoryv1.ListedTarget {
 	n := min(len(f.unsentTargets), maxTargetsPerMessage)
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -24,6 +24,9 @@
 	HasBody bool
 	// NewConnection: the request must not use an idle connection, which may be broken.
 	NewConnection bool
+	// Sends has the connections that carried earlier sends of the request, which are not used, and
+	// records this one; nil if the request is sent once.
+	Sends *Sends
 }
 
 // Response is a target's response whose body has not been read yet. It must be ended
@@ -106,14 +109,11 @@
 // when ctx ends. The error is a *NotSentError if no byte was written; after any other
 // error the target may have run the request.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	connect := p.get
-	if r.NewConnection {
-		connect = p.replace
-	}
-	c, err := connect(ctx, address)
+	c, err := p.connect(ctx, address, r)
 	if err != nil {
 		return nil, &NotSentError{address, err}
 	}
+	r.Sends.add(c)
 	x := &Exchange{pool: p, address: address, conn: c, method: r.Method}
 	x.stopCancel = context.AfterFunc(ctx, c.close)
 	if ctx.Err() != nil {
--- a/internal/connection/http1/pool.go
+++ b/internal/connection/http1/pool.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,9 +80,17 @@
 	}
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
-	for c := p.takeIdle(address); c != nil; c = p.takeIdle(address) {
+// connect returns the connection for a request.
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (*conn, error) {
+	if r.NewConnection {
+		return p.replace(ctx, address)
+	}
+	return p.get(ctx, address, r.Sends)
+}
+
+// get returns an idle connection that is still usable and not one of earlier, or a new one.
+func (p *Pool) get(ctx context.Context, address string, earlier *Sends) (*conn, error) {
+	for c := p.takeIdle(address, earlier); c != nil; c = p.takeIdle(address, earlier) {
 		if time.Now().Before(c.idleUntil) && c.isIdle() {
 			p.reused.Inc(1)
 			c.reused = true
@@ -95,7 +104,7 @@
 // replace closes an idle connection, if there is one, and returns a new one: the target limits the
 // number of its connections.
 func (p *Pool) replace(ctx context.Context, address string) (*conn, error) {
-	if c := p.takeIdle(address); c != nil {
+	if c := p.takeIdle(address, nil); c != nil {
 		c.close()
 	}
 	return p.open(ctx, address)
@@ -111,17 +120,19 @@
 	return newConn(raw), nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle(address string) *conn {
+// takeIdle removes and returns the most recently used idle connection that is not one of earlier, or
+// nil.
+func (p *Pool) takeIdle(address string, earlier *Sends) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !earlier.includes(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds a connection to the idle ones. keepAlive is the timeout that the target
--- a/internal/connection/observe/list.go
+++ b/internal/connection/observe/list.go
@@ -48,9 +48,9 @@
 	reader TargetReader
 	logger *logging.Logger
 
-	mu     sync.Mutex // guards the fields below
-	list   *chicoryv1.TargetList
-	readAt time.Time
+	mu      sync.Mutex // guards the fields below
+	list    *chicoryv1.TargetList
+	reading Reading
 	// accepted is the list that Accept took over last, nil after an own read.
 	accepted *chicoryv1.TargetList
 	failing  bool          // the last read failed
@@ -74,15 +74,15 @@
 	}
 }
 
-// Accept takes over a list that another VM read at readAt, unless this VM has a later one. A
-// list must not be modified after it was accepted.
-func (p *TargetListPoller) Accept(list *chicoryv1.TargetList, readAt time.Time) {
+// Accept takes over a list that another VM has read, unless this VM has a later one. A list must
+// not be modified after it was accepted.
+func (p *TargetListPoller) Accept(list *chicoryv1.TargetList, reading Reading) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !readAt.After(p.readAt) {
+	if !reading.Began.After(p.reading.Began) {
 		return
 	}
-	p.readAt = readAt
+	p.reading = reading
 	if list != p.accepted {
 		p.accepted = list
 		p.replace(list)
@@ -95,7 +95,7 @@
 func (p *TargetListPoller) MustRead(leads bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return leads || time.Since(p.readAt) > takeOverAge+time.Duration(len(p.list.GetTargets()))*readTimePerTarget
+	return leads || time.Since(p.reading.Began) > takeOverAge+time.Duration(len(p.list.GetTargets()))*readTimePerTarget
 }
 
 func (p *TargetListPoller) read(ctx context.Context) {
@@ -107,7 +107,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		if !p.failing && ctx.Err() == nil {
-			p.logger.Warn(logging.TargetListLost, logging.Fields{"reason": err, "age_ms": start.Sub(p.readAt).Milliseconds()})
+			p.logger.Warn(logging.TargetListLost, logging.Fields{"reason": err, "age_ms": start.Sub(p.reading.Began).Milliseconds()})
 		}
 		p.failing = true
 		return
@@ -116,7 +116,7 @@
 		p.logger.Info(logging.TargetListFound, logging.Fields{"targets": len(targets)})
 	}
 	p.failing = false
-	p.readAt, p.accepted = start, nil
+	p.reading, p.accepted = Reading{Began: start, Ended: time.Now()}, nil
 	p.replace(&chicoryv1.TargetList{Targets: targets})
 }
 
@@ -133,8 +133,8 @@
 
 // Targets returns the latest list (nil before the first read), when it was read from the
 // platform, and a channel that is closed when the list changes.
-func (p *TargetListPoller) Targets() (list *chicoryv1.TargetList, readAt time.Time, changed <-chan struct{}) {
+func (p *TargetListPoller) Targets() (list *chicoryv1.TargetList, reading Reading, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.list, p.readAt, p.changed
+	return p.list, p.reading, p.changed
 }
--- a/internal/connection/observe/list_test.go
+++ b/internal/connection/observe/list_test.go
@@ -97,9 +97,9 @@
 // relay passes the leader's list on, as its feed does.
 func (g *controlGroup) relay(ctx context.Context, to *TargetListPoller) {
 	for ctx.Err() == nil {
-		list, readAt, changed := g.pollers[0].Targets()
+		list, reading, changed := g.pollers[0].Targets()
 		if list != nil && !g.isFrozen() {
-			to.Accept(list, readAt)
+			to.Accept(list, reading)
 		}
 		select {
 		case <-changed:
@@ -204,9 +204,9 @@
 		before := time.Now()
 		time.Sleep(time.Second)
 		p.read(t.Context())
-		p.Accept(&chicoryv1.TargetList{}, before)
-		known, readAt, _ := p.Targets()
+		p.Accept(&chicoryv1.TargetList{}, Reading{Began: before, Ended: before})
+		known, reading, _ := p.Targets()
 		assert.Equal(t, len(known.GetTargets()), 3)
-		assert.Assert(t, readAt.After(before))
+		assert.Assert(t, reading.Began.After(before))
 	})
 }
--- a/internal/process/entry/limited_targets_test.go
+++ b/internal/process/entry/limited_targets_test.go
@@ -22,9 +22,9 @@
 		limits := ratelimit.NewTable(ratelimit.Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()})
 		engines := placement.NewEngineTable(placement.Defaults(), "a", limits)
 		suspects := quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }})
-		r := newRoutingState(decoder{}, engines, suspects, limits, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
+		r := newRoutingState(decoder{}, engines, suspects, limits, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), Defaults().DrainTime.Std(), logging.Discard())
 		r.ApplyDeclaration(declaration(3), "c1")
-		r.SetTargets(targetList(target("1", false)))
+		r.SetTargets(targetList(target("1", false)), readNow())
 		limits.Observe("t-1", "1", 0.1, time.Now())
 		const streams = 16
 		var waiting, done sync.WaitGroup
@@ -44,7 +44,7 @@
 		}
 		waiting.Wait()
 		time.Sleep(time.Millisecond)
-		r.SetTargets(targetList(target("1", true)))
+		r.SetTargets(targetList(target("1", true)), readNow())
 		done.Wait()
 		for _, err := range results {
 			assert.Assert(t, fault.Is(err, fault.NoTarget), "%v", err)
--- a/internal/process/entry/other_vms.go
+++ b/internal/process/entry/other_vms.go
@@ -83,6 +83,13 @@
 	return addresses != nil && (*addresses)[address]
 }
 
+// takesRequests reports whether the target at address wants further requests from this VM. Before the first
+// configuration every target does, so that this VM can relay for others.
+func (r *routingState) takesRequests(address string) bool {
+	used := r.usedAddresses.Load()
+	return (used == nil || (*used)[address]) && !r.limits.IsClosed(address)
+}
+
 // targetList returns the addresses of the latest list.
 func (r *routingState) targetList() []string {
 	addresses := r.targetAddresses.Load()
--- a/internal/process/entry/other_vms_test.go
+++ b/internal/process/entry/other_vms_test.go
@@ -58,11 +58,11 @@
 	r.SetRemoteState(feed.RemoteState{Peers: peers[1:]})
 	assert.DeepEqual(t, r.peers(), peers[1:])
 
-	r.SetTargets(targetList(target("1", false), target("2", true)))
+	r.SetTargets(targetList(target("1", false), target("2", true)), readNow())
 	assert.Assert(t, r.isTarget("t-1"))
 	assert.Assert(t, r.isTarget("t-2"), "requests that it has accepted continue")
 	assert.Assert(t, !r.isTarget("t-3"))
-	r.SetTargets(targetList(target("2", true)))
+	r.SetTargets(targetList(target("2", true)), readNow())
 	assert.Assert(t, !r.isTarget("t-1"))
 }
 
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -34,7 +34,8 @@
 	exchange.EngineProber
 	observe.TargetReader
 	Decoder
-	// DialEngines makes probes of engines open their connections with dial. It is called once,
+	HealthChecker
+	// DialEngines makes probes and health checks of targets open their connections with dial. It is called once,
 	// before the first probe.
 	DialEngines(dial func(ctx context.Context, network, address string) (net.Conn, error))
 	paths.Prober
@@ -77,7 +78,7 @@
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
 	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, Random: rand.Float64})
-	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, log)
+	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, s.DrainTime.Std(), log)
 	p.routingState.self = s.peer()
 	p.relaying = p.newRelaying(adapter, engines)
 	p.routingState.isCutOff = p.cannotRelay
@@ -91,6 +92,7 @@
 		Logger: log,
 	})
 	metrics.NewRegisteredFunctionalGauge("list.age_ms", registry, func() int64 { return p.routingState.listAge().Milliseconds() })
+	metrics.NewRegisteredFunctionalGauge("targets.excluded", registry, p.routingState.excludedTargets)
 	metrics.NewRegisteredFunctionalGauge("feeds", registry, func() int64 { return int64(p.follower.FollowedCount()) })
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	if err := p.listen(adapter, engines); err != nil {
@@ -98,6 +100,7 @@
 		return nil, errors.Trace(err)
 	}
 	p.tasks.Go(func() { p.follower.Run(p.ctx) })
+	p.tasks.Go(func() { p.routingState.checkLeavingTargets(p.ctx, adapter) })
 	p.tasks.Go(func() { p.routingState.readStaleList(p.ctx, observe.NewTargetListPoller(adapter, log)) })
 	log.Info(logging.ProcessStarted, logging.Fields{"caller_address": s.CallerAddress, "seeds": s.Seeds})
 	return p, nil
@@ -120,6 +123,7 @@
 		Loads:      loads,
 		Engines:    engines,
 		Limits:     p.routingState.limits,
+		OnLeaving:  p.routingState.announceLeaving,
 		Quarantine: p.routingState.quarantine,
 		Budget:     p.retryBudgets.forService,
 		Logger:     p.log,
--- a/internal/process/entry/removed_services.go
+++ b/internal/process/entry/removed_services.go
@@ -57,5 +57,15 @@
 	}
 }
 
+// hasExpired reports whether expire would drop a service.
+func (m *removedServices) hasExpired(now time.Time) bool {
+	for _, s := range m.byName {
+		if now.After(s.until) {
+			return true
+		}
+	}
+	return false
+}
+
 // service returns the removed service with the name, or nil.
 func (m *removedServices) service(name string) *declared.Service { return m.byName[name].service }
--- a/internal/process/entry/removed_services_test.go
+++ b/internal/process/entry/removed_services_test.go
@@ -48,19 +48,19 @@
 			return err
 		}
 		r.declare(1, "desk")
-		r.SetTargets(targetList(target("1", false), target("2", false)))
+		r.SetTargets(targetList(target("1", false), target("2", false)), readNow())
 		r.declare(2, "other")
 		assert.NilError(t, place())
 		assert.DeepEqual(t, r.instancesInUse(), []string{"1", "2"})
 
 		time.Sleep(routeTimeout - time.Second)
 		r.declare(3, "third")
-		r.SetTargets(targetList(target("1", true), target("2", false)))
+		r.SetTargets(targetList(target("1", true), target("2", false)), readNow())
 		assert.NilError(t, place())
 		assert.DeepEqual(t, r.instancesInUse(), []string{"2"})
 
 		time.Sleep(2 * time.Second)
-		r.SetTargets(targetList(target("2", false)))
+		r.SetTargets(targetList(target("2", false)), readNow())
 		assert.Assert(t, place() != nil)
 		assert.DeepEqual(t, r.instancesInUse(), []string(nil))
 	})
@@ -72,12 +72,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRoutingState()
 		r.decoder = serviceDecoder{}
-		r.SetTargets(targetList(target("1", false)))
+		r.SetTargets(targetList(target("1", false)), readNow())
 		r.declare(1, "desk")
 		r.declare(2, "other")
 		r.declare(3, "desk")
 		time.Sleep(2 * routeTimeout)
-		r.SetTargets(targetList(target("1", false)))
+		r.SetTargets(targetList(target("1", false)), readNow())
 		assert.DeepEqual(t, r.instancesInUse(), []string{"1"})
 	})
 }
@@ -94,15 +94,15 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newTestRoutingState()
 				r.decoder = serviceDecoder{shortFrom: 2}
-				r.SetTargets(targetList(target("1", false), target("2", false)))
+				r.SetTargets(targetList(target("1", false), target("2", false)), readNow())
 				for i, service := range services {
 					r.declare(byte(i+1), service)
 				}
 				time.Sleep(routeTimeout - time.Second)
-				r.SetTargets(targetList(target("1", true), target("2", false)))
+				r.SetTargets(targetList(target("1", true), target("2", false)), readNow())
 				assert.DeepEqual(t, r.instancesInUse(), []string{"2"})
 				time.Sleep(2 * time.Second)
-				r.SetTargets(targetList(target("2", false)))
+				r.SetTargets(targetList(target("2", false)), readNow())
 				assert.DeepEqual(t, r.instancesInUse(), []string(nil))
 			})
 		})
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -17,11 +17,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
-// removedTargetRetention is how long a target that was removed from the list stays
-// excluded even if another feed still lists it. The lag between two feeds is less than
-// this.
-const removedTargetRetention = 5 * time.Second
-
 // Decoder decodes declared configurations.
 type Decoder interface {
 	// DecodeConfiguration fails with kind PlanRejected.
@@ -39,14 +34,18 @@
 	limits       *ratelimit.Table
 	retryBudgets *retryBudgets
 	logger       *logging.Logger
+	// drainTime is how long a target that announces that it leaves serves further requests.
+	drainTime time.Duration
 	// self is what other entry VMs know of this one, except whether it is cut off, which
 	// isCutOff reports; nil means that it isn't. Both are set before the feeds are followed.
 	self     feed.Peer
 	isCutOff func() bool
 	// otherVMs has the other entry VMs, targetAddresses the addresses of the listed targets.
-	// They have no lock, because each connection between entry VMs looks addresses up.
+	// They and usedAddresses have no lock, because connections between entry VMs look addresses up.
 	otherVMs        atomic.Pointer[otherVMs]
 	targetAddresses atomic.Pointer[map[string]bool]
+	// usedAddresses has the addresses of the targets that get new requests.
+	usedAddresses atomic.Pointer[map[string]bool]
 	// initialized is closed when a configuration and a target list are in force.
 	initialized chan struct{}
 
@@ -54,23 +53,19 @@
 	// uses it.
 	sharedSuspects uint64
 
-	mu              sync.Mutex // guards the fields below
-	list            *chicoryv1.TargetList
+	mu   sync.Mutex // guards the fields below
+	list *chicoryv1.TargetList
+	// reading is when list was read from the platform.
+	reading         observe.Reading
 	listConfirmedAt time.Time
 	revision        uint64
-	// leaving has the target starts that were listed as leaving. They stay excluded
-	// even if an older list names them again as not leaving.
-	leaving map[feed.TargetInstance]bool
-	// listed has the starts in the latest list, removedAt the time at which starts were
-	// removed from it.
-	listed    map[feed.TargetInstance]bool
-	removedAt map[feed.TargetInstance]time.Time
+	starts          targetStarts
 	// removedServices keeps the targets of removed services in use for the requests that were
 	// admitted before.
 	removedServices removedServices
 }
 
-func newRoutingState(decoder Decoder, engines *placement.EngineTable, suspects *quarantine.Table, limits *ratelimit.Table, budgets *retryBudgets, logger *logging.Logger) *routingState {
+func newRoutingState(decoder Decoder, engines *placement.EngineTable, suspects *quarantine.Table, limits *ratelimit.Table, budgets *retryBudgets, drainTime time.Duration, logger *logging.Logger) *routingState {
 	return &routingState{
 		decoder:      decoder,
 		declared:     &declared.Holder{},
@@ -79,11 +74,10 @@
 		quarantine:   suspects,
 		limits:       limits,
 		retryBudgets: budgets,
+		drainTime:    drainTime,
 		initialized:  make(chan struct{}),
 		logger:       logger,
-		leaving:      map[feed.TargetInstance]bool{},
-		listed:       map[feed.TargetInstance]bool{},
-		removedAt:    map[feed.TargetInstance]time.Time{},
+		starts:       newTargetStarts(),
 
 		removedServices: removedServices{byName: map[string]removedService{}},
 	}
@@ -153,25 +147,50 @@
 	return share
 }
 
-// SetTargets implements feed.Sink.
-func (r *routingState) SetTargets(list *chicoryv1.TargetList) {
+// SetTargets implements feed.Sink. It ignores a list that was read before the one in force.
+func (r *routingState) SetTargets(list *chicoryv1.TargetList, reading observe.Reading) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	change := r.trackStarts(list, time.Now())
+	if r.list != nil && reading.Began.Before(r.reading.Began) {
+		return
+	}
+	now := time.Now()
+	change, begun := r.starts.update(list, reading, now)
+	for _, start := range begun {
+		r.limits.ForgetStart(start.Address, start.Instance, now)
+	}
+	first := r.list == nil
+	r.list, r.reading = list, reading
 	if change != (listChange{}) {
 		r.logger.Info(logging.TargetListChanged, logging.Fields{
 			"targets": len(list.GetTargets()), "added": change.added, "removed": change.removed, "leaving": change.leaving,
+			"returned": change.returned, "excluded": r.starts.excludedCount(),
 		})
 	}
-	r.list = list
-	r.updateTargets()
+	if first || change != (listChange{}) || r.removedServices.hasExpired(now) {
+		r.storeAddresses()
+		r.updateTargets()
+	}
+}
+
+// storeAddresses stores the addresses of the list. The caller holds mu.
+func (r *routingState) storeAddresses() {
+	addresses := make(map[string]bool, len(r.list.GetTargets()))
+	for _, t := range r.list.GetTargets() {
+		addresses[t.GetAddress()] = true
+	}
+	r.targetAddresses.Store(&addresses)
 }
 
-// listChange counts the target starts that a list adds, removes, or newly shows as leaving.
-type listChange struct{ added, removed, leaving int }
+// excludedTargets returns the number of listed targets that get no new requests.
+func (r *routingState) excludedTargets() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return int64(r.starts.excludedCount())
+}
 
 // ConfirmTargets implements feed.Sink.
-func (r *routingState) ConfirmTargets(time.Duration) {
+func (r *routingState) ConfirmTargets() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listConfirmedAt = time.Now()
@@ -209,41 +228,6 @@
 	return true, ""
 }
 
-// trackStarts records which target starts are leaving and which were removed, and returns
-// the changes since the previous list. The caller holds mu.
-func (r *routingState) trackStarts(list *chicoryv1.TargetList, now time.Time) listChange {
-	var change listChange
-	present, addresses := map[feed.TargetInstance]bool{}, map[string]bool{}
-	for _, t := range list.GetTargets() {
-		start := feed.TargetInstanceOf(t)
-		present[start], addresses[t.GetAddress()] = true, true
-		if !r.listed[start] {
-			change.added++
-		}
-		if t.GetLeaving() {
-			if !r.leaving[start] {
-				change.leaving++
-			}
-			r.leaving[start] = true
-		}
-	}
-	for start := range r.listed {
-		if !present[start] {
-			r.removedAt[start] = now
-			change.removed++
-		}
-	}
-	for start, since := range r.removedAt {
-		if now.Sub(since) > removedTargetRetention {
-			delete(r.removedAt, start)
-			delete(r.leaving, start)
-		}
-	}
-	r.listed = present
-	r.targetAddresses.Store(&addresses)
-	return change
-}
-
 // updateTargets puts the list in force for the services of the configuration. The
 // caller holds mu.
 func (r *routingState) updateTargets() {
@@ -270,8 +254,10 @@
 		next.Services = append(next.Services, &chicoryv1.Service{Name: name})
 	}
 	var listed []*chicoryv1.ListedTarget
-	for _, t := range r.list.GetTargets() {
-		if service(t.GetService()) == nil || r.isExcluded(t) {
+	used := map[string]bool{}
+	for _, t := range r.targetsInUse(time.Now()) {
+		used[t.GetAddress()] = true
+		if service(t.GetService()) == nil {
 			continue
 		}
 		listed = append(listed, t)
@@ -283,6 +269,7 @@
 			Capacity:         t.GetSlots(),
 		})
 	}
+	r.usedAddresses.Store(&used)
 	if _, err := r.targets.ApplyFull(next); err != nil {
 		r.logger.Error(logging.TargetListLost, logging.Fields{"reason": err})
 		return
@@ -296,24 +283,18 @@
 	r.limits.UpdateTargets(listed) // last, as it wakes the requests that wait for permits
 }
 
-// isExcluded reports whether a target gets no new requests. The caller holds mu.
-func (r *routingState) isExcluded(t *chicoryv1.ListedTarget) bool {
-	start := feed.TargetInstanceOf(t)
-	_, removed := r.removedAt[start]
-	return removed || r.leaving[start]
-}
-
 // readStaleList reads the platform's list directly while no control VM provides a fresh
 // one.
 func (r *routingState) readStaleList(ctx context.Context, list *observe.TargetListPoller) {
 	go list.Run(ctx, r.isListStale)
 	for ctx.Err() == nil {
-		latest, _, changed := list.Targets()
+		latest, reading, changed := list.Targets()
 		if latest != nil && r.isListStale() {
-			r.SetTargets(latest)
+			r.SetTargets(latest, reading)
 		}
 		select {
 		case <-changed:
+		case <-time.After(observe.ListReadInterval): // the list may be unchanged, but read again
 		case <-ctx.Done():
 		}
 	}
--- a/internal/process/entry/routing_state_test.go
+++ b/internal/process/entry/routing_state_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
@@ -37,7 +38,7 @@
 	engines := placement.NewEngineTable(placement.Defaults(), "a", request.Unlimited{})
 	suspects := quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }})
 	limits := ratelimit.NewTable(ratelimit.Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()})
-	return newRoutingState(decoder{}, engines, suspects, limits, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), logging.Discard())
+	return newRoutingState(decoder{}, engines, suspects, limits, newRetryBudgets(Defaults().Retry, metrics.NewRegistry()), Defaults().DrainTime.Std(), logging.Discard())
 }
 
 func declaration(version byte) *chicoryv1.Declaration {
@@ -52,6 +53,9 @@
 	return &chicoryv1.ListedTarget{Address: "t-" + instance, Instance: instance, Service: "desk", Leaving: leaving}
 }
 
+// readNow returns the time of a read that takes no time.
+func readNow() observe.Reading { return observe.Reading{Began: time.Now(), Ended: time.Now()} }
+
 // instancesInUse returns the instances that calls may be sent to.
 func (r *routingState) instancesInUse() []string {
 	var out []string
@@ -65,7 +69,7 @@
 	r := newTestRoutingState()
 	ready, _ := r.ready()
 	assert.Assert(t, !ready)
-	r.SetTargets(targetList(target("1", false)))
+	r.SetTargets(targetList(target("1", false)), readNow())
 	ready, _ = r.ready()
 	assert.Assert(t, !ready)
 	r.ApplyDeclaration(declaration(3), "c1")
@@ -80,17 +84,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRoutingState()
 		r.ApplyDeclaration(declaration(3), "c1")
-		r.SetTargets(targetList(target("1", false), target("2", false)))
+		r.SetTargets(targetList(target("1", false), target("2", false)), readNow())
 		assert.DeepEqual(t, r.instancesInUse(), []string{"1", "2"})
-		r.SetTargets(targetList(target("1", true), target("2", false)))
+		r.SetTargets(targetList(target("1", true), target("2", false)), readNow())
 		assert.DeepEqual(t, r.instancesInUse(), []string{"2"})
-		r.SetTargets(targetList(target("1", false), target("2", false)))
+		r.SetTargets(targetList(target("1", false), target("2", false)), readNow())
 		assert.DeepEqual(t, r.instancesInUse(), []string{"2"})
-		r.SetTargets(targetList(target("1", false)))
-		r.SetTargets(targetList(target("1", false), target("2", false)))
+		r.SetTargets(targetList(target("1", false)), readNow())
+		r.SetTargets(targetList(target("1", false), target("2", false)), readNow())
 		assert.Equal(t, len(r.instancesInUse()), 0, "removed targets stay excluded as well")
 		time.Sleep(removedTargetRetention + time.Second)
-		r.SetTargets(targetList(target("2", false)))
+		r.SetTargets(targetList(target("2", false)), readNow())
 		assert.DeepEqual(t, r.instancesInUse(), []string{"2"}) // excluded only for removedTargetRetention
 	})
 }
@@ -108,14 +112,14 @@
 	r.ApplyDeclaration(declaration(5), "c1")
 	other := target("9", false)
 	other.Service = "another"
-	r.SetTargets(targetList(target("1", false), other))
+	r.SetTargets(targetList(target("1", false), other), readNow())
 	assert.DeepEqual(t, r.instancesInUse(), []string{"1"})
 }
 
 func TestTargetListBecomesStale(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRoutingState()
-		r.ConfirmTargets(0)
+		r.ConfirmTargets()
 		assert.Assert(t, !r.isListStale())
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, r.isListStale())
@@ -131,13 +135,13 @@
 	r.logger = logging.New(&log, "entry", "e1")
 	lines := func() int { return strings.Count(log.String(), "event=target_list_changed") }
 
-	r.SetTargets(targetList(target("1", false), target("2", false)))
+	r.SetTargets(targetList(target("1", false), target("2", false)), readNow())
 	assert.Equal(t, lines(), 1)
-	r.SetTargets(targetList(target("1", false), target("2", false)))
+	r.SetTargets(targetList(target("1", false), target("2", false)), readNow())
 	assert.Equal(t, lines(), 1, "the second feed delivers the same list")
-	r.SetTargets(targetList(target("1", true), target("2", false)))
+	r.SetTargets(targetList(target("1", true), target("2", false)), readNow())
 	assert.Equal(t, lines(), 2)
-	r.SetTargets(targetList(target("2", false)))
+	r.SetTargets(targetList(target("2", false)), readNow())
 	assert.Equal(t, lines(), 3)
 	for _, want := range []string{"added=2", "leaving=1", "removed=1"} {
 		assert.Assert(t, strings.Contains(log.String(), want), "%q is missing in\n%s", want, log.String())
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -30,6 +30,8 @@
 	Seeds []settings.Address `yaml:"seeds" settings:"required"`
 	// StopGrace is the time between the signal to stop and the kill.
 	StopGrace settings.Duration `yaml:"stop_grace"`
+	// DrainTime is how long a target that is about to stop serves further requests.
+	DrainTime settings.Duration `yaml:"drain_time"`
 	Retry     RetrySettings     `yaml:"retry"`
 }
 
@@ -52,6 +54,7 @@
 func Defaults() Settings {
 	return Settings{
 		StopGrace: settings.Duration(8 * time.Second),
+		DrainTime: settings.Duration(3 * time.Second),
 		Retry:     RetrySettings{Ratio: 0.2, Extra: 50, Window: settings.Duration(10 * time.Second)},
 	}
 }
@@ -65,6 +68,8 @@
 		return "seeds", "at least one is needed"
 	case s.StopGrace <= 0:
 		return "stop_grace", "must be above 0"
+	case s.DrainTime.Std() <= drainMargin:
+		return "drain_time", "must be above 200ms"
 	case s.Retry.Ratio < 0 || s.Retry.Extra < 0:
 		return "retry", "must not be negative"
 	case s.Retry.Window <= 0:
--- a/internal/process/keeper/feed_source.go
+++ b/internal/process/keeper/feed_source.go
@@ -1,9 +1,8 @@
 package keeper
 
 import (
-	"time"
-
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 )
 
 // feedSource provides the content of the feeds that this VM serves.
@@ -13,7 +12,7 @@
 	return s.p.replica.declaration()
 }
 
-func (s feedSource) Targets() (list *chicoryv1.TargetList, readAt time.Time, changed <-chan struct{}) {
+func (s feedSource) Targets() (list *chicoryv1.TargetList, reading observe.Reading, changed <-chan struct{}) {
 	return s.p.targetList.Targets()
 }
 
--- a/internal/process/keeper/places.go
+++ b/internal/process/keeper/places.go
@@ -25,11 +25,17 @@
 	board *feed.SharedState
 	list  *observe.TargetListPoller
 	// received is the list of the feed that is followed. Only one is.
-	received atomic.Pointer[chicoryv1.TargetList]
+	received atomic.Pointer[receivedList]
 	file     promptLocationFile
 	log      *logging.Logger
 }
 
+// receivedList is a list that another VM has read.
+type receivedList struct {
+	list    *chicoryv1.TargetList
+	reading observe.Reading
+}
+
 func (p *Process) newPromptLocationSync(board *feed.SharedState) *promptLocationSync {
 	return &promptLocationSync{
 		board: board,
@@ -99,13 +105,15 @@
 func (s *promptLocationSync) ApplyDeclaration(*chicoryv1.Declaration, string) {}
 
 // SetTargets implements feed.Sink.
-func (s *promptLocationSync) SetTargets(list *chicoryv1.TargetList) { s.received.Store(list) }
+func (s *promptLocationSync) SetTargets(list *chicoryv1.TargetList, reading observe.Reading) {
+	s.received.Store(&receivedList{list, reading})
+}
 
 // ConfirmTargets implements feed.Sink. It takes over the list that the followed VM has read
 // or taken over itself; a list that two VMs pass to each other grows old.
-func (s *promptLocationSync) ConfirmTargets(age time.Duration) {
-	if list := s.received.Load(); list != nil {
-		s.list.Accept(list, time.Now().Add(-age))
+func (s *promptLocationSync) ConfirmTargets() {
+	if r := s.received.Load(); r != nil {
+		s.list.Accept(r.list, r.reading)
 	}
 }
 
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -33,7 +33,7 @@
 	status  int
 	header  http.Header
 	body    *http1.Body
-	// limited: the target names a limit of its requests.
+	// limited: the target names a limit of its requests, or when it wants the next one.
 	limited bool
 	err     error
 	latency time.Duration
@@ -110,8 +110,8 @@
 		return &attempt{outcome: outcomeLost, err: err}
 	}
 	s.recordLoad(address, meta)
-	s.recordLimit(address, d.Instance, response.Status, meta)
-	t := &attempt{status: response.Status, header: response.Header, limited: meta.Limit > 0}
+	s.recordState(address, d.Instance, response.Status, meta)
+	t := &attempt{status: response.Status, header: response.Header, limited: meta.Limit > 0 || meta.RetryAfter > 0}
 	if t.body, err = response.ReadAll(s.opts.Settings.MaxResponseBytes); err != nil {
 		response.Abandon()
 		t.outcome, t.err = outcomeLost, err
@@ -175,14 +175,23 @@
 
 func (e *mismatchedResponseError) Error() string { return "response is for another request: " + e.id }
 
-// recordLimit records the limit that a response names, or that it names none. A response of
-// another start of the target, or one that only the target's address shows to be of the target,
-// says nothing.
-func (s *Service) recordLimit(address, instance string, status int, r ResponseMetadata) {
-	if status == http.StatusMisdirectedRequest || math.IsNaN(r.Limit) || !r.Signed && !r.NotRun {
+// recordState records what a response states about its target: the limit of its requests, when it wants
+// the next one, and whether it is about to stop. A response of another start of the target, or one that
+// only the target's address shows to be of the target, says nothing.
+func (s *Service) recordState(address, instance string, status int, r ResponseMetadata) {
+	if status == http.StatusMisdirectedRequest || !r.Signed && !r.NotRun {
 		return
 	}
-	s.opts.Limits.Observe(address, instance, r.Limit, time.Now())
+	if r.Leaving && s.opts.OnLeaving != nil {
+		s.opts.OnLeaving(address, instance)
+	}
+	now := time.Now()
+	if !math.IsNaN(r.Limit) {
+		s.opts.Limits.Observe(address, instance, r.Limit, now)
+	}
+	if status == http.StatusServiceUnavailable && r.RetryAfter != 0 {
+		s.opts.Limits.Close(address, instance, r.RetryAfter, now)
+	}
 }
 
 // recordLoad records the load that a target reports.
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -73,6 +73,8 @@
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
 
+	// sends has the connections to targets that have carried the request.
+	sends *http1.Sends
 	// keys are what may crash the targets that run the request.
 	keys []string
 	// trial is nil unless keys are in quarantine and the request shows whether they still crash
@@ -114,6 +116,11 @@
 	// Limit is the number of requests per second that the target takes from all entry VMs; 0
 	// if it names none, NaN if what it names can't be read.
 	Limit float64
+	// RetryAfter is how long the target wants no requests from this VM, if it refuses one with 503; 0 if
+	// it names no time, negative if what it names can't be read.
+	RetryAfter time.Duration
+	// Leaving: the target is about to stop.
+	Leaving bool
 }
 
 // TargetProtocol encodes and decodes the headers of a platform's target protocol. It is
@@ -215,7 +222,7 @@
 	}
 }
 
-// Options are the dependencies of a Service. All are required except Paths.
+// Options are the dependencies of a Service. All are required except OnLeaving and Paths.
 type Options struct {
 	Pool     *http1.Pool
 	Protocol TargetProtocol
@@ -227,6 +234,9 @@
 	Engines *placement.EngineTable
 	// Limits holds the limits that targets name.
 	Limits *ratelimit.Table
+	// OnLeaving is called with each response in which a start of the target at address states that it is
+	// about to stop; nil means no call.
+	OnLeaving func(address, instance string)
 	// Quarantine refuses requests that crash targets.
 	Quarantine *quarantine.Table
 	// Budget returns the retry budget of a service.
@@ -300,6 +310,7 @@
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
 	LimitWrites(w, a.Deadline)
+	a.sends = &http1.Sends{}
 	if err := s.admitKeys(a); err != nil {
 		return err
 	}
@@ -340,6 +351,7 @@
 		HasBody: a.HasBody,
 
 		NewConnection: d.NewConnection,
+		Sends:         a.sends,
 	}
 }
 
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return attemptResult{outcome: outcomeLost, err: err}
 	}
-	st.s.recordLimit(run.Target.GetAddress(), run.Target.GetInstance(), response.Status, meta)
+	st.s.recordState(run.Target.GetAddress(), run.Target.GetInstance(), response.Status, meta)
 	if meta.Slots > 0 {
 		run.SetReportedRuns(meta.Running)
 	}
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -77,7 +77,7 @@
 
 // Update replaces the list of engines. memory returns the memory in tokens of a service's
 // engines, or 0 if it is not configured. The state of an address is kept only while its
-// instance and service are unchanged.
+// instance and service are unchanged: an engine that returns may have started again under its ID.
 func (e *EngineTable) Update(targets []*chicoryv1.ListedTarget, memory func(service string) int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -96,6 +96,10 @@
 		byAddress[t.GetAddress()] = x
 		byService[t.GetService()] = append(byService[t.GetService()], x)
 	}
+	e.locations.retain(func(address, instance string) bool {
+		x, next := e.byAddress[address], byAddress[address]
+		return x == nil || x.target.GetInstance() != instance || next != nil && next.target.GetInstance() == instance
+	})
 	e.byAddress, e.byService = byAddress, byService
 }
 
--- a/internal/request/placement/places.go
+++ b/internal/request/placement/places.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -55,6 +56,11 @@
 	}
 }
 
+// retain removes the locations at the engine instances for which keep returns false.
+func (l *locationTable) retain(keep func(address, instance string) bool) {
+	maps.DeleteFunc(l.byPrompt, func(_ string, loc location) bool { return !keep(loc.address, loc.instance) })
+}
+
 func (l *locationTable) addLocal(prompt string, t *chicoryv1.ListedTarget, now time.Time) {
 	m := &chicoryv1.PromptPlace{Prompt: prompt, Address: t.GetAddress(), Instance: t.GetInstance()}
 	l.add(m, now)
--- a/internal/request/ratelimit/queue.go
+++ b/internal/request/ratelimit/queue.go
@@ -98,8 +98,8 @@
 
 // Await waits for a permit. It returns the address of the target that the permit is for, or ""
 // if a target without a limit may be available. The permit must be used or given back with
-// Return. It fails with the kind Overloaded if the request can't expect a permit in time, and
-// with the error of ctx.
+// Return. It fails with the kind Overloaded if the request can't expect a permit in time or no target
+// takes requests now, and with the error of ctx.
 func (t *Table) Await(ctx context.Context, c *Claim) (address string, err error) {
 	w, err := t.join(c)
 	if w == nil {
@@ -135,6 +135,9 @@
 		c.openings = t.openings
 		return nil, nil
 	}
+	if err := t.closedError(c, now); err != nil {
+		return nil, err
+	}
 	q := t.queues[c.Service]
 	if q == nil {
 		q = &queue{byTeam: map[teamClass]*decayed{}}
@@ -201,11 +204,12 @@
 	return rate
 }
 
-// limitedTargets returns the addresses of a service's limited targets. The caller holds mu.
+// limitedTargets returns the addresses of a service's limited targets that take requests now. The caller
+// holds mu.
 func (t *Table) limitedTargets(service string, now time.Time) []string {
 	var addresses []string
 	for address := range t.targets {
-		if l, ok := t.listed[address]; ok && l.service == service && t.limited(address, now) != nil {
+		if l, ok := t.listed[address]; ok && l.service == service && t.limited(address, now) != nil && !t.isClosed(address, now) {
 			addresses = append(addresses, address)
 		}
 	}
--- a/internal/request/ratelimit/table.go
+++ b/internal/request/ratelimit/table.go
@@ -44,6 +44,7 @@
 	mu      sync.Mutex              // guards the fields below
 	targets map[string]*targetState // by address
 	listed  map[string]listedTarget // by address
+	closed  map[string]closing      // by address
 	queues  map[string]*queue       // by service
 	// openings counts what a request that waits in no queue isn't told of: permits that were kept,
 	// and changes that let all requests try again.
@@ -87,10 +88,12 @@
 		refused:  metrics.GetOrRegisterCounter("request.limit_refused", opts.Registry),
 		targets:  map[string]*targetState{},
 		listed:   map[string]listedTarget{},
+		closed:   map[string]closing{},
 		queues:   map[string]*queue{},
 		entryVMs: opts.EntryVMs,
 	}
 	metrics.NewRegisteredFunctionalGauge("targets.limited", opts.Registry, t.limitedCount)
+	metrics.NewRegisteredFunctionalGauge("targets.closed", opts.Registry, t.closedCount)
 	return t
 }
 
@@ -111,11 +114,25 @@
 			delete(t.targets, address)
 		}
 	}
+	t.removeClosings(now)
 	for service := range t.queues {
 		t.wakeAll(service)
 	}
 }
 
+// ForgetStart ends the limit that an earlier start of the target at address named under the same ID, and
+// the time for which it wanted no requests.
+func (t *Table) ForgetStart(address, instance string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed[address].instance == instance {
+		delete(t.closed, address)
+	}
+	if s := t.targets[address]; s != nil && s.instance == instance && s.wasListed {
+		t.update(address, limit{instance: instance, namedAt: now}, now).permits = nil
+	}
+}
+
 // Observe records what a response of a start of the target at address names: a rate in requests
 // per second, or 0 for no limit.
 func (t *Table) Observe(address, instance string, rate float64, now time.Time) {
@@ -170,11 +187,12 @@
 	return s
 }
 
-// IsLimited reports whether requests to the target at address need a permit.
+// IsLimited reports whether requests to the target at address need a permit, or it takes none now.
 func (t *Table) IsLimited(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limited(address, time.Now()) != nil
+	now := time.Now()
+	return t.isClosed(address, now) || t.limited(address, now) != nil
 }
 
 // HasRoom reports whether Take would return true.
@@ -182,6 +200,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if t.isClosed(address, now) {
+		return false
+	}
 	s := t.limited(address, now)
 	if s == nil {
 		return true
@@ -196,6 +217,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if t.isClosed(address, now) {
+		return false
+	}
 	s := t.limited(address, now)
 	if s == nil {
 		return true
@@ -221,7 +245,7 @@
 // deliver passes a permit to the first of the requests that wait for one, or keeps it. The
 // caller holds mu.
 func (t *Table) deliver(address string, s *targetState, now time.Time) {
-	if q := t.queues[t.listed[address].service]; q != nil {
+	if q := t.queues[t.listed[address].service]; q != nil && !t.isClosed(address, now) {
 		if w := q.takeFirst(address, now); w != nil {
 			w.ready <- address
 			return
