--- a/internal/connection/paths/dial.go
+++ b/internal/connection/paths/dial.go
@@ -67,7 +67,7 @@
 		if err == nil || ctx.Err() != nil {
 			return c, err
 		}
-		if !isHelperError(err) {
+		if !isHelperError(err) || isClosedTarget(err) {
 			return nil, t.dialError(p, err, err)
 		}
 		// No other entry VM helps: the path may work again.
@@ -199,6 +199,8 @@
 	e := &DialError{Target: p.address, Reach: ReachNone, Err: directErr}
 	switch {
 	case errors.Is(relayErr, errRecentlyUnreachable):
+	case isClosedTarget(relayErr):
+		e.Reach = ReachUnknown // this VM may reach other targets through the one that refused
 	case isHelperError(relayErr):
 		t.markUnknown(p, connected, directErr, relayErr)
 		e.Reach, e.Isolated = ReachUnknown, t.IsCutOff()
--- a/internal/connection/paths/helpers.go
+++ b/internal/connection/paths/helpers.go
@@ -183,7 +183,7 @@
 func (h *helpers) record(err error) {
 	now := time.Now()
 	switch {
-	case err == nil || !isHelperError(err):
+	case err == nil || !isHelperError(err) || isClosedTarget(err):
 		h.helpedAt.Store(now)
 	case !isRefusal(err) || !h.anyWorks(now):
 		h.failedAt.Store(now)
@@ -252,11 +252,18 @@
 	return errors.As(err, &refusal)
 }
 
+// isClosedTarget reports whether err is the refusal of an entry VM that helps, and from which the target
+// wants no further requests.
+func isClosedTarget(err error) bool { return fault.Is(err, fault.NoTarget) }
+
 // saysMore reports whether err says more about the target, or else about other entry VMs, than old.
 func saysMore(err, old error) bool {
 	if !isHelperError(old) {
 		return false
 	}
+	if isClosedTarget(old) {
+		return !isHelperError(err)
+	}
 	return !isHelperError(err) || isRefusal(err) || !isRefusal(old)
 }
 
@@ -324,7 +331,7 @@
 func (t *Table) ask(ctx, requestCtx context.Context, helper string, p *path, results chan<- relayResult) {
 	go func() {
 		c, err := t.opts.Relay.Dial(ctx, helper, p.address)
-		if err != nil && isHelperError(err) && requestCtx.Err() == nil && !errors.Is(ctx.Err(), context.Canceled) {
+		if err != nil && isHelperError(err) && !isClosedTarget(err) && requestCtx.Err() == nil && !errors.Is(ctx.Err(), context.Canceled) {
 			t.helpers.failed(helper, err)
 		}
 		results <- relayResult{helper, c, err}
--- a/internal/connection/paths/helpers_test.go
+++ b/internal/connection/paths/helpers_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
@@ -79,6 +80,47 @@
 	})
 }
 
+// TestTargetThatWantsNothingFromAHelperIsReachedThroughOthers guards against a helper that is not asked for
+// other targets because one target wants no further requests from it, against a target that is taken for
+// down for that reason, and against a VM that takes itself for isolated.
+func TestTargetThatWantsNothingFromAHelperIsReachedThroughOthers(t *testing.T) {
+	run(t, func(t *testing.T, n *network, table *paths.Table) {
+		n.others = peers[:3]
+		n.set(refuses, targets...)
+		assertServed(t, table)
+		time.Sleep(time.Second)
+		closed := fault.New(fault.NoTarget, "target t1:1 wants no further requests from this VM")
+		setClosed := func(helper string) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.targetRefusals[[2]string{helper, "t1:1"}] = closed
+		}
+		setClosed("a2:1")
+		for range 5 {
+			assertServed(t, table)
+		}
+		setClosed("a3:1")
+		kept, err := table.Dial(t.Context(), "tcp", "t2:1")
+		assert.NilError(t, err)
+		for range 5 {
+			took, err := connect(t, table, "t1:1")
+			var failed *paths.DialError
+			assert.Assert(t, errors.As(err, &failed), "%v", err)
+			assert.Equal(t, failed.Reach, paths.ReachUnknown)
+			assert.Assert(t, !failed.Isolated)
+			assert.Assert(t, took <= objective, "refused after %v", took)
+			assert.Equal(t, table.Blame(t.Context(), "t1:1", time.Now(), err), paths.BlamePath)
+			for _, address := range targets[1:] {
+				_, err = connect(t, table, address)
+				assert.NilError(t, err)
+			}
+		}
+		assert.Assert(t, isOpen(kept))
+		assert.Assert(t, table.CanReachTargets())
+		assert.NilError(t, kept.Close())
+	})
+}
+
 // TestConnectionsOfAHelperThatStopsAreNotUsedAgain guards against requests that are sent through a VM
 // that is about to stop.
 func TestConnectionsOfAHelperThatStopsAreNotUsedAgain(t *testing.T) {
--- a/internal/connection/paths/paths_test.go
+++ b/internal/connection/paths/paths_test.go
@@ -49,8 +49,10 @@
 	targets []string
 	// opened counts the connections that were opened through each helper.
 	opened map[string]int
-	// refusals are the errors with which helpers refuse, by address.
-	refusals map[string]error
+	// refusals are the errors with which helpers refuse, by address; targetRefusals those with which they
+	// refuse connections to one target, by helper and target.
+	refusals       map[string]error
+	targetRefusals map[[2]string]error
 }
 
 const (
@@ -72,7 +74,7 @@
 	return &network{
 		direct: map[string]reaction{}, viaPeers: map[string]reaction{}, helpers: map[string]reaction{},
 		cutOff: map[string]bool{}, directDials: map[string]int{}, others: peers, targets: targets,
-		opened: map[string]int{}, refusals: map[string]error{},
+		opened: map[string]int{}, refusals: map[string]error{}, targetRefusals: map[[2]string]error{},
 	}
 }
 
@@ -138,6 +140,9 @@
 	n.mu.Lock()
 	n.asked = append(n.asked, helper)
 	h, r, refusal := n.helpers[helper], n.viaPeers[target], n.refusals[helper]
+	if refusal == nil {
+		refusal = n.targetRefusals[[2]string{helper, target}]
+	}
 	n.mu.Unlock()
 	if refusal != nil {
 		return nil, &relay.HelperError{Helper: helper, Err: refusal}
--- a/internal/connection/relay/conn.go
+++ b/internal/connection/relay/conn.go
@@ -30,6 +30,7 @@
 	unread  []byte
 	end     error // set after the last byte was added to unread
 	closed  bool
+	closing bool // the target wants no further requests
 }
 
 var _ net.Conn = (*conn)(nil)
@@ -55,6 +56,8 @@
 		case m.GetEnd() != chicoryv1.RelayEnd_RELAY_END_UNSPECIFIED:
 			c.finish(endError(m.GetEnd(), m.GetReason()))
 			return
+		case m.GetClosing():
+			c.setClosing()
 		case !c.store(m.GetData()):
 			return
 		}
@@ -77,6 +80,12 @@
 	return !c.closed
 }
 
+func (c *conn) setClosing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
 func (c *conn) finish(end error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -169,11 +178,12 @@
 	return len(c.unread) > 0
 }
 
-// IsOpen reports whether no end and no error was received and c was not closed.
+// IsOpen reports whether c may carry another request: no end and no error was received, c was not closed,
+// and the target wants further requests from the helper.
 func (c *conn) IsOpen() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.end == nil && !c.closed
+	return c.end == nil && !c.closed && !c.closing
 }
 
 // Close implements net.Conn. The helper resets the connection to the target at once. It
--- a/internal/connection/relay/errors.go
+++ b/internal/connection/relay/errors.go
@@ -30,8 +30,9 @@
 
 // HelperError states that the helper can't be reached, refused the connection or was lost.
 // Err is never io.EOF or syscall.ECONNRESET, which only the target causes. It is a
-// *fault.Error if the helper refused the connection: Overloaded if it has no room, Draining,
-// PermissionDenied or InvalidArgument.
+// *fault.Error if the helper refused the connection: Overloaded if it has no room, NotReady if it has no
+// path to the target, NoTarget if the target wants no requests from it, Draining, PermissionDenied or
+// InvalidArgument.
 type HelperError struct {
 	Helper string
 	Err    error
--- a/internal/connection/relay/link.go
+++ b/internal/connection/relay/link.go
@@ -24,7 +24,11 @@
 type link struct {
 	stream *serverStream
 	conn   net.Conn
+	target string
 	bytes  metrics.Counter
+	notice sync.WaitGroup // of sendClosing
+
+	sendMu sync.Mutex // held while sending to the client
 
 	mu       sync.Mutex // held while writing to conn; guards writeErr
 	writeErr error
@@ -79,7 +83,7 @@
 	for {
 		n, err := l.conn.Read(b)
 		l.bytes.Inc(int64(n))
-		if n > 0 && l.stream.Send(&chicoryv1.RelayServiceConnectResponse{Data: b[:n]}) != nil {
+		if n > 0 && l.send(&chicoryv1.RelayServiceConnectResponse{Data: b[:n]}) != nil {
 			return // the client has left
 		}
 		if err != nil {
@@ -89,12 +93,22 @@
 	}
 }
 
+func (l *link) send(m *chicoryv1.RelayServiceConnectResponse) error {
+	l.sendMu.Lock()
+	defer l.sendMu.Unlock()
+	return l.stream.Send(m)
+}
+
+// sendClosing tells the client that the target wants no further requests. An error is ignored: the client
+// has left.
+func (l *link) sendClosing() { _ = l.send(&chicoryv1.RelayServiceConnectResponse{Closing: true}) }
+
 // sendEnd closes the connection and tells the client why it ended. An error is ignored:
 // the client has left.
 func (l *link) sendEnd(readErr error) {
 	_ = l.conn.Close()
 	err := l.endedBy(readErr)
-	_ = l.stream.Send(&chicoryv1.RelayServiceConnectResponse{End: endOf(err), Reason: err.Error()})
+	_ = l.send(&chicoryv1.RelayServiceConnectResponse{End: endOf(err), Reason: err.Error()})
 }
 
 // endedBy returns the error that ended the closed connection. The kernel returns an error
--- a/internal/connection/relay/main_test.go
+++ b/internal/connection/relay/main_test.go
@@ -56,6 +56,9 @@
 	if o.IsTarget == nil {
 		o.IsTarget = func(string) bool { return true }
 	}
+	if o.TakesRequests == nil {
+		o.TakesRequests = func(string) bool { return true }
+	}
 	if o.IsEntryVM == nil {
 		o.IsEntryVM = func(ip string) bool { return ip == "127.0.0.1" }
 	}
--- a/internal/connection/relay/relay_test.go
+++ b/internal/connection/relay/relay_test.go
@@ -448,6 +448,41 @@
 	assert.Assert(t, fault.Is(helperErr.Err, fault.NotReady), "%v", err)
 }
 
+// TestTargetThatWantsNoFurtherRequests guards against requests that a helper relays to a target that wants
+// none from it: over a new connection, and over one that was open before. What was begun goes on.
+func TestTargetThatWantsNoFurtherRequests(t *testing.T) {
+	var closed sync.Map
+	h := newHelper(t, ServerOptions{TakesRequests: func(address string) bool {
+		_, isClosed := closed.Load(address)
+		return !isClosed
+	}})
+	c, leaving, other := newClient(t), newTarget(t, echo), newTarget(t, echo)
+	open, beside := dial(t, c, h.address, leaving), dial(t, c, h.address, other)
+	exchange := func(conn *conn) {
+		_, err := conn.Write([]byte("ping"))
+		assert.NilError(t, err)
+		_, err = io.ReadFull(conn, make([]byte, 4))
+		assert.NilError(t, err)
+	}
+	exchange(open)
+	assert.Assert(t, open.IsOpen())
+	closed.Store(leaving, true)
+	within(t, time.Second, "the notice", func() {
+		eventually(t, "the connection carries no further request", func() bool { return !open.IsOpen() })
+	})
+	exchange(open)
+	exchange(beside)
+	assert.Assert(t, beside.IsOpen())
+	_, err := c.Dial(t.Context(), h.address, leaving)
+	var refusal *HelperError
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+	assert.Assert(t, fault.Is(err, fault.NoTarget), "%v", err)
+	closed.Delete(leaving)
+	exchange(dial(t, c, h.address, leaving))
+	c.Close()
+	eventually(t, "the helper is free", func() bool { return h.server.Connections() == 0 })
+}
+
 // TestClientUsesItsOwnAddress guards against a VM with several addresses that its helpers don't know.
 func TestClientUsesItsOwnAddress(t *testing.T) {
 	from := make(chan string, 1)
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -18,8 +18,12 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
-// refusalLogInterval is the minimum time between two log lines about refused connections.
-const refusalLogInterval = time.Second
+const (
+	// refusalLogInterval is the minimum time between two log lines about refused connections.
+	refusalLogInterval = time.Second
+	// targetCheckInterval is the interval at which the targets of open connections are checked.
+	targetCheckInterval = 100 * time.Millisecond
+)
 
 type serverStream = connect.BidiStream[chicoryv1.RelayServiceConnectRequest, chicoryv1.RelayServiceConnectResponse]
 
@@ -27,6 +31,9 @@
 type ServerOptions struct {
 	// IsTarget reports whether address is a target of the current list.
 	IsTarget func(address string) bool
+	// TakesRequests reports whether the target at address wants further requests from this VM: it
+	// can't tell those that this VM relays from its own.
+	TakesRequests func(address string) bool
 	// IsEntryVM reports whether ip is that of an entry VM of the system.
 	IsEntryVM func(ip string) bool
 	// Dial opens direct connections and limits the time for that. The connections should
@@ -52,6 +59,9 @@
 	connections int
 	unlogged    int // refusals since the last line
 	loggedAt    time.Time
+	// links has the open connections, with true for those whose targets wanted requests so far.
+	links    map[*link]bool
+	checking bool // a task checks the targets of links
 }
 
 var _ chicoryv1connect.RelayServiceHandler = (*Server)(nil)
@@ -64,6 +74,7 @@
 		opened: metrics.GetOrRegisterCounter("relay.opened", o.Registry),
 		denied: metrics.GetOrRegisterCounter("relay.refused", o.Registry),
 		bytes:  metrics.GetOrRegisterCounter("relay.bytes", o.Registry),
+		links:  map[*link]bool{},
 	}
 }
 
@@ -107,12 +118,60 @@
 	}
 	s.opened.Inc(1)
 	keepAlive(conn)
-	l := &link{stream: stream, conn: conn, bytes: s.bytes}
+	l := &link{stream: stream, conn: conn, target: first.GetTarget(), bytes: s.bytes}
 	defer l.abort()
 	if err := stream.Send(&chicoryv1.RelayServiceConnectResponse{}); err != nil {
 		return err
 	}
-	return l.forward(ctx)
+	s.add(l)
+	err = l.forward(ctx)
+	s.remove(l)
+	return err
+}
+
+// add adds an open connection, whose target is checked from then on.
+func (s *Server) add(l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[l] = true
+	if !s.checking {
+		s.checking = true
+		go s.checkTargets()
+	}
+}
+
+// remove removes a connection and waits until nothing more is sent to its client.
+func (s *Server) remove(l *link) {
+	s.mu.Lock()
+	delete(s.links, l)
+	s.mu.Unlock()
+	l.notice.Wait()
+}
+
+// checkTargets tells the clients of connections whose targets want no further requests, until there are no
+// connections.
+func (s *Server) checkTargets() {
+	ticks := time.NewTicker(targetCheckInterval)
+	defer ticks.Stop()
+	for range ticks.C {
+		if !s.checkLinks() {
+			return
+		}
+	}
+}
+
+// checkLinks checks the target of each connection once. It reports false if there are none.
+func (s *Server) checkLinks() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l, isUnnoticed := range s.links {
+		if isUnnoticed && !s.opts.TakesRequests(l.target) {
+			s.links[l] = false
+			l.notice.Go(l.sendClosing)
+		}
+	}
+	s.checking = len(s.links) > 0
+	return s.checking
 }
 
 // admit reads the first message and checks that the caller may connect to its target.
@@ -136,6 +195,9 @@
 	if !s.opts.IsTarget(first.GetTarget()) {
 		return "", nil, fault.New(fault.PermissionDenied, "%s is not a target", first.GetTarget())
 	}
+	if !s.opts.TakesRequests(first.GetTarget()) {
+		return "", nil, fault.New(fault.NoTarget, "target %s wants no further requests from this VM", first.GetTarget())
+	}
 	return caller, first, nil
 }
 
--- a/internal/process/entry/relaying.go
+++ b/internal/process/entry/relaying.go
@@ -65,6 +65,7 @@
 	})
 	r.server = relay.NewServer(relay.ServerOptions{
 		IsTarget:       p.routingState.isTarget,
+		TakesRequests:  p.routingState.takesRequests,
 		IsEntryVM:      p.routingState.isEntryVM,
 		Dial:           r.paths.DialForPeer,
 		MaxConnections: maxRelayedConnections,
