--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,4 +10,8 @@
   cat KNOWN-RED.txt
   skip=$(cut -d'|' -f1 KNOWN-RED.txt | sed 's/ //g' | grep -v '^$' | sed 's/.*/^&$/' | paste -sd'|')
 fi
-go test -race -count=1 -timeout 20m ${skip:+-skip "$skip"} ./...
+
+# The tests of whole systems have bounds in real time, so they don't run beside the other packages.
+systems=github.com/chicoryswitch/chicoryswitch/test/soak
+go test -race -count=1 -timeout 20m ${skip:+-skip "$skip"} $(go list ./... | grep -vx "$systems")
+go test -race -count=1 -timeout 20m ${skip:+-skip "$skip"} "$systems"
--- a/test/soak/checks_of_promises_test.go
+++ b/test/soak/checks_of_promises_test.go
@@ -57,6 +57,19 @@
 	h.limits = append(h.limits, l)
 }
 
+// addAnnounced adds a target that states from second 10 on that it leaves, a response that says so, and a request
+// sent at a second. The target ends at another second, unless that is 0.
+func (h scriptedHistory) addAnnounced(sent, ended float64) {
+	h.addFault(faultAnnounce, "target 1", 10, 15)
+	h.addRequest("look-1", 10.1, 10.2, setServed(0))
+	h.addRun("look-1", "target 1", 10.1, 10.2)
+	h.addRequest("look-2", sent, sent+0.2, setServed(0))
+	h.addRun("look-2", "target 1", sent+0.1, sent+0.2)
+	if ended > 0 {
+		h.targetEnds["target 1"] = []time.Time{h.secondAt(ended)}
+	}
+}
+
 func (h scriptedHistory) addDeclaration(version int, sent, acked float64) {
 	x := &declaration{version: version, document: standin.Declaration{Version: version}.Document(), sent: h.secondAt(sent)}
 	if acked > 0 {
@@ -217,11 +230,35 @@
 			h.addFault(faultLeave, "target 1", 10, 15)
 			h.addRun("look-1", "target 1", 14, 14.1)
 		}, "shows the target as leaving"},
+		"a target gets requests after it has started again under its ID": {func(h scriptedHistory) {
+			h.addFault(faultRestart, "target 1", 10, 15)
+			h.targetEnds["target 1"] = []time.Time{h.secondAt(13.6)}
+			h.addRun("look-1", "target 1", 14, 14.1)
+		}, ""},
+		"a target that drains again under its ID gets new requests": {func(h scriptedHistory) {
+			h.addFault(faultRestart, "target 1", 0, 5)
+			h.targetEnds["target 1"] = []time.Time{h.secondAt(3.6)}
+			h.addFault(faultRestart, "target 1", 10, 15)
+			h.addRun("look-1", "target 1", 14, 14.1)
+		}, "shows the target as leaving"},
 		"a leaving target gets new requests while the list is down": {func(h scriptedHistory) {
 			h.addFault(faultLeave, "target 1", 10, 15)
 			h.addFault(faultList, "list", 10, 12)
 			h.addRun("look-1", "target 1", 14, 14.1)
 		}, ""},
+		"a target that has announced that it leaves gets later requests": {func(h scriptedHistory) {
+			h.addAnnounced(14, 0)
+		}, "had stated that it leaves"},
+		"a target that has announced that it leaves gets requests for a while": {func(h scriptedHistory) {
+			h.addAnnounced(13, 0)
+		}, ""},
+		"a target that had announced that it leaves gets requests after its restart": {func(h scriptedHistory) {
+			h.addAnnounced(14, 13.9)
+		}, ""},
+		"a VM that restarts sends requests to a target that leaves": {func(h scriptedHistory) {
+			h.addFault(faultKill, "entry 1", 11, 12)
+			h.addAnnounced(14, 0)
+		}, ""},
 		"work continues after the caller went away": {func(h scriptedHistory) {
 			h.addRequest("draft-1", 10, 11, func(r *request) { r.cancelled = true })
 			h.addRun("draft-1", "target 1", 10, 14)
@@ -357,6 +394,27 @@
 			h.addRun("pay-1", "target 1", 10.1, 12)
 			h.addFault(faultCrash, "target 1", 11, 13)
 		}, false},
+		"it was sent to a target whose connection was reset": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusBadGateway))
+			h.resets["entry 1"] = []time.Time{h.secondAt(11.95)}
+		}, false},
+		"a connection was reset long before": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusBadGateway))
+			h.resets["entry 1"] = []time.Time{h.secondAt(11.5)}
+		}, true},
+		"a connection of another VM was reset": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusBadGateway))
+			h.resets["entry 2"] = []time.Time{h.secondAt(11.95)}
+		}, true},
+		"it ran at a sound target while a connection was reset": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusBadGateway))
+			h.addRun("pay-1", "target 1", 10.1, 12)
+			h.resets["entry 1"] = []time.Time{h.secondAt(11.95)}
+		}, true},
+		"it got no answer while a connection was reset": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setAborted)
+			h.resets["entry 1"] = []time.Time{h.secondAt(11.95)}
+		}, true},
 		"the entry VM was killed as well": {func(h scriptedHistory) {
 			h.addRequest("pay-1", 10, 12, setAborted)
 			h.addRun("pay-1", "target 1", 10.1, 12)
--- a/test/soak/command_test.go
+++ b/test/soak/command_test.go
@@ -26,6 +26,7 @@
 		"missing programs":   {"-programs", t.TempDir()},
 		"not a seed":         {"-seed", "x"},
 		"programs elsewhere": {"-programs", "no such folder"},
+		"no older programs":  {"-old", "no such folder"},
 	} {
 		t.Run(name, func(t *testing.T) { assert.Equal(t, run(t.Context(), args), exitUsage) })
 	}
--- a/test/soak/helpers_of_cut_vms_test.go
+++ b/test/soak/helpers_of_cut_vms_test.go
@@ -45,6 +45,7 @@
 			t.Run("requests_at_cut_VMs", p.testCutVMs)
 			t.Run("truth_of_answers", p.testTruth)
 			t.Run("streams", p.testStreams)
+			p.traceFailures(t)
 		})
 	}
 }
--- a/test/soak/partition_test.go
+++ b/test/soak/partition_test.go
@@ -97,6 +97,7 @@
 			t.Run("requests_at_cut_VMs", p.testCutVMs)
 			t.Run("requests_at_other_VMs", p.testOtherVMs)
 			t.Run("truth_of_answers", p.testTruth)
+			p.traceFailures(t)
 		})
 	}
 }
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -29,7 +29,11 @@
 	faultTruncateAnswers = "spoil"    // a target's answers are truncated
 	faultSlow            = "slow"     // a target takes five times as long
 	faultBreakStreams    = "break"    // a target closes its streams after some events
+	faultCopies          = "copies"   // a target refuses most requests and sends second copies of its answers, late
 	faultLeave           = "leave"    // a target is listed as leaving, ends and is replaced
+	faultRestart         = "restart"  // a target is listed as leaving, ends and starts again under its ID
+	faultAnnounce        = "announce" // a target says that it leaves, ends and starts again under its ID; the list shows nothing
+	faultBusy            = "busy"     // a target refuses all requests and names when it wants the next one
 	faultDeadly          = "deadly"   // a target crashes on a call that crashes all targets
 	faultLimit           = "limit"    // a target names a limit of its requests
 	faultList            = "list"     // the list of targets can't be read
@@ -53,6 +57,8 @@
 	limit float64
 	// service is the service from whose targets a cut separates the entry VM; empty means all.
 	service string
+	// programs is the folder of the program that runs after the restart; empty means the same one.
+	programs string
 }
 
 const (
@@ -69,8 +75,13 @@
 	// limitTime is the duration of faultLimit. It covers a pause between two bursts.
 	limitTime    = burstLength + burstGap + time.Second
 	maxBurstCuts = 3 // cuts per burst
-	minCutTime   = time.Second
-	maxCutTime   = 5 * time.Second
+	// restartTime is the time between the end of a target and its next start under the same ID.
+	restartTime = 300 * time.Millisecond
+	// busyTime is the time for which a target refuses requests, busySeconds what its refusals name.
+	busyTime    = 3 * time.Second
+	busySeconds = 2
+	minCutTime  = time.Second
+	maxCutTime  = 5 * time.Second
 	// maxLimit is the highest limit that a target names, in requests per second.
 	maxLimit = 10
 )
@@ -151,6 +162,66 @@
 	return plan
 }
 
+// newRestartFaults returns, for some bursts, planned restarts of all targets of a service, one after
+// the other or at the same time.
+func newRestartFaults(r *rand.Rand, length time.Duration, targets int) []plannedFault {
+	var plan []plannedFault
+	for begin := time.Duration(0); begin < length; begin += burstLength + burstGap {
+		if r.IntN(2) == 0 {
+			continue
+		}
+		first, count := 0, deskTargets
+		if r.IntN(2) == 0 {
+			first, count = deskTargets, targets-deskTargets
+		}
+		gap := time.Duration(r.Int64N(int64(burstLength))) / time.Duration(count)
+		for i := range count {
+			plan = append(plan, plannedFault{at: begin + time.Duration(i)*gap, kind: faultRestart, keeper: -1, entry: -1, target: first + i})
+		}
+	}
+	return plan
+}
+
+// newCopyFaults returns, for some bursts, faults with which all targets of a service refuse requests and
+// send late copies.
+func newCopyFaults(r *rand.Rand, length time.Duration, targets int) []plannedFault {
+	var plan []plannedFault
+	for begin := time.Duration(0); begin < length; begin += burstLength + burstGap {
+		first, count := 0, deskTargets
+		if r.IntN(2) == 0 {
+			first, count = deskTargets, targets-deskTargets
+		}
+		for i := range r.IntN(2) * count {
+			plan = append(plan, plannedFault{at: begin, duration: burstLength, kind: faultCopies, keeper: -1, entry: -1, target: first + i})
+		}
+	}
+	return plan
+}
+
+// newStateFaults returns, for some bursts, targets that state in their responses that they leave, one at a
+// time, and for others all targets of a service that refuse requests for a time.
+func newStateFaults(r *rand.Rand, length time.Duration, targets int) []plannedFault {
+	var plan []plannedFault
+	for begin := time.Duration(0); begin < length; begin += burstLength + burstGap {
+		f := plannedFault{at: begin + time.Duration(r.Int64N(int64(burstLength-busyTime))), keeper: -1, entry: -1}
+		switch r.IntN(3) {
+		case 0:
+			f.kind, f.target = faultAnnounce, randomTarget(r, targets)
+			plan = append(plan, f)
+		case 1:
+			first, count := 0, deskTargets
+			if r.IntN(2) == 0 {
+				first, count = deskTargets, targets-deskTargets
+			}
+			for i := range 1 + r.IntN(count) {
+				f.kind, f.target, f.duration = faultBusy, first+i, busyTime
+				plan = append(plan, f)
+			}
+		}
+	}
+	return plan
+}
+
 // newCutFaults returns, for most bursts, cuts of entry VMs from targets, each with a fault of a VM
 // that may have to help meanwhile.
 func newCutFaults(r *rand.Rand, length time.Duration, keepers, entries int) []plannedFault {
@@ -221,5 +292,15 @@
 // newCutRand returns a third generator of a seed, for the cuts from targets.
 func newCutRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 2)) }
 
+// newRestartRand returns a fourth generator of a seed, for the planned restarts of targets and their late
+// copies of answers.
+func newRestartRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
+
+// newStateRand returns a fifth generator of a seed, for what targets state in their responses.
+func newStateRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 4)) }
+
+// newUpgradeRand returns a sixth generator of a seed, for the replacement of the programs.
+func newUpgradeRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 5)) }
+
 // newLimitRand returns a second generator of a seed, for the faults that newPlan doesn't draw.
 func newLimitRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
