http1: reset the connections of requests that were given up

Cause: an attempt that was given up closed its connection. The kernel goes on sending what was written before an ordinary close, so the request arrives when the path works again. TestGivenUpRequestDoesNotArriveLater: the whole request arrives before, a part of it after. Connections whose requests were answered are closed as before. The soak's links lose what they hold when a VM resets its connection, and no target may begin a request one second after its end.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/abort"
 )
 
 const (
@@ -59,9 +61,14 @@
 	return c.head.begin(buffered)
 }
 
-// close closes the connection. No written data depends on it, so errors are ignored.
+// close closes a connection whose requests were answered. No written data depends on it, so errors
+// are ignored.
 func (c *conn) close() { _ = c.raw.Close() }
 
+// reset closes the connection and discards what the target has not received: a request that was given
+// up must not reach it later. An error is ignored: the connection has been closed already.
+func (c *conn) reset() { _ = abort.Close(c.raw) }
+
 // hasUnread reports whether the target has sent bytes that wait in the socket. Unlike isIdle, it
 // may be called while another goroutine reads.
 func (c *conn) hasUnread() bool {
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -105,7 +105,7 @@
 // below the smallest TCP send buffer, so that writing a shorter body does not block.
 const backgroundBodyBytes = 8 << 10
 
-// Send writes a request to the target at address (IP:port). The connection is closed
+// Send writes a request to the target at address (IP:port). The connection is reset
 // when ctx ends. The error is a *NotSentError if no byte was written; after any other
 // error the target may have run the request.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
@@ -115,7 +115,7 @@
 	}
 	r.Sends.add(c)
 	x := &Exchange{pool: p, address: address, conn: c, method: r.Method}
-	x.stopCancel = context.AfterFunc(ctx, c.close)
+	x.stopCancel = context.AfterFunc(ctx, c.reset)
 	if ctx.Err() != nil {
 		x.abandon()
 		return nil, &NotSentError{address, ctx.Err()}
@@ -222,18 +222,18 @@
 // connection can be reused. Otherwise it closes the connection.
 func (r *Response) Finish() { r.exchange.finish(r) }
 
-// Abandon closes the connection, which tells the target to stop work on the request.
+// Abandon resets the connection, which tells the target to stop work on the request.
 func (r *Response) Abandon() { r.exchange.abandon() }
 
 func (x *Exchange) finish(r *Response) {
 	if x.ended {
 		return
 	}
-	if !x.reusable(r) || !x.stopCancel() {
-		x.abandon()
+	x.ended = true
+	if inTime := x.stopCancel(); !inTime || !x.reusable(r) {
+		x.conn.close()
 		return
 	}
-	x.ended = true
 	x.pool.put(x.address, x.conn, r.keepAlive)
 }
 
@@ -259,7 +259,7 @@
 	}
 	x.ended = true
 	x.stopCancel()
-	x.conn.close()
+	x.conn.reset()
 }
 
 // keepAliveTimeout returns the timeout in a Keep-Alive header, or 0 if there is none.
--- a/internal/connection/http1/http1_test.go
+++ b/internal/connection/http1/http1_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -199,13 +200,14 @@
 // either the rest arrives or the connection ends.
 func TestNoRequestFollowsAnIncompleteBody(t *testing.T) {
 	rest := make(chan int, 10)
+	finished := make(chan struct{}) // closed when the client has finished the first exchange
 	x := startTarget(t, func(c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
-		time.Sleep(50 * time.Millisecond)
+		<-finished
 		b, _ := io.ReadAll(req.Body)
 		rest <- strings.Count(string(b), "x")
 		assert.Check(t, !strings.Contains(string(b), "GET /"))
@@ -219,6 +221,7 @@
 	_, err = a.ReadAll(maxBodyBytes)
 	assert.NilError(t, err)
 	a.Finish()
+	close(finished)
 	_, err = get(t.Context(), p, x.address)
 	assert.NilError(t, err)
 	assert.Equal(t, len(x.accepted), 2, "the second request must use a new connection")
@@ -239,6 +242,76 @@
 	assert.Assert(t, <-closed != nil, "the target must see the connection close")
 }
 
+// TestGivenUpRequestDoesNotArriveLater guards against a request that a target receives seconds after its
+// caller was answered, when the target may be leaving: the kernel goes on sending what was written
+// before an ordinary close.
+func TestGivenUpRequestDoesNotArriveLater(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		giveUp   func(t *testing.T, x *http1.Exchange, cancel context.CancelFunc)
+	}{
+		"deadline": {"", func(_ *testing.T, _ *http1.Exchange, cancel context.CancelFunc) { cancel() }},
+		"response dropped": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", func(t *testing.T, x *http1.Exchange, _ context.CancelFunc) {
+			r, err := x.ReadResponse()
+			assert.NilError(t, err)
+			r.Abandon()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{}) // closed when the client has given up
+			received := make(chan int64, 1)
+			address := listenWithSmallBuffer(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, c.response)
+				<-ended
+				n, _ := io.Copy(io.Discard, conn)
+				received <- n
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			body := []byte(strings.Repeat("x", unreadBodyBytes))
+			x, err := newPool().Send(ctx, address, &http1.Request{Method: "POST", URI: "/x", Host: "h", Body: body, HasBody: true})
+			assert.NilError(t, err)
+			c.giveUp(t, x, cancel)
+			time.Sleep(resetTime)
+			close(ended)
+			assert.Assert(t, <-received < unreadBodyBytes, "the whole request arrived")
+		})
+	}
+}
+
+const (
+	// unreadBodyBytes is the size of a body that is written at once and does not fit a small receive buffer.
+	unreadBodyBytes = 7 << 10
+	// resetTime is the time within which a reset on loopback has arrived.
+	resetTime = 50 * time.Millisecond
+)
+
+// listenWithSmallBuffer accepts one connection whose receive buffer has the smallest size.
+func listenWithSmallBuffer(t *testing.T, serve func(c net.Conn)) (address string) {
+	t.Helper()
+	small := func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		if err := raw.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
+		}); err != nil {
+			return err
+		}
+		return optionErr
+	}
+	ln, err := (&net.ListenConfig{Control: small}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		serve(c)
+	}()
+	return ln.Addr().String()
+}
+
 func TestCloseIdleClosesIdleConnections(t *testing.T) {
 	x := startTarget(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 	p := newPool()
--- a/internal/connection/paths/conn.go
+++ b/internal/connection/paths/conn.go
@@ -57,6 +57,9 @@
 	return errors.Trace(c.tcp.SetKeepAliveConfig(k))
 }
 
+// SetLinger sets what Close does with bytes that have not been sent, as for a net.TCPConn.
+func (c *tcpConn) SetLinger(sec int) error { return errors.Trace(c.tcp.SetLinger(sec)) }
+
 // Read implements net.Conn.
 func (c *directConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/connection/paths/paths_test.go
+++ b/internal/connection/paths/paths_test.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/abort"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/relay"
@@ -503,3 +504,26 @@
 		assert.Equal(t, len(n.askedHelpers()), asked)
 	})
 }
+
+// TestDirectConnectionsCanBeReset guards against connections whose written bytes still arrive after the request was
+// given up: the wrapper of a TCP connection must pass on the option that a reset needs.
+func TestDirectConnectionsCanBeReset(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	n := newNetwork()
+	table := paths.NewTable(paths.Options{
+		ID: "self", Dial: (&net.Dialer{}).DialContext, Relay: n, Prober: n, Peers: n.peers,
+		Targets: func() []string { return []string{ln.Addr().String()} }, OnBroken: func(string) {},
+		Logger: logging.Discard(), Registry: metrics.NewRegistry(), Settings: paths.Defaults(),
+	})
+	defer table.Close()
+	near, err := table.Dial(t.Context(), "tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	far, err := ln.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = far.Close() }()
+	assert.NilError(t, abort.Close(near))
+	_, err = far.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
--- a/internal/connection/paths/probe.go
+++ b/internal/connection/paths/probe.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/abort"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/relay"
 	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 )
@@ -115,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // ends Write and Read
+	stop := context.AfterFunc(ctx, func() { _ = abort.Close(c) }) // ends Write and Read
 	defer func() {
 		if stop() {
 			_ = c.Close() // the probe has ended
--- a/internal/connection/relay/link.go
+++ b/internal/connection/relay/link.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/abort"
 )
 
 // TCP keep-alive detects a target that no longer exists or can't be reached.
@@ -127,12 +128,7 @@
 // abort resets the connection to the target and discards unsent bytes, as the kernel does
 // for a connection that is closed before all its bytes were read. Errors are ignored: the
 // connection may be closed already.
-func (l *link) abort() {
-	if tcp, ok := l.conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = l.conn.Close()
-}
+func (l *link) abort() { _ = abort.Close(l.conn) }
 
 func keepAlive(conn net.Conn) {
 	if tcp, ok := conn.(interface {
--- a/test/soak/checks_of_promises_test.go
+++ b/test/soak/checks_of_promises_test.go
@@ -259,6 +259,21 @@
 			h.addFault(faultKill, "entry 1", 11, 12)
 			h.addAnnounced(14, 0)
 		}, ""},
+		"a request runs after it was answered": {func(h scriptedHistory) {
+			h.addFault(faultStallInbound, "target 1", 10, 13)
+			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
+			h.addRun("look-1", "target 1", 13, 13.1)
+		}, "which ended at 11.000s, began to run"},
+		"a request runs after it was answered by a VM that was paused": {func(h scriptedHistory) {
+			h.addFault(faultPause, "entry 2", 10, 13)
+			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
+			h.addRun("look-1", "target 1", 13, 13.1)
+		}, ""},
+		"a request runs a little after it was answered": {func(h scriptedHistory) {
+			h.addFault(faultDelay, "target 1", 10, 13)
+			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
+			h.addRun("look-1", "target 1", 11.9, 12)
+		}, ""},
 		"work continues after the caller went away": {func(h scriptedHistory) {
 			h.addRequest("draft-1", 10, 11, func(r *request) { r.cancelled = true })
 			h.addRun("draft-1", "target 1", 10, 14)
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -90,6 +90,8 @@
 type history struct {
 	begin time.Time
 	print func(string)
+	// earlierBuilds: programs of an earlier build run beside those of this one.
+	earlierBuilds bool
 
 	mu           sync.Mutex // guards the fields below
 	sentIDs      map[string]bool
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -36,6 +36,8 @@
 	// recoveryTimeout bounds the time from the last fault until all requests are
 	// served again.
 	recoveryTimeout = 12 * time.Second
+	// maxLateRun is how long after the end of a request a target may begin to run it.
+	maxLateRun = time.Second
 	// maxOverlap is how long two targets may work on the same stream.
 	maxOverlap = 400 * time.Millisecond
 	// limitWindow is the time in which a target that names a limit may receive limitFactor
@@ -143,6 +145,7 @@
 	h.checkLeavingTargets()
 	h.checkAnnouncedTargets()
 	h.checkCancelled()
+	h.checkNotRunLater()
 	h.checkOverlaps()
 	h.checkLimits()
 }
@@ -327,6 +330,23 @@
 	return known
 }
 
+// checkNotRunLater checks that no target begins to run a request maxLateRun after its caller was answered or has
+// gone away. Only a faulty VM may send it so late: what a link to a target holds back was given up. Earlier
+// builds close such connections and don't reset them.
+func (h *history) checkNotRunLater() {
+	if h.earlierBuilds {
+		return
+	}
+	for _, r := range h.answers {
+		for _, x := range h.runs[r.id] {
+			isEntry := func(f *fault) bool { return strings.HasPrefix(f.subject, "entry") && !isCut(f.kind) }
+			if x.began.After(r.ended.Add(maxLateRun)) && h.faultFree(r.sent, x.began, isEntry) {
+				h.addViolationLocked("request %s at %s, which ended at %s, began to run at %s at %s", r.id, r.entry, h.elapsed(r.ended), x.target, h.elapsed(x.began))
+			}
+		}
+	}
+}
+
 // checkCancelled checks that targets stop working on a request within maxCancelDelay
 // after its caller has gone away.
 func (h *history) checkCancelled() {
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -169,10 +169,10 @@
 	}
 	var directions sync.WaitGroup
 	directions.Go(func() {
-		p.relay(pc, pc.caller, pc.target, func(e linkState) bool { return e.holdInbound || e.cuts.hold(owner) })
+		p.relay(pc, pc.caller, pc.target, isReset, func(e linkState) bool { return e.holdInbound || e.cuts.hold(owner) })
 	})
 	directions.Go(func() {
-		p.relay(pc, pc.target, pc.caller, func(e linkState) bool { return e.holdOutbound || e.cuts.hold(owner) })
+		p.relay(pc, pc.target, pc.caller, neverDropped, func(e linkState) bool { return e.holdOutbound || e.cuts.hold(owner) })
 	})
 	directions.Wait()
 	p.mu.Lock()
@@ -202,9 +202,24 @@
 	return true
 }
 
+// isReset reports whether the peer has reset a connection that is being read.
+func isReset(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true // closed
+	}
+	pending := 0
+	err = raw.Control(func(fd uintptr) { pending, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	return err != nil || pending == int(syscall.ECONNRESET)
+}
+
+// neverDropped lets the bytes of a connection arrive that was reset meanwhile.
+func neverDropped(*net.TCPConn) bool { return false }
+
 // relay forwards bytes in one direction. When one side ends, both connections are
-// closed.
-func (p *proxy) relay(pc *proxyConn, from, to *net.TCPConn, held func(e linkState) bool) {
+// closed. Bytes that were held or delayed are lost if dropped then reports true, as those that a
+// kernel would have sent again.
+func (p *proxy) relay(pc *proxyConn, from, to *net.TCPConn, dropped func(from *net.TCPConn) bool, held func(e linkState) bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -212,6 +227,10 @@
 			return
 		}
 		if n > 0 {
+			if dropped(from) {
+				pc.close(true)
+				return
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				pc.close(true)
 				return
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -45,6 +45,7 @@
 		restartRand: newRestartRand(seed), stateRand: newStateRand(seed), upgradeRand: newUpgradeRand(seed),
 	}
 	s.history = newHistory(func(text string) { fmt.Printf("seed %d: %s\n", seed, text) })
+	s.history.earlierBuilds = s.options.oldPrograms != ""
 	var err error
 	if s.testbed, err = newTestbed(o, seed, randomSize(s.rand), s.history); err != nil {
 		return nil, err
