quarantine: a leader that knows of an answer tells the VM that refuses the key

Cause: a leader grants a trial only for a key that its own record has in quarantine. It may know better than the entry VM: that the key was answered before, so that targets which a zone lost together count once, or that an answer began after the losses that the VM reports late. It ignored those losses, granted nothing, and told the VM nothing, since it passes on only keys with several losses. Evidence: TestAnsweredKeyIsServedByAllVMs, random histories with new VMs and leaders, fails at its 5th history: refused 23.9 s after the last loss, until the test's end. The two tests of the cases by themselves fail as well: refused until their end, 50 s and 58 s after the losses. Change: a VM that wants a trial for a key which is not in quarantine, or reports losses from before an answer, is told what the leader knows; an answer before all losses is remembered.

--- a/internal/request/quarantine/fleet_test.go
+++ b/internal/request/quarantine/fleet_test.go
@@ -312,3 +312,56 @@
 		})
 	}
 }
+
+// TestAnsweredKeyIsServedByAllVMs guards against VMs that refuse a key for as long as nobody reports a
+// further loss, while others serve it: whatever each of them has seen, and whichever leader knows of it.
+func TestAnsweredKeyIsServedByAllVMs(t *testing.T) {
+	const key, settled = "sound", 12 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(rapid.IntRange(2, 4).Draw(t, "entries"))
+		now, targets := start, 0
+		steps := map[string]func(entry int){
+			"loss": func(entry int) {
+				targets++
+				zone := fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "zone"))
+				target := Target{Address: fmt.Sprint(targets), Instance: "i", AvailabilityZone: zone}
+				g.entries[entry].RecordLoss([]string{key}, Loss{Target: target, SentAt: now.Add(-100 * time.Millisecond), At: now})
+			},
+			"answer": func(entry int) {
+				if !g.entries[entry].Admit([]string{key}, now).Refused {
+					g.entries[entry].RecordBegun([]string{key}, now)
+				}
+			},
+			"exchange": func(entry int) {
+				g.send(entry, now)
+				g.receive(entry, now)
+			},
+			"new VM":     func(entry int) { g.replace(entry) },
+			"new leader": func(int) { g.changeLeader() },
+		}
+		names := []string{"loss", "loss", "loss", "answer", "exchange", "exchange", "new VM", "new leader"}
+		for range rapid.IntRange(3, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 800).Draw(t, "ms")) * time.Millisecond)
+			steps[rapid.SampledFrom(names).Draw(t, "step")](rapid.IntRange(0, len(g.entries)-1).Draw(t, "entry"))
+		}
+		refusedAt := g.admitAll(key, now.Add(100*time.Millisecond), now.Add(2*settled))
+		if refusedAt.Sub(now) > settled {
+			t.Fatalf("refused until %v after the last loss", refusedAt.Sub(now))
+		}
+	})
+}
+
+// replace replaces an entry VM by one that has seen nothing.
+func (g *group) replace(entry int) {
+	g.entries[entry] = NewTable(Options{ID: fmt.Sprint(entry), Random: func() float64 { return 0 }})
+	g.toEntry[entry], g.isNew[entry] = 0, true
+}
+
+// changeLeader replaces the leader by one that has seen nothing. Each entry VM sends all that it knows when
+// it next exchanges changes.
+func (g *group) changeLeader() {
+	g.leader = newTestTable()
+	for i := range g.entries {
+		g.toEntry[i], g.isNew[i] = 0, true
+	}
+}
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -84,7 +84,7 @@
 
 	mu   sync.Mutex // guards the fields below
 	keys map[string]*record
-	// recurrent holds the keys that had more than one loss, and that other VMs may know;
+	// recurrent holds the keys that had more than one loss, or that other VMs suspect wrongly;
 	// suspects holds those with minLosses losses or more.
 	recurrent, suspects map[string]*record
 	// begins holds when answers last began here to requests with keys.
@@ -110,7 +110,7 @@
 	// admittedAt is when this VM admitted a trial whose result it doesn't know yet.
 	admittedAt time.Time
 	// begunAt is when an answer to a request with the key last began; the zero time if none
-	// has since the first loss. begunHere: this VM has seen it.
+	// is known. begunHere: this VM has seen it.
 	begunAt   time.Time
 	begunHere bool
 	// version is the version of the table at the last change of the record.
@@ -192,7 +192,13 @@
 		t.touch(r)
 		return
 	}
-	if !l.at.After(r.begunAt) || r.has(l) {
+	if !l.at.After(r.begunAt) {
+		if !l.here {
+			t.tell(key, r)
+		}
+		return
+	}
+	if r.has(l) {
 		return
 	}
 	r.insert(l)
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -345,6 +345,66 @@
 	assert.Assert(t, n <= 5, "%d crashes", n)
 }
 
+// admitAll sends requests with the key at all entry VMs until all admit them, and answers those that are
+// admitted. It returns when the last one was refused.
+func (g *group) admitAll(key string, now, limit time.Time) (refusedAt time.Time) {
+	for ; now.Before(limit); now = now.Add(100 * time.Millisecond) {
+		refused := false
+		for _, e := range g.entries {
+			a := e.Admit([]string{key}, now)
+			if a.Refused {
+				refused, refusedAt = true, now
+				continue
+			}
+			if a.Trial {
+				e.RecordTrial(a.Keys, now)
+			}
+			e.RecordBegun([]string{key}, now)
+		}
+		if !refused {
+			return refusedAt
+		}
+		g.exchange(now)
+	}
+	return refusedAt
+}
+
+// A VM that has just started doesn't know that a popular key was answered before, so it takes targets that
+// a zone lost together for crashes by the key. The leader knows better and grants no trial: the VM refused
+// the key for a day while the others served it.
+func TestVMThatKnowsNoEarlierAnswerServesAPopularKey(t *testing.T) {
+	g := newGroup(2)
+	crash(g.entries[0], 100, second(0), []string{"popular"})
+	g.exchange(second(0.1))
+	g.entries[0].RecordBegun([]string{"popular"}, second(1))
+	g.exchange(second(1.1))
+	for i := range 4 {
+		crash(g.entries[1], i, second(10+float64(i)/100), []string{"popular"})
+	}
+	assert.Assert(t, g.entries[1].Admit([]string{"popular"}, second(10.1)).Refused)
+	refusedAt := g.admitAll("popular", second(10.1), second(60))
+	assert.Assert(t, refusedAt.Before(second(13)), "refused until %v after the losses", refusedAt.Sub(second(10)))
+}
+
+// A VM that reports its losses late, to a leader that knows of a later answer: the leader ignored them, and
+// the VM refused the key for a day while the others served it.
+func TestVMThatReportsLateLearnsOfTheAnswer(t *testing.T) {
+	g := newGroup(2)
+	for i := range 3 {
+		crash(g.entries[1], i, second(float64(i)), []string{"p"})
+	}
+	late := g.entries[1]
+	g.entries = g.entries[:1] // the leader doesn't hear from the other one
+	crash(g.entries[0], 9, second(2), []string{"p"})
+	g.exchange(second(2.1))
+	g.entries[0].RecordBegun([]string{"p"}, second(3))
+	g.exchange(second(3.1))
+	g.entries = append(g.entries, late)
+	assert.Assert(t, late.Admit([]string{"p"}, second(10)).Refused)
+	refusedAt := g.admitAll("p", second(10), second(60))
+	assert.Assert(t, refusedAt.Before(second(13)), "refused until %v after the losses", refusedAt.Sub(second(2)))
+}
+
 // Losses that different parts explain, each some of them, are not explained by any.
 func TestSeveralPartsTogetherExplainNothing(t *testing.T) {
 	tb := newTestTable()
--- a/internal/request/quarantine/shared.go
+++ b/internal/request/quarantine/shared.go
@@ -106,7 +106,9 @@
 func (t *Table) merge(s *chicoryv1.SuspectPart, now time.Time) {
 	key := s.GetPart()
 	if r := t.keys[key]; r != nil && s.GetBegunAgeMs() > 0 {
-		t.clear(key, r, before(now, s.GetBegunAgeMs()-1))
+		begun := before(now, s.GetBegunAgeMs()-1)
+		t.clear(key, r, begun)
+		r.begunAt = later(r.begunAt, begun) // an answer before all losses also counts, see distinct
 	}
 	for _, l := range s.GetLosses() {
 		at := before(now, l.GetAgeMs())
@@ -137,20 +139,31 @@
 }
 
 // GrantTrials lets an entry VM admit the trials that it wants, if they are due and no other VM
-// may admit one. Only the leader calls it: all trials of a key are counted together.
+// may admit one. An entry VM that wants one for a key that is not in quarantine is told why. Only the
+// leader calls it: all trials of a key are counted together.
 func (t *Table) GrantTrials(entry string, suspects []*chicoryv1.SuspectPart, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range suspects {
-		r := t.suspects[s.GetPart()]
-		if r == nil || !s.GetWantsTrial() || now.Before(r.trialDue()) || r.grantedTo != "" && now.Sub(r.grantedAt) < regrantAfter {
-			continue
+		r := t.keys[s.GetPart()]
+		switch {
+		case r == nil || !s.GetWantsTrial():
+		case t.suspects[s.GetPart()] == nil:
+			t.tell(s.GetPart(), r)
+		case !now.Before(r.trialDue()) && (r.grantedTo == "" || now.Sub(r.grantedAt) >= regrantAfter):
+			r.grantedTo, r.grantedAt = entry, now
+			t.touch(r)
 		}
-		r.grantedTo, r.grantedAt = entry, now
-		t.touch(r)
 	}
 }
 
+// tell lets the leader's entry VMs know what it knows about a key: one of them suspects the key because it
+// doesn't know of an answer that began. The caller holds mu.
+func (t *Table) tell(key string, r *record) {
+	t.recurrent[key] = r
+	t.touch(r)
+}
+
 func before(now time.Time, ms uint32) time.Time {
 	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -16,10 +16,12 @@
 	entries []*Table
 	// toLeader and toEntry are the versions up to which changes were sent.
 	toLeader, toEntry []uint64
+	// isNew has the entry VMs that have not exchanged changes with the leader yet.
+	isNew map[int]bool
 }
 
 func newGroup(entries int) *group {
-	g := &group{leader: newTestTable(), toLeader: make([]uint64, entries), toEntry: make([]uint64, entries)}
+	g := &group{leader: newTestTable(), toLeader: make([]uint64, entries), toEntry: make([]uint64, entries), isNew: map[int]bool{}}
 	for i := range entries {
 		g.entries = append(g.entries, NewTable(Options{ID: fmt.Sprint(i), Random: func() float64 { return 0 }}))
 	}
@@ -28,16 +30,33 @@
 
 // exchange sends the changes of all entry VMs to the leader, and those of the leader to them.
 func (g *group) exchange(now time.Time) {
-	var changes []*chicoryv1.SuspectPart
-	for i, e := range g.entries {
-		changes, g.toLeader[i] = e.LocalChanges(g.toLeader[i], now)
-		g.leader.Merge(changes, now)
-		g.leader.GrantTrials(fmt.Sprint(i), changes, now)
+	for i := range g.entries {
+		g.send(i, now)
 	}
-	for i, e := range g.entries {
-		changes, g.toEntry[i] = g.leader.RecurrentChanges(g.toEntry[i], now)
-		e.Merge(changes, now)
+	for i := range g.entries {
+		g.receive(i, now)
+	}
+}
+
+// send sends what an entry VM has to tell to the leader.
+func (g *group) send(entry int, now time.Time) {
+	e := g.entries[entry]
+	var changes []*chicoryv1.SuspectPart
+	if g.isNew[entry] {
+		changes, g.toLeader[entry] = e.All(now)
+		delete(g.isNew, entry)
+	} else {
+		changes, g.toLeader[entry] = e.LocalChanges(g.toLeader[entry], now)
 	}
+	g.leader.Merge(changes, now)
+	g.leader.GrantTrials(fmt.Sprint(entry), changes, now)
+}
+
+// receive sends the changes of the leader to an entry VM.
+func (g *group) receive(entry int, now time.Time) {
+	var changes []*chicoryv1.SuspectPart
+	changes, g.toEntry[entry] = g.leader.RecurrentChanges(g.toEntry[entry], now)
+	g.entries[entry].Merge(changes, now)
 }
 
 // loseTargets records losses of targets with the key, one a second from second 0 on, at entry VMs in turn.
