ratelimit: callers of urgent routes return first when targets take requests again

Evidence: TestUrgentCallersReturnFirst fails before: callers of priority 1 from 5.03 s on, the more urgent ones until 5.19 s. Change: a request has the priority of its team or route; those of each of three ranks return spread over 0.2 s, the higher one first.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -307,13 +307,16 @@
 	if route == nil {
 		return nil, fault.New(fault.UnknownRoute, "no route for host %q and path %q", host, path)
 	}
-	a := &exchange.AdmittedRequest{Request: req, Route: route, Version: view.Version()}
+	a := &exchange.AdmittedRequest{Request: req, Route: route, Version: view.Version(), Priority: route.Priority}
 	if view.HasTeams() && !route.Public {
 		team := view.TeamByKey(req.APIKey)
 		if team == nil {
 			return nil, fault.New(fault.Unauthenticated, "the API key does not belong to any team")
 		}
 		a.Team = team.Name
+		if team.Priority != nil {
+			a.Priority = *team.Priority
+		}
 	}
 	a.Service = view.Service(route.ChooseService(f.opts.Random()))
 	timeout := route.Timeout
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -70,6 +70,8 @@
 	Version uint64
 	// Team is empty if the configuration has no teams or the route is public.
 	Team string
+	// Priority is that of the team or, if it has none, of the route; 0 is the highest.
+	Priority int
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
 
--- a/internal/request/exchange/permit.go
+++ b/internal/request/exchange/permit.go
@@ -11,7 +11,7 @@
 
 // claim returns the claim of the request to a permit.
 func (a *AdmittedRequest) claim(class ratelimit.Class) *ratelimit.Claim {
-	return &ratelimit.Claim{Service: a.Service.Name, Team: a.Team, Class: class, Deadline: a.Deadline}
+	return &ratelimit.Claim{Service: a.Service.Name, Team: a.Team, Class: class, Priority: a.Priority, Deadline: a.Deadline}
 }
 
 func (a *AdmittedRequest) callClass() ratelimit.Class {
--- a/internal/request/ratelimit/closed.go
+++ b/internal/request/ratelimit/closed.go
@@ -16,9 +16,11 @@
 	// maxUnusableTime is the time after which callers return that were refused although their service has
 	// a target that is not closed: it may be usable again.
 	maxUnusableTime = time.Second
-	// returnSpread is the time after the first target takes requests again over which callers that were
-	// refused return.
-	returnSpread = 500 * time.Millisecond
+	// returnSpread is the time over which refused callers of one rank return. Those of the first rank do from
+	// when the first target takes requests again, those of each further one after the one before.
+	returnSpread = 200 * time.Millisecond
+	// returnRanks is the number of ranks; requests with a lower priority are in the last one.
+	returnRanks = 3
 )
 
 // closing states that a start of a target takes no requests from this VM until a time.
@@ -131,10 +133,17 @@
 		wait = min(wait, maxUnusableTime)
 	}
 	t.refused.Inc(1)
-	retryAfter := wait + time.Duration(rand.Float64()*float64(returnSpread))
+	retryAfter := wait + c.returnDelay()
 	return fault.New(fault.Overloaded, "no target of service %q takes requests at the moment", c.Service).WithRetryAfter(retryAfter)
 }
 
+// returnDelay returns how long after a target takes requests again a refused caller returns: the more urgent
+// ones first, and not together.
+func (c *Claim) returnDelay() time.Duration {
+	rank := min(max(c.Priority, 0), returnRanks-1)
+	return time.Duration((float64(rank) + rand.Float64()) * float64(returnSpread))
+}
+
 // closedCount returns the number of targets that take no requests from this VM.
 func (t *Table) closedCount() int64 {
 	t.mu.Lock()
--- a/internal/request/ratelimit/closed_test.go
+++ b/internal/request/ratelimit/closed_test.go
@@ -59,6 +59,28 @@
 	})
 }
 
+// TestUrgentCallersReturnFirst guards against callers of urgent routes that find the targets full when they take
+// requests again, because the others have returned with them.
+func TestUrgentCallersReturnFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := closedTable()
+		last := closedTime
+		for priority := range returnRanks + 1 {
+			first, latest := time.Hour, time.Duration(0)
+			for range 20 {
+				_, err := tb.Await(t.Context(), &Claim{Service: service, Class: ClassOther, Priority: priority, Deadline: time.Now().Add(time.Minute)})
+				wait := fault.Of(err).RetryAfter
+				first, latest = min(first, wait), max(latest, wait)
+			}
+			if priority < returnRanks {
+				assert.Assert(t, first >= last, "callers of priority %d return from %v on, the more urgent ones until %v", priority, first, last)
+			}
+			last = latest
+		}
+		assert.Assert(t, last <= closedTime+returnRanks*returnSpread, "%v", last)
+	})
+}
+
 // TestRequestWaitsForATargetThatReopensSoon guards against requests that are refused though a target takes
 // them in time, and against streams that have begun and are broken off.
 func TestRequestWaitsForATargetThatReopensSoon(t *testing.T) {
--- a/internal/request/ratelimit/queue.go
+++ b/internal/request/ratelimit/queue.go
@@ -46,7 +46,9 @@
 type Claim struct {
 	Service, Team string
 	Class         Class
-	Deadline      time.Time
+	// Priority orders the return of callers that are refused; 0 returns first.
+	Priority int
+	Deadline time.Time
 
 	// admitted: Await has decided that the request may wait.
 	admitted bool
