--- a/Makefile
+++ b/Makefile
@@ -57,11 +57,12 @@
 	$(if $(OLD),./scripts/build-commit.sh $(OLD) bin/old-$(OLD))
 	bin/soak run -seed $(SEED) -count $(COUNT) -for $(SOAK_TIME) $(if $(OLD),-old bin/old-$(OLD))
 
-# The soak test in CI: a fixed seed, and every seed that has failed before.
+# The soak test in CI: a fixed seed, every seed that has failed before, and one beside an earlier build.
 soak-ci: build
 	go test -c -o bin/soak ./test/soak
 	bin/soak run -seed 1 -for 12s
 	bin/soak run -regressions -for 4s
+	./scripts/soak-upgrade.sh
 
 demo: build
 	./scripts/demo.sh
