--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -172,6 +172,31 @@
 	assert.Equal(t, trials, maxTrials)
 }
 
+// TestDeadlyRequestUsesNoTrialsOfSoundParts guards against sound parts that stay in quarantine because the requests
+// that crash targets share them, and use up the trials: the sound requests are refused for minutes.
+func TestDeadlyRequestUsesNoTrialsOfSoundParts(t *testing.T) {
+	g := newGroup(1)
+	entry, deadly, sound := g.entries[0], []string{"a", "deadly", "b"}, []string{"a", "b"}
+	for i := range 3 {
+		crash(entry, i, second(float64(i)), deadly)
+		crash(entry, 10+i, second(float64(i)+0.5), sound) // for another reason
+	}
+	lost := 0
+	for now := second(3); now.Before(second(60)); now = now.Add(100 * time.Millisecond) {
+		if a := entry.Admit(deadly, now); a.Trial {
+			lost++
+			entry.RecordTrial(a.Keys, now)
+			entry.RecordLoss(deadly, Loss{Target: Target{Address: fmt.Sprint(100 + lost)}, SentAt: now, At: now.Add(time.Millisecond), TrialKeys: a.Keys})
+		}
+		if a := entry.Admit(sound, now); !a.Refused {
+			assert.Assert(t, now.Before(second(6)), "refused until %v after the last loss for another reason", now.Sub(second(2.5)))
+			return
+		}
+		g.exchange(now)
+	}
+	t.Fatalf("sound requests are refused for a minute; %d deadly ones were trials", lost)
+}
+
 // A call that is sent again as soon as its target is lost crashes three within 200 ms.
 func TestLossesInSequenceAreNoCoincidence(t *testing.T) {
 	tb := newTestTable()
