soak: a request that a link held until its deadline is not interrupted by a stop

The check excuses faults of targets that ran a request; since links lose what they hold when a connection is reset, no target ever runs it. Change: links report when they hold bytes of a VM; a 504 without a run whose bytes began to be held in its time is excused, and nothing else: four histories.

--- a/test/soak/checks_of_promises_test.go
+++ b/test/soak/checks_of_promises_test.go
@@ -413,6 +413,23 @@
 			h.addRequest("pay-1", 10, 12, setStatus(http.StatusBadGateway))
 			h.resets["entry 1"] = []time.Time{h.secondAt(11.95)}
 		}, false},
+		"it was sent over a link that held it until its deadline": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusGatewayTimeout))
+			h.held["entry 1"] = []time.Time{h.secondAt(10.1)}
+		}, false},
+		"a link held bytes before it was sent": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusGatewayTimeout))
+			h.held["entry 1"] = []time.Time{h.secondAt(9.9)}
+		}, true},
+		"it ended before its deadline while a link held bytes": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusBadGateway))
+			h.held["entry 1"] = []time.Time{h.secondAt(10.1)}
+		}, true},
+		"it ran at a sound target while a link held bytes": {func(h scriptedHistory) {
+			h.addRequest("pay-1", 10, 12, setStatus(http.StatusGatewayTimeout))
+			h.addRun("pay-1", "target 1", 10.1, 12)
+			h.held["entry 1"] = []time.Time{h.secondAt(10.1)}
+		}, true},
 		"a connection was reset long before": {func(h scriptedHistory) {
 			h.addRequest("pay-1", 10, 12, setStatus(http.StatusBadGateway))
 			h.resets["entry 1"] = []time.Time{h.secondAt(11.5)}
--- a/test/soak/cut_test.go
+++ b/test/soak/cut_test.go
@@ -59,10 +59,11 @@
 }
 
 // trackOwners lets the proxies in front of the targets find the owners of their
-// connections, for cutFromTargets, and records when they reset one.
+// connections, for cutFromTargets, and records when they reset one or hold its bytes back.
 func (tb *testbed) trackOwners() {
 	for _, host := range tb.targets {
 		host.proxy.setOwner(tb.owner, func(owner *program) { tb.history.recordReset(owner.id) })
+		host.proxy.setOnHold(func(owner *program) { tb.history.recordHeld(owner.id) })
 	}
 }
 
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -426,8 +426,9 @@
 		})
 		cut := r.status != 0 && !h.faultFree(r.sent, r.ended, func(f *fault) bool { return f.subject == entry && isCut(f.kind) })
 		reset := r.status == http.StatusBadGateway && len(runs) == 0 && h.resetBetween(entry, r.ended.Add(-resetTolerance), r.ended)
+		held := r.status == http.StatusGatewayTimeout && len(runs) == 0 && h.heldBetween(entry, r.sent, r.ended)
 		read := len(runs) > 0 || r.ended.Sub(r.sent) > unreadTolerance+timingTolerance
-		if read && !faulty && !cut && !reset {
+		if read && !faulty && !cut && !reset && !held {
 			h.addViolationLocked("request %s at %s, sent at %s, was interrupted by a graceful stop that began at %s: status %d, %v", r.id, entry, h.elapsed(r.sent), h.elapsed(from), r.status, r.err)
 		}
 	}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -39,6 +39,8 @@
 	owner func(caller *net.TCPConn) *program
 	// onReset is called when the proxy resets a connection of a program; nil means no call.
 	onReset func(owner *program)
+	// onHold is called when bytes of a program wait in the link; nil means no call.
+	onHold func(owner *program)
 }
 
 // proxyConn is one forwarded connection.
@@ -110,6 +112,23 @@
 	p.owner, p.onReset = owner, onReset
 }
 
+// setOnHold sets the function that is called with the owners of bytes that the link holds back.
+func (p *proxy) setOnHold(onHold func(owner *program)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onHold = onHold
+}
+
+// reportHeld reports that bytes of owner, if that is known, wait in the link.
+func (p *proxy) reportHeld(owner *program) {
+	p.mu.Lock()
+	onHold := p.onHold
+	p.mu.Unlock()
+	if onHold != nil && owner != nil {
+		onHold(owner)
+	}
+}
+
 // replaceLocked replaces the state. The caller holds mu.
 func (p *proxy) replaceLocked(e linkState) {
 	p.state = e
@@ -169,7 +188,13 @@
 	}
 	var directions sync.WaitGroup
 	directions.Go(func() {
-		p.relay(pc, pc.caller, pc.target, isReset, func(e linkState) bool { return e.holdInbound || e.cuts.hold(owner) })
+		p.relay(pc, pc.caller, pc.target, isReset, func(e linkState) bool {
+			isHeld := e.holdInbound || e.cuts.hold(owner)
+			if isHeld {
+				p.reportHeld(owner)
+			}
+			return isHeld
+		})
 	})
 	directions.Go(func() {
 		p.relay(pc, pc.target, pc.caller, neverDropped, func(e linkState) bool { return e.holdOutbound || e.cuts.hold(owner) })
