quarantine: all requests that a target takes with it count as evidence

Callers saw 503 prompt_quarantined for sound prompts for as long as deadly prompts with the same parts came in. Cause: of several requests with one key that are lost with a target, the record of the key kept the number of the first. When that was a sound request, the record of a shared part showed no deadly request, so that the deadly part, which only occurs in requests with it, explained nothing. Whether it was so depended on the order of the losses and the VMs. A trial that is lost beside another request counts as one. TestSuspectsAreSentOnce shared the losses of two tables with requests of their own, which is news now; it shares the same table twice, as its line above says.

--- a/internal/connection/feed/suspects_test.go
+++ b/internal/connection/feed/suspects_test.go
@@ -75,12 +75,12 @@
 
 // A follower gets each change of a suspect part once.
 func TestSuspectsAreSentOnce(t *testing.T) {
-	state := NewSharedState()
-	shareSuspects(quarantinedPart("deadly"), state)
+	state, entry := NewSharedState(), quarantinedPart("deadly")
+	shareSuspects(entry, state)
 	f := &followerState{server: NewServer(&staticSource{members: []string{"c1"}}, state), entryID: "entry2"}
 	m, _, _ := f.nextMessage()
 	assert.Equal(t, len(m.GetSuspects()), 1)
-	shareSuspects(quarantinedPart("deadly"), state)
+	shareSuspects(entry, state)
 	time.Sleep(time.Millisecond)
 	m, _, _ = f.nextMessage()
 	assert.Equal(t, len(m.GetSuspects()), 0)
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -185,18 +185,25 @@
 	return len(t.distinct(qKey, q)) > len(t.distinct(rKey, r))
 }
 
-// isOnlyIn reports whether the losses of r are all those of requests with the key of q.
-func (r *record) isOnlyIn(q *record) bool {
-	return !slices.ContainsFunc(r.losses, func(l loss) bool {
-		return !slices.ContainsFunc(q.losses, func(other loss) bool { return l.id == other.id })
-	})
+// isOnlyIn reports whether all requests that were lost with the key of r have the key of q.
+func (r *record) isOnlyIn(q *record) bool { return areRequestsOf(q, r.losses) }
+
+// areRequestsOf reports whether all requests of the losses have the key of r.
+func areRequestsOf(r *record, losses []loss) bool {
+	for _, l := range losses {
+		known := r.find(l)
+		if known == nil || slices.ContainsFunc(l.requests, func(request uint64) bool { return !known.has(request) }) {
+			return false
+		}
+	}
+	return true
 }
 
 // hasNearly reports whether each loss but otherCauses is in one of the records as well.
 func hasNearly(losses []loss, records ...*record) bool {
 	n := 0
 	for _, l := range losses {
-		if slices.ContainsFunc(records, func(r *record) bool { return r.has(l) }) {
+		if slices.ContainsFunc(records, func(r *record) bool { return r.find(l) != nil }) {
 			n++
 		}
 	}
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -52,6 +52,9 @@
 	// maxKeys and maxLossesPerKey limit the memory; the oldest are removed.
 	maxKeys         = 4096
 	maxLossesPerKey = 16
+	// maxRequestsPerLoss limits the requests with one key that are told apart at one target start; further
+	// ones are not remembered.
+	maxRequestsPerLoss = 32
 )
 
 // periods are the lengths of the quarantine before each trial, counted from the last loss.
@@ -117,21 +120,37 @@
 	version uint64
 }
 
-// loss is the loss of a target in the record of one key. id is random and identifies the request.
+// loss is the loss of a target in the record of one key.
 type loss struct {
 	target     Target
 	sentAt, at time.Time
-	id         uint64
-	// trial: the request was a trial of the key.
+	// requests identifies those with the key that were lost with the target, by random numbers.
+	requests []uint64
+	// trial: one of the requests was a trial of the key.
 	trial bool
-	// here: this VM has seen the loss.
+	// here: this VM has seen the loss of one of the requests.
 	here bool
 }
 
 // isSame reports whether two reports are about one loss. The time of a report grows by its
 // delay with each VM that passes it on, and requests are lost at a target that is gone already.
 func (l loss) isSame(other loss) bool {
-	return l.id == other.id || l.target.isSameStart(other.target) && l.at.Sub(other.at).Abs() < sameLoss
+	return l.target.isSameStart(other.target) && (l.at.Sub(other.at).Abs() < sameLoss || slices.ContainsFunc(l.requests, other.has))
+}
+
+func (l loss) has(request uint64) bool { return slices.Contains(l.requests, request) }
+
+// merge adds what another report about the same loss says, and reports whether any of it is new.
+func (l *loss) merge(report loss) bool {
+	isNew := report.trial && !l.trial
+	l.trial = l.trial || report.trial
+	for _, request := range report.requests {
+		if len(l.requests) < maxRequestsPerLoss && !l.has(request) {
+			l.requests, isNew = append(l.requests, request), true
+		}
+	}
+	l.here = l.here || isNew && report.here
+	return isNew
 }
 
 func (t Target) isSameStart(other Target) bool {
@@ -160,7 +179,7 @@
 	id := rand.Uint64()
 	for _, key := range keys {
 		t.addLoss(key, loss{
-			target: l.Target, sentAt: l.SentAt, at: l.At, id: id, trial: slices.Contains(l.TrialKeys, key), here: true,
+			target: l.Target, sentAt: l.SentAt, at: l.At, requests: []uint64{id}, trial: slices.Contains(l.TrialKeys, key), here: true,
 		})
 	}
 }
@@ -178,7 +197,7 @@
 	}
 }
 
-// addLoss adds a loss that is new and later than the last answer that began. The caller
+// addLoss adds a loss, or what is new about it, if it is later than the last answer that began. The caller
 // holds mu.
 func (t *Table) addLoss(key string, l loss) {
 	r := t.keys[key]
@@ -192,7 +211,13 @@
 		t.touch(r)
 		return
 	}
-	if !l.at.After(r.begunAt) || r.has(l) {
+	if !l.at.After(r.begunAt) {
+		return
+	}
+	if known := r.find(l); known != nil {
+		if known.merge(l) {
+			t.touch(r)
+		}
 		return
 	}
 	r.insert(l)
@@ -238,8 +263,12 @@
 	t.changed = make(chan struct{})
 }
 
-func (r *record) has(l loss) bool {
-	return slices.ContainsFunc(r.losses, l.isSame)
+// find returns what is known about a loss, or nil.
+func (r *record) find(l loss) *loss {
+	if i := slices.IndexFunc(r.losses, l.isSame); i >= 0 {
+		return &r.losses[i]
+	}
+	return nil
 }
 
 // insert adds a loss in order of its time, and removes the oldest beyond the limit.
--- a/internal/request/quarantine/quarantine_test.go
+++ b/internal/request/quarantine/quarantine_test.go
@@ -434,3 +434,28 @@
 	}
 	assert.Assert(t, tb.Admit([]string{"deadly"}, second(30)).Refused)
 }
+
+// TestSoundRequestAtTheSameTargetsIsServed guards against sound requests that are refused because each target
+// that a deadly request crashed ran one of them as well, at the same VM or at another: all parts of the sound
+// requests are in the deadly one, and were lost as often.
+func TestSoundRequestAtTheSameTargetsIsServed(t *testing.T) {
+	sound, deadly := []string{"a", "b"}, []string{"a", "deadly", "b"}
+	for name, at := range map[string][2]int{"one VM": {0, 0}, "two VMs": {0, 1}} {
+		for _, order := range [][2]int{{0, 1}, {1, 0}} {
+			t.Run(fmt.Sprintf("%s, order %v", name, order), func(t *testing.T) {
+				g, requests := newGroup(2), [][]string{sound, deadly}
+				for i := range 3 {
+					for _, k := range order {
+						crash(g.entries[at[k]], i, second(float64(i)), requests[k])
+						g.exchange(second(float64(i) + 0.1))
+					}
+				}
+				g.exchange(second(2.2))
+				for i, e := range g.entries {
+					assert.Check(t, !e.Admit(sound, second(2.3)).Refused, "sound request at entry VM %d", i)
+					assert.Check(t, e.Admit(deadly, second(2.3)).Refused, "deadly request at entry VM %d", i)
+				}
+			})
+		}
+	}
+}
--- a/internal/request/quarantine/shared.go
+++ b/internal/request/quarantine/shared.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -73,7 +74,7 @@
 		if l.here || !localOnly {
 			s.Losses = append(s.Losses, &chicoryv1.EngineLoss{
 				Address: l.target.Address, Instance: l.target.Instance, AvailabilityZone: l.target.AvailabilityZone,
-				AgeMs: ageMs(now, l.at), DurationMs: ageMs(l.at, l.sentAt), Id: l.id, Trial: l.trial,
+				AgeMs: ageMs(now, l.at), DurationMs: ageMs(l.at, l.sentAt), Id: l.requests[0], FurtherIds: slices.Clone(l.requests[1:]), Trial: l.trial,
 			})
 		}
 	}
@@ -117,7 +118,8 @@
 		}
 		t.addLoss(key, loss{
 			target: Target{l.GetAddress(), l.GetInstance(), l.GetAvailabilityZone()},
-			sentAt: before(at, l.GetDurationMs()), at: at, id: l.GetId(), trial: l.GetTrial(),
+			sentAt: before(at, l.GetDurationMs()), at: at, trial: l.GetTrial(),
+			requests: append([]uint64{l.GetId()}, l.GetFurtherIds()...),
 		})
 	}
 	if r := t.keys[key]; r != nil && len(r.losses) > 0 {
