quarantine: requests without a likelier key are the first trials of the others

Cause: a request that holds a deadly part was the trial of the sound parts in it, too; three such trials use up those of the sound parts. A request that holds a likelier key (not answered for longer, or in some of the lost requests of the other key only) is now the trial of its other keys 3 s after theirs is due, so that other requests with them go first, and asks for a trial only when all its keys are due.

--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -13,6 +13,9 @@
 	// maxExplained is the number of losses from which a key is not explained by one whose
 	// requests were answered before: a request that was sound may crash targets later.
 	maxExplained = minLosses + 2
+	// othersFirst is the time for which a request is no trial of a key if another of its keys is likelier to
+	// crash targets: time for another VM to be granted the trial and to use it.
+	othersFirst = grantLifetime
 )
 
 // Admission is the result of a check.
@@ -26,6 +29,8 @@
 	Trial bool
 	// Keys are the keys in quarantine or on trial. At least one of them crashes targets, or did.
 	Keys []string
+	// trialDue is when the request may be a trial of all Keys.
+	trialDue time.Time
 }
 
 // Admit checks a request that contains keys. If it is refused and might be a trial, this VM asks
@@ -39,7 +44,7 @@
 		switch {
 		case a.Trial:
 			r.admittedAt = now
-		case !now.Before(r.trialDue()) && now.Sub(r.wantedAt) >= wantInterval:
+		case !now.Before(a.trialDue) && now.Sub(r.wantedAt) >= wantInterval:
 			r.wantedAt = now
 			t.touch(r)
 		}
@@ -110,26 +115,60 @@
 // check returns the admission of a request that contains keys. The caller holds mu.
 func (t *Table) check(keys []string, now time.Time) Admission {
 	var a Admission
-	trial := true
 	for _, key := range keys {
-		r := t.suspects[key]
-		if r == nil || len(t.distinct(key, r)) < minLosses || t.isExplained(key, r, keys) {
-			continue
+		if r := t.suspects[key]; r != nil && len(t.distinct(key, r)) >= minLosses && !t.isExplained(key, r, keys) {
+			a.Keys = append(a.Keys, key)
 		}
-		a.Keys = append(a.Keys, key)
-		a.Wait = max(a.Wait, r.wait(now))
-		trial = trial && t.mayTry(r, now)
 	}
-	switch {
-	case len(a.Keys) == 0:
+	if len(a.Keys) == 0 {
 		return a
-	case trial:
-		return Admission{Trial: true, Keys: a.Keys}
 	}
-	a.Refused, a.Wait = true, time.Duration((1+t.opts.Random()/2)*float64(a.Wait))
+	isGranted := true
+	released := t.releasedAt(keys)
+	for _, key := range a.Keys {
+		a.trialDue = later(a.trialDue, t.trialDue(key, keys, released))
+		isGranted = isGranted && t.mayTry(t.suspects[key], now)
+	}
+	if isGranted && !now.Before(a.trialDue) {
+		a.Trial = true
+		return a
+	}
+	wait := max(a.trialDue.Sub(now), wantInterval)
+	a.Refused, a.Wait = true, time.Duration((1+t.opts.Random()/2)*float64(wait))
 	return a
 }
 
+// trialDue is when a request with keys, the last of which left quarantine at released, may be a trial of one
+// of them. If another one of them is likelier to crash targets, other requests with the key go first: they
+// show whether it is sound. They may have had to wait for the released key. The caller holds mu.
+func (t *Table) trialDue(key string, keys []string, released time.Time) time.Time {
+	r := t.suspects[key]
+	for _, other := range keys {
+		if q := t.suspects[other]; q != nil && t.isLikelier(other, q, key, r) {
+			return later(r.trialDue(), released).Add(othersFirst)
+		}
+	}
+	return r.trialDue()
+}
+
+// isLikelier reports whether, of two keys of a request, that of q is likelier to crash targets than that of r:
+// r was answered in requests without it, or is also lost in such. The caller holds mu.
+func (t *Table) isLikelier(qKey string, q *record, rKey string, r *record) bool {
+	ofQ, ofR := t.lastBegun(qKey, q), t.lastBegun(rKey, r)
+	return ofQ.Before(ofR) || q.isNarrower(r, later(ofQ, ofR))
+}
+
+// releasedAt is when the last one of keys left quarantine. The caller holds mu.
+func (t *Table) releasedAt(keys []string) time.Time {
+	var last time.Time
+	for _, key := range keys {
+		if r := t.keys[key]; r != nil {
+			last = later(last, r.releasedAt)
+		}
+	}
+	return last
+}
+
 // mayTry reports whether this VM may admit a trial now.
 func (t *Table) mayTry(r *record, now time.Time) bool {
 	return r.grantedTo == t.opts.ID && t.opts.ID != "" && now.Sub(r.grantedAt) < grantLifetime && r.admittedAt.IsZero()
@@ -150,11 +189,6 @@
 	return later(last.Add(periods[lost]), r.trialAt.Add(undecidedPeriod))
 }
 
-// wait is the time until a further request is useful.
-func (r *record) wait(now time.Time) time.Duration {
-	return max(r.trialDue().Sub(now), wantInterval)
-}
-
 // isExplained reports whether other keys that are not in the request explain the losses of r,
 // the record of key. One does if it has nearly all of them, and either was always in the same
 // requests, so that a request with one of the two shows which it is, or is more suspect. Several
@@ -199,6 +233,23 @@
 	return true
 }
 
+// isNarrower reports whether the requests that were lost with the key of r since a time are some of those
+// with the key of q, and not all of them.
+func (r *record) isNarrower(q *record, since time.Time) bool {
+	losses := r.lossesSince(since)
+	return len(losses) > 0 && areRequestsOf(q, losses) && !areRequestsOf(r, q.lossesSince(since))
+}
+
+// lossesSince returns the losses after a time.
+func (r *record) lossesSince(at time.Time) []loss {
+	for i, l := range r.losses {
+		if l.at.After(at) {
+			return r.losses[i:]
+		}
+	}
+	return nil
+}
+
 // hasNearly reports whether each loss but otherCauses is in one of the records as well.
 func hasNearly(losses []loss, records ...*record) bool {
 	n := 0
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -116,6 +116,8 @@
 	// is known. begunHere: this VM has seen it.
 	begunAt   time.Time
 	begunHere bool
+	// releasedAt is when such an answer last ended the quarantine of the key.
+	releasedAt time.Time
 	// version is the version of the table at the last change of the record.
 	version uint64
 }
@@ -245,8 +247,9 @@
 	}
 	r.begunAt, r.begunHere = at, false
 	r.trials, r.trialAt, r.grantedTo, r.admittedAt = 0, time.Time{}, "", time.Time{}
-	if len(t.distinct(key, r)) < minLosses {
+	if t.suspects[key] != nil && len(t.distinct(key, r)) < minLosses {
 		delete(t.suspects, key)
+		r.releasedAt = at
 	}
 	t.touch(r)
 	return true
