exchange: a request is found to crash targets once other VMs can have reported the losses

A sound stream that lost three engines, to requests with a deadly part at another entry VM, ended with 502 request_quarantined. Cause: it was judged as soon as its third loss was recorded; the other VM's report of the same losses, which makes the deadly part the likelier cause, takes two exchanges with the leader. Such a request, stream or call, waits until 300 ms after the last loss and is refused if it is in quarantine then. It is at no target meanwhile, and requests that come in are refused at once, as before. Evidence: TestSoundRequestAwaitsReportsOfOtherVMs, both cases failed before. TestWaitingRequestWithQuarantinedPartIsEnded required the refusal at the time of the third loss; it requires the end of the attempt then, and the refusal 300 ms later.

--- a/internal/request/exchange/once.go
+++ b/internal/request/exchange/once.go
@@ -47,7 +47,7 @@
 		if a.trial.wasSent() {
 			return s.noTargetError(a, len(tried)+1)
 		}
-		if err := s.quarantineError(a, 0); err != nil {
+		if err := s.settledQuarantineError(ctx, a, 0); err != nil {
 			return err
 		}
 		tried = append(tried, t.target)
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -135,6 +135,24 @@
 	return err
 }
 
+// settledQuarantineError is quarantineError once other VMs have reported what they know of the losses: a
+// sound request is at the same targets as one that crashes them.
+func (s *Service) settledQuarantineError(ctx context.Context, a *AdmittedRequest, runs int) error {
+	for {
+		err := s.quarantineError(a, runs)
+		if err == nil {
+			return nil
+		}
+		unsettled := s.opts.Quarantine.Check(a.keys, time.Now()).Unsettled
+		if unsettled <= 0 {
+			return err
+		}
+		if !pause.For(ctx, min(unsettled, s.opts.Settings.PlaceInterval)) {
+			return contextError(ctx, runs > 0)
+		}
+	}
+}
+
 // isConnectionEnd reports whether a target ended its connection. A target that sends what is
 // no valid response is not lost.
 func isConnectionEnd(err error) bool {
--- a/internal/request/exchange/repeat.go
+++ b/internal/request/exchange/repeat.go
@@ -138,7 +138,7 @@
 	if isIsolated(failed.err) {
 		return false
 	}
-	if c.s.quarantineError(c.a, c.possibleRuns) != nil || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
+	if c.isQuarantined(ctx) || ctx.Err() != nil || c.possibleRuns >= c.a.maxAttempts() || c.refused >= c.s.opts.Settings.MaxRefusals {
 		return false
 	}
 	if failed.outcome != outcomeNotSent {
@@ -156,6 +156,14 @@
 	return true
 }
 
+// isQuarantined reports whether the call was found to crash targets.
+func (c *hedgedCall) isQuarantined(ctx context.Context) bool {
+	if c.running > 0 {
+		return c.s.quarantineError(c.a, c.possibleRuns) != nil
+	}
+	return c.s.settledQuarantineError(ctx, c.a, c.possibleRuns) != nil
+}
+
 // hedge starts a second attempt in parallel to a slow one.
 func (c *hedgedCall) hedge(ctx context.Context) {
 	if c.a.trial != nil || c.running != 1 || c.possibleRuns >= c.a.maxAttempts() {
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -138,7 +138,7 @@
 // be tried.
 func (st *stream) awaitRetry(ctx context.Context) error {
 	if !st.headerSent {
-		if err := st.s.quarantineError(st.a, st.possibleRuns); err != nil {
+		if err := st.s.settledQuarantineError(ctx, st.a, st.possibleRuns); err != nil {
 			return err
 		}
 		if st.a.trial.wasSent() {
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -16,6 +16,9 @@
 	// othersFirst is the time for which a request is no trial of a key if another of its keys is likelier to
 	// crash targets: time for another VM to be granted the trial and to use it.
 	othersFirst = grantLifetime
+	// reportTime is the time after a loss by which this VM knows what other VMs report of it: a report
+	// goes to the leader and comes back with two of the exchanges, up to 100 ms apart each.
+	reportTime = 300 * time.Millisecond
 )
 
 // Admission is the result of a check.
@@ -31,6 +34,8 @@
 	Keys []string
 	// trialDue is when the request may be a trial of all Keys.
 	trialDue time.Time
+	// Unsettled is how long reports of other VMs may still come that explain the losses of Keys.
+	Unsettled time.Duration
 }
 
 // Admit checks a request that contains keys. If it is refused and might be a trial, this VM asks
@@ -127,6 +132,7 @@
 	released := t.releasedAt(keys)
 	for _, key := range a.Keys {
 		a.trialDue = later(a.trialDue, t.trialDue(key, keys, released))
+		a.Unsettled = max(a.Unsettled, t.suspects[key].lastChange().Add(reportTime).Sub(now))
 		isGranted = isGranted && t.mayTry(t.suspects[key], now)
 	}
 	if isGranted && !now.Before(a.trialDue) {
