exchange: the loss of an attempt is reported with the trial that the attempt was

Cause: what a failed attempt shows is found out in up to 400 ms, and its request goes on after 50 ms. What the report says is taken when the attempt ends. Calls take it the same way.

--- a/internal/request/exchange/blame.go
+++ b/internal/request/exchange/blame.go
@@ -8,6 +8,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 )
 
 const (
@@ -43,7 +44,8 @@
 
 // reportCall reports an attempt to the picker and to the quarantine.
 func (s *Service) reportCall(ctx context.Context, a *AdmittedRequest, t *attempt, p request.Placement, sentAt time.Time) {
-	result, endedAt := t.targetResult(ctx), time.Now()
+	result := t.targetResult(ctx)
+	loss := quarantine.Loss{Target: targetOf(p.Target), SentAt: sentAt, At: time.Now(), TrialKeys: a.trialKeys()}
 	switch result {
 	case request.ResultSuccess:
 		p.Done(result, t.latency)
@@ -56,7 +58,7 @@
 			}
 			p.Done(result, 0)
 			if lost {
-				s.recordTargetLoss(a, targetOf(p.Target), sentAt, endedAt)
+				s.recordTargetLoss(a, loss)
 			}
 		})
 	default:
@@ -77,17 +79,19 @@
 	if !showsLoss && !lost {
 		return
 	}
-	sentAt, endedAt, maxWait := st.dispatchedAt, time.Now(), time.Duration(0)
+	// What the blame shows is of this attempt: the request may be a trial, or in another attempt, by then.
+	loss := quarantine.Loss{Target: targetOf(run.Target), SentAt: st.dispatchedAt, At: time.Now(), TrialKeys: st.a.trialKeys()}
+	maxWait := time.Duration(0)
 	if showsLoss {
 		maxWait = maxBlameWait
 	}
 	waitCtx := context.WithoutCancel(ctx) // an attempt that was given up has ended ctx
-	st.s.afterBlame(waitCtx, maxWait, run.Target.GetAddress(), sentAt, result.err, func(b paths.Blame) {
+	st.s.afterBlame(waitCtx, maxWait, run.Target.GetAddress(), loss.SentAt, result.err, func(b paths.Blame) {
 		if b == paths.BlamePath {
 			return
 		}
 		if showsLoss && (!silent || b == paths.BlameGone) {
-			st.s.recordTargetLoss(st.a, targetOf(run.Target), sentAt, endedAt)
+			st.s.recordTargetLoss(st.a, loss)
 		}
 		if lost {
 			run.MarkLost()
--- a/internal/request/exchange/paused_engines_test.go
+++ b/internal/request/exchange/paused_engines_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -81,3 +82,40 @@
 		}
 	})
 }
+
+// TestLateBlameIsThatOfItsOwnAttempt guards against a loss that counts as that of a trial, since its request
+// became a trial while the engine of its earlier attempt was checked.
+func TestLateBlameIsThatOfItsOwnAttempt(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w := newTestNetwork()
+		s, _ := w.service(unlimitedBudget{}, engineAddresses...)
+		s.opts.Paths = slowBlame{}
+		slow := defaultEngine
+		slow.first = 2 * blameTime
+		for _, address := range engineAddresses {
+			w.set(address, w.firstEventThen(func() {
+				for i := range 3 {
+					l := loss(i)
+					l.At = l.At.Add(-time.Second) // a trial is due
+					s.opts.Quarantine.RecordLoss([]string{"shared"}, l)
+				}
+				_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("shared")) // refused; asks for the trial
+				grantTrials(s.opts.Quarantine)
+				w.engines(slow, engineAddresses...)
+			}))
+		}
+		losses := make(chan []*chicoryv1.SuspectPart, 1)
+		time.AfterFunc(blameTime+200*time.Millisecond, func() {
+			known, _ := s.opts.Quarantine.All(time.Now())
+			losses <- known
+		})
+		rec := httptest.NewRecorder()
+		assert.NilError(t, s.Serve(t.Context(), rec, withParts("shared")))
+		assert.Equal(t, w.runs(), 2)
+		for _, key := range <-losses {
+			for _, l := range key.GetLosses() {
+				assert.Check(t, !l.GetTrial(), "the loss of %s at %s counts as that of a trial", key.GetPart(), l.GetAddress())
+			}
+		}
+	})
+}
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -101,17 +101,20 @@
 	return quarantine.Target{Address: t.GetAddress(), Instance: t.GetInstance(), AvailabilityZone: t.GetAvailabilityZone()}
 }
 
-// recordTargetLoss records that a target was lost at lostAt, before it began the answer to a, and logs
-// the quarantine that follows.
-func (s *Service) recordTargetLoss(a *AdmittedRequest, target quarantine.Target, sentAt, lostAt time.Time) {
-	s.metrics.targetLosses.Inc(1)
-	now := time.Now()
-	l := quarantine.Loss{Target: target, SentAt: sentAt, At: lostAt}
-	if a.trial != nil {
-		l.TrialKeys = a.trial.keys
+// trialKeys returns the keys for which the request is a trial now.
+func (a *AdmittedRequest) trialKeys() []string {
+	if a.trial == nil {
+		return nil
 	}
+	return a.trial.keys
+}
+
+// recordTargetLoss records the loss of a target before it began the answer to a, and logs the quarantine that
+// follows.
+func (s *Service) recordTargetLoss(a *AdmittedRequest, l quarantine.Loss) {
+	s.metrics.targetLosses.Inc(1)
 	s.opts.Quarantine.RecordLoss(a.keys, l)
-	if admission := s.opts.Quarantine.Check(a.keys, now); admission.Refused {
+	if admission := s.opts.Quarantine.Check(a.keys, time.Now()); admission.Refused {
 		s.opts.Logger.Warn(logging.PartQuarantined, logging.Fields{
 			"request": a.ID, "route": a.Route.Name, "keys": admission.Keys, "ms": admission.Wait.Milliseconds(),
 		})
