quarantine: of two keys with the same losses, the one that several requests share is the cause

A sound stream ended with 502 request_quarantined when it was retried at the same three engines as the first request with a deadly part: its own key and the part had three losses each and no answer, so both were refused. The part is taken for the cause now. If it is the request after all, that crashes one more target and has more losses then. Evidence: TestRetriedRequestIsNotTakenForTheDeadlyPart failed before.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -77,7 +77,7 @@
 	}
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
-	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, Random: rand.Float64})
+	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, IsShared: exchange.IsShared, Random: rand.Float64})
 	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, s.DrainTime.Std(), log)
 	p.routingState.self = s.peer()
 	p.relaying = p.newRelaying(adapter, engines)
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -179,7 +179,7 @@
 		Loads:      observe.NewTable(observe.Defaults()),
 		Engines:    engines,
 		Limits:     ratelimit.NewTable(ratelimit.Options{EntryVMs: 20, Logger: logging.Discard(), Registry: metrics.NewRegistry()}),
-		Quarantine: quarantine.NewTable(quarantine.Options{ID: "self", Random: func() float64 { return 0 }}),
+		Quarantine: quarantine.NewTable(quarantine.Options{ID: "self", IsShared: IsShared, Random: func() float64 { return 0 }}),
 		Budget:     func(string) request.RetryBudget { return budget },
 		Logger:     logging.Discard(),
 		Registry:   metrics.NewRegistry(),
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -86,7 +86,8 @@
 }
 
 func quarantined(a quarantine.Admission) *fault.Error {
-	if parts := slices.DeleteFunc(slices.Clone(a.Keys), isUnshared); len(parts) > 0 {
+	isOwn := func(key string) bool { return !IsShared(key) }
+	if parts := slices.DeleteFunc(slices.Clone(a.Keys), isOwn); len(parts) > 0 {
 		return fault.New(fault.PromptQuarantined, "a prompt with the parts %q crashes engines", parts).WithRetryAfter(a.Wait)
 	}
 	return fault.New(fault.RequestQuarantined, "the request crashes the targets that run it").WithRetryAfter(a.Wait)
--- a/internal/request/exchange/quarantine_test.go
+++ b/internal/request/exchange/quarantine_test.go
@@ -183,6 +183,35 @@
 	}
 }
 
+// TestRetriedRequestIsNotTakenForTheDeadlyPart guards against a sound stream that is refused because it was
+// retried at the same three engines as the first request with a deadly part: both were lost as often.
+func TestRetriedRequestIsNotTakenForTheDeadlyPart(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		w, s := crashingEngines()
+		s.opts.Quarantine.RecordBegun([]string{"shared"}, time.Now())
+		sound := defaultEngine
+		sound.w = w
+		for _, address := range engineAddresses {
+			w.set(address, func(c net.Conn, r *http.Request) {
+				if w.runs() >= 3 {
+					sound.serve(c, r)
+					return
+				}
+				w.countRun()
+				sentAt := time.Now()
+				time.Sleep(time.Second)
+				lost := quarantine.Target{Address: address, Instance: "i-" + address}
+				s.opts.Quarantine.RecordLoss([]string{"shared", "deadly"}, quarantine.Loss{Target: lost, SentAt: sentAt, At: time.Now()})
+			})
+		}
+		rec := httptest.NewRecorder()
+		assert.NilError(t, s.Serve(t.Context(), rec, withParts("shared")))
+		assert.Equal(t, rec.Body.String(), streamText(eventCount))
+		assert.Equal(t, w.runs(), 4)
+		assert.Assert(t, s.opts.Quarantine.Check([]string{"shared", "deadly"}, time.Now()).Refused)
+	})
+}
+
 // namedPicker picks the first target that was not tried, as the start that the engines are listed as.
 type namedPicker struct{}
 
--- a/internal/request/exchange/suspect_keys.go
+++ b/internal/request/exchange/suspect_keys.go
@@ -46,8 +46,8 @@
 // same request again.
 func (a *AdmittedRequest) loggedKey() string { return a.keys[len(a.keys)-1] }
 
-// isUnshared reports whether a key belongs to one request or session, and not to a part of prompts
-// that others share.
-func isUnshared(key string) bool {
-	return strings.HasPrefix(key, requestKeyPrefix) || strings.HasPrefix(key, lastPartKeyPrefix)
+// IsShared reports whether a key is that of a part of prompts that several requests share, and not that of one
+// request or session.
+func IsShared(key string) bool {
+	return !strings.HasPrefix(key, requestKeyPrefix) && !strings.HasPrefix(key, lastPartKeyPrefix)
 }
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -216,13 +216,17 @@
 }
 
 // isMoreSuspect reports whether q, with about the same losses as r, is more likely to crash targets:
-// its requests have not been answered for longer or, if none ever was, it has more losses. The
-// caller holds mu.
+// its requests have not been answered for longer or, if none ever was, it has more losses. Of two with as
+// many, it is the one that several requests share: one that is retried may have come to the targets
+// that the other one crashed. The caller holds mu.
 func (t *Table) isMoreSuspect(qKey string, q *record, rKey string, r *record) bool {
 	if a, b := t.lastBegun(qKey, q), t.lastBegun(rKey, r); !a.Equal(b) {
 		return a.Before(b)
 	}
-	return len(t.distinct(qKey, q)) > len(t.distinct(rKey, r))
+	if a, b := len(t.distinct(qKey, q)), len(t.distinct(rKey, r)); a != b {
+		return a > b
+	}
+	return t.opts.IsShared(qKey) && !t.opts.IsShared(rKey)
 }
 
 // isOnlyIn reports whether all requests that were lost with the key of r have the key of q.
--- a/internal/request/quarantine/quarantine.go
+++ b/internal/request/quarantine/quarantine.go
@@ -76,6 +76,8 @@
 type Options struct {
 	// ID identifies this VM.
 	ID string
+	// IsShared reports whether requests of several callers share a key. Nil means that all are shared.
+	IsShared func(key string) bool
 	// Random returns uniformly distributed numbers from 0 up to 1. It spreads the times after
 	// which callers return. Required.
 	Random func() float64
@@ -164,6 +166,9 @@
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
+	if opts.IsShared == nil {
+		opts.IsShared = func(string) bool { return true }
+	}
 	return &Table{
 		opts:      opts,
 		keys:      map[string]*record{},
