Review of the change: one rule for the likelier of two keys, and tests that were missing

quarantine: which of two keys of a request is likelier is decided as for keys of different requests: by the last answer, and only between equal ones by the requests. The losses since the later answer were compared before, which the first rule makes needless; lossesSince and isNarrower go. Mutations that no test noticed have one: TestReleasedPartDelaysTheTrialOfADeadlyRequest (time since another key left quarantine), TestTrialThatIsLostBesideAnotherRequestCounts (a claim of without a run), and TestGrantedTrialWaitsAfterAFurtherLoss. Each fails with its line changed. Tests: namedPicker was orderedPicker again; two ways to put a part in quarantine; the runs of scripted histories.

--- a/internal/request/exchange/begun_quarantine_test.go
+++ b/internal/request/exchange/begun_quarantine_test.go
@@ -15,9 +15,14 @@
 )
 
 // quarantineNow puts a part in quarantine.
-func (s *Service) quarantineNow(part string) {
+func (s *Service) quarantineNow(part string) { s.quarantineSince(part, 0) }
+
+// quarantineSince puts a part in quarantine whose last loss was some time ago.
+func (s *Service) quarantineSince(part string, ago time.Duration) {
 	for i := range 3 {
-		s.opts.Quarantine.RecordLoss([]string{part}, loss(i))
+		l := loss(i)
+		l.At = l.At.Add(-ago)
+		s.opts.Quarantine.RecordLoss([]string{part}, l)
 	}
 }
 
--- a/internal/request/exchange/paused_engines_test.go
+++ b/internal/request/exchange/paused_engines_test.go
@@ -94,11 +94,7 @@
 		slow.first = 2 * blameTime
 		for _, address := range engineAddresses {
 			w.set(address, w.firstEventThen(func() {
-				for i := range 3 {
-					l := loss(i)
-					l.At = l.At.Add(-time.Second) // a trial is due
-					s.opts.Quarantine.RecordLoss([]string{"shared"}, l)
-				}
+				s.quarantineSince("shared", time.Second)                              // a trial is due
 				_ = s.Serve(t.Context(), httptest.NewRecorder(), withParts("shared")) // refused; asks for the trial
 				grantTrials(s.opts.Quarantine)
 				w.engines(slow, engineAddresses...)
--- a/internal/request/exchange/quarantine.go
+++ b/internal/request/exchange/quarantine.go
@@ -125,31 +125,34 @@
 // quarantineError returns the error for a request that was found to crash targets while it waited
 // for its answer, or nil. runs is the number of targets that may have run it.
 func (s *Service) quarantineError(a *AdmittedRequest, runs int) error {
+	_, refusal := s.checkQuarantine(a, runs)
+	return refusal
+}
+
+// checkQuarantine returns the error of quarantineError, and how long reports of other VMs that show the request
+// to be sound may still come.
+func (s *Service) checkQuarantine(a *AdmittedRequest, runs int) (unsettled time.Duration, refusal error) {
 	if a.trial != nil && !a.trial.wasSent() {
-		return nil
+		return 0, nil
 	}
 	admission := s.opts.Quarantine.Check(a.keys, time.Now())
 	if !admission.Refused {
-		return nil
+		return 0, nil
 	}
 	err := quarantined(admission)
 	if runs > 0 {
 		err = err.WithRan(chicoryv1.Ran_RAN_UNKNOWN)
 	}
-	return err
+	return admission.Unsettled, err
 }
 
 // settledQuarantineError is quarantineError once other VMs have reported what they know of the losses: a
 // sound request is at the same targets as one that crashes them.
 func (s *Service) settledQuarantineError(ctx context.Context, a *AdmittedRequest, runs int) error {
 	for {
-		err := s.quarantineError(a, runs)
-		if err == nil {
-			return nil
-		}
-		unsettled := s.opts.Quarantine.Check(a.keys, time.Now()).Unsettled
-		if unsettled <= 0 {
-			return err
+		unsettled, refusal := s.checkQuarantine(a, runs)
+		if refusal == nil || unsettled <= 0 {
+			return refusal
 		}
 		if !pause.For(ctx, min(unsettled, s.opts.Settings.PlaceInterval)) {
 			return contextError(ctx, runs > 0)
--- a/internal/request/exchange/quarantine_test.go
+++ b/internal/request/exchange/quarantine_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -173,7 +172,6 @@
 				want := streamText(eventCount)
 				if !stream {
 					a.Route.Stream, a.Route.RetryPolicy, want = false, declared.Retryable, "answer"
-					s.opts.Picker = namedPicker{}
 				}
 				assert.NilError(t, s.Serve(t.Context(), rec, a))
 				assert.Equal(t, rec.Body.String(), want)
@@ -212,21 +210,6 @@
 	})
 }
 
-// namedPicker picks the first target that was not tried, as the start that the engines are listed as.
-type namedPicker struct{}
-
-func (namedPicker) Pick(_ request.Work, tried []string) (request.Placement, error) {
-	for _, address := range engineAddresses {
-		if !slices.Contains(tried, address) {
-			return request.Placement{
-				Target: &chicoryv1.Target{Address: address, Instance: "i-" + address},
-				Done:   func(request.Result, time.Duration) {},
-			}, nil
-		}
-	}
-	return request.Placement{}, fault.New(fault.NoTarget, "all targets were tried")
-}
-
 // TestSoundRequestIsServedBesideAQuarantine guards against a quarantine of the parts that
 // sound requests share with those that crash engines.
 func TestSoundRequestIsServedBesideAQuarantine(t *testing.T) {
--- a/internal/request/quarantine/check.go
+++ b/internal/request/quarantine/check.go
@@ -160,8 +160,10 @@
 // isLikelier reports whether, of two keys of a request, that of q is likelier to crash targets than that of r:
 // r was answered in requests without it, or is also lost in such. The caller holds mu.
 func (t *Table) isLikelier(qKey string, q *record, rKey string, r *record) bool {
-	ofQ, ofR := t.lastBegun(qKey, q), t.lastBegun(rKey, r)
-	return ofQ.Before(ofR) || q.isNarrower(r, later(ofQ, ofR))
+	if a, b := t.lastBegun(qKey, q), t.lastBegun(rKey, r); !a.Equal(b) {
+		return a.Before(b)
+	}
+	return q.isOnlyIn(r) && !r.isOnlyIn(q)
 }
 
 // releasedAt is when the last one of keys left quarantine. The caller holds mu.
@@ -230,36 +232,16 @@
 }
 
 // isOnlyIn reports whether all requests that were lost with the key of r have the key of q.
-func (r *record) isOnlyIn(q *record) bool { return areRequestsOf(q, r.losses) }
-
-// areRequestsOf reports whether all requests of the losses have the key of r.
-func areRequestsOf(r *record, losses []loss) bool {
-	for _, l := range losses {
-		known := r.find(l)
-		if known == nil || slices.ContainsFunc(l.requests, func(request uint64) bool { return !known.has(request) }) {
+func (r *record) isOnlyIn(q *record) bool {
+	for _, l := range r.losses {
+		inQ := q.find(l)
+		if inQ == nil || slices.ContainsFunc(l.requests, func(request uint64) bool { return !inQ.has(request) }) {
 			return false
 		}
 	}
 	return true
 }
 
-// isNarrower reports whether the requests that were lost with the key of r since a time are some of those
-// with the key of q, and not all of them.
-func (r *record) isNarrower(q *record, since time.Time) bool {
-	losses := r.lossesSince(since)
-	return len(losses) > 0 && areRequestsOf(q, losses) && !areRequestsOf(r, q.lossesSince(since))
-}
-
-// lossesSince returns the losses after a time.
-func (r *record) lossesSince(at time.Time) []loss {
-	for i, l := range r.losses {
-		if l.at.After(at) {
-			return r.losses[i:]
-		}
-	}
-	return nil
-}
-
 // hasNearly reports whether each loss but otherCauses is in one of the records as well.
 func hasNearly(losses []loss, records ...*record) bool {
 	n := 0
--- a/internal/request/quarantine/parts_test.go
+++ b/internal/request/quarantine/parts_test.go
@@ -176,3 +176,26 @@
 	}
 	assert.Equal(t, trials, maxTrials)
 }
+
+// TestReleasedPartDelaysTheTrialOfADeadlyRequest guards against a deadly request that is the trial of a sound part
+// as soon as another one leaves quarantine: sound requests with both had to wait for the other one.
+func TestReleasedPartDelaysTheTrialOfADeadlyRequest(t *testing.T) {
+	g := newGroup(1)
+	entry, deadly, sound := g.entries[0], []string{"a", "deadly", "b"}, []string{"a", "b"}
+	for i := range 3 {
+		crash(entry, i, second(float64(i)), deadly)
+		crash(entry, 10+i, second(float64(i)+0.5), sound)
+	}
+	lostTrial := Loss{Target: Target{Address: "20"}, SentAt: second(3), At: second(3), TrialKeys: []string{"a"}}
+	entry.RecordLoss([]string{"a"}, lostTrial) // the next trial of "a" is due at 8 s
+	g.exchange(second(3))
+	entry.RecordBegun([]string{"a"}, second(8.5))
+	for now := second(8.6); now.Before(second(11)); now = now.Add(100 * time.Millisecond) {
+		assert.Assert(t, !entry.Admit(deadly, now).Trial, "the deadly request is the trial at %v", now.Sub(start))
+		if now.Sub(second(8.6))%(400*time.Millisecond) == 0 && entry.Admit(sound, now).Trial {
+			return
+		}
+		g.exchange(now)
+	}
+	t.Fatal("sound requests get no trial")
+}
--- a/internal/request/quarantine/trial_test.go
+++ b/internal/request/quarantine/trial_test.go
@@ -172,6 +172,32 @@
 	assert.Equal(t, trials, maxTrials)
 }
 
+// TestTrialThatIsLostBesideAnotherRequestCounts guards against further trials as soon as after the first loss, when
+// another request with the key was lost with the same target and was reported first.
+func TestTrialThatIsLostBesideAnotherRequestCounts(t *testing.T) {
+	g := newGroup(1)
+	g.loseTargets("p", 3)
+	entry, at := g.awaitTrial(t, "p", second(2.1), second(10))
+	e, target := g.entries[entry], Target{Address: "9"}
+	e.RecordTrial([]string{"p"}, at)
+	e.RecordLoss([]string{"p"}, Loss{Target: target, SentAt: second(1), At: at.Add(time.Millisecond)})
+	e.RecordLoss([]string{"p"}, Loss{Target: target, SentAt: at, At: at.Add(time.Millisecond), TrialKeys: []string{"p"}})
+	_, next := g.awaitTrial(t, "p", at.Add(100*time.Millisecond), at.Add(time.Minute))
+	assert.Assert(t, next.Sub(at) >= periods[1], "the next trial follows after %v", next.Sub(at))
+}
+
+// TestGrantedTrialWaitsAfterAFurtherLoss guards against a trial right after a loss, by a VM that was granted it before.
+func TestGrantedTrialWaitsAfterAFurtherLoss(t *testing.T) {
+	g := newGroup(1)
+	g.loseTargets("p", 3)
+	_, at := g.awaitTrial(t, "p", second(2.1), second(10))
+	e := g.entries[0]
+	e.CancelTrial([]string{"p"}) // no target has received it
+	crash(e, 9, at, []string{"p"})
+	assert.Assert(t, !e.Admit([]string{"p"}, at.Add(100*time.Millisecond)).Trial)
+	assert.Assert(t, e.Admit([]string{"p"}, at.Add(firstPeriod)).Trial)
+}
+
 // TestDeadlyRequestUsesNoTrialsOfSoundParts guards against sound parts that stay in quarantine because the requests
 // that crash targets share them, and use up the trials: the sound requests are refused for minutes.
 func TestDeadlyRequestUsesNoTrialsOfSoundParts(t *testing.T) {
--- a/test/soak/checks_of_promises_test.go
+++ b/test/soak/checks_of_promises_test.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// addRunAfterAnswer adds a request that was answered at second 11, and its run from a second to another.
+func (h scriptedHistory) addRunAfterAnswer(begin, end float64) {
+	h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
+	h.addRun("look-1", "target 1", begin, end)
+}
+
 func (h scriptedHistory) addDeclaration(version int, sent, acked float64) {
 	x := &declaration{version: version, document: standin.Declaration{Version: version}.Document(), sent: h.secondAt(sent)}
 	if acked > 0 {
@@ -261,29 +267,24 @@
 		}, ""},
 		"a request runs after it was answered": {func(h scriptedHistory) {
 			h.addFault(faultStallInbound, "target 1", 10, 13)
-			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
-			h.addRun("look-1", "target 1", 13, 13.1)
+			h.addRunAfterAnswer(13, 13.1)
 		}, "which ended at 11.000s, began to run"},
 		"a request runs after it was answered by a VM that was paused": {func(h scriptedHistory) {
 			h.addFault(faultPause, "entry 1", 10, 13)
-			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
-			h.addRun("look-1", "target 1", 13, 13.1)
+			h.addRunAfterAnswer(13, 13.1)
 		}, ""},
 		"a request runs after it was answered while another VM was paused": {func(h scriptedHistory) {
 			h.addFault(faultPause, "entry 2", 10, 13)
-			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
-			h.addRun("look-1", "target 1", 13, 13.1)
+			h.addRunAfterAnswer(13, 13.1)
 		}, "which ended at 11.000s, began to run"},
 		"a request of a VM that is cut runs after its helper was paused": {func(h scriptedHistory) {
 			h.addFault(cutReset, "entry 1", 9, 12)
 			h.addFault(faultPause, "entry 2", 10, 13)
-			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
-			h.addRun("look-1", "target 1", 13, 13.1)
+			h.addRunAfterAnswer(13, 13.1)
 		}, ""},
 		"a request runs a little after it was answered": {func(h scriptedHistory) {
 			h.addFault(faultDelay, "target 1", 10, 13)
-			h.answers["look-1"] = h.addRequest("look-1", 10, 11, setStatus(504))
-			h.addRun("look-1", "target 1", 11.4, 12)
+			h.addRunAfterAnswer(11.4, 12)
 		}, ""},
 		"work continues after the caller went away": {func(h scriptedHistory) {
 			h.addRequest("draft-1", 10, 11, func(r *request) { r.cancelled = true })
