platform: read what can be read of a target's load

Targets of some services state a fourth figure in Instance-Load. The decoder wanted exactly three and dropped all of them, so the load of such targets was unknown to routing and placement.

--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -196,7 +196,7 @@
 
 // recordLoad records the load that a target reports.
 func (s *Service) recordLoad(address string, r ResponseMetadata) {
-	if r.Slots == 0 {
+	if !r.HasLoad {
 		return
 	}
 	now := time.Now()
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -113,8 +113,12 @@
 	// NotRun: the target states that it did not run the request.
 	NotRun bool
 	// Running and Waiting are the numbers of requests at the target, and Slots is how
-	// many it runs concurrently. Slots is 0 if the target reports no load.
+	// many it runs concurrently; 0 if it does not state them. HasLoad: Running is stated.
 	Running, Waiting, Slots int
+	HasLoad                 bool
+	// PacePercent is how long work takes at the target at this moment, in percent of what is
+	// usual; 0 if it does not state that.
+	PacePercent int
 	// Limit is the number of requests per second that the target takes from all entry VMs; 0
 	// if it names none, NaN if what it names can't be read.
 	Limit float64
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -36,7 +36,7 @@
 		return attemptResult{outcome: outcomeLost, err: err}
 	}
 	st.s.recordState(run.Target.GetAddress(), run.Target.GetInstance(), response.Status, meta)
-	if meta.Slots > 0 {
+	if meta.HasLoad {
 		run.SetReportedRuns(meta.Running)
 	}
 	if !meta.Signed || response.Status != http.StatusOK {
