exchange: state the priority of streams to engines

An engine takes its waiting requests in the order of Request-Priority. Where routes of one service differ in priority, dispatches to its engines state it now: 0 for a stream whose response has begun, otherwise 1 + the priority of the request, at most 9. Elsewhere nothing is stated, as before.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -123,6 +123,7 @@
 		Loads:      loads,
 		Engines:    engines,
 		Limits:     p.routingState.limits,
+		Declared:   p.routingState.declared,
 		OnLeaving:  p.routingState.announceLeaving,
 		Quarantine: p.routingState.quarantine,
 		Budget:     p.retryBudgets.forService,
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -49,7 +49,9 @@
 func (s *Service) runAttempt(ctx context.Context, a *AdmittedRequest, p request.Placement, newConnection bool) *attempt {
 	begin := time.Now()
 	stop := s.watchSilence(a, p.Target.GetAddress())
-	t := s.roundTrip(ctx, a, p.Target.GetAddress(), Dispatch{Instance: p.Target.GetInstance(), NewConnection: newConnection})
+	t := s.roundTrip(ctx, a, p.Target.GetAddress(), Dispatch{
+		Instance: p.Target.GetInstance(), NewConnection: newConnection, Priority: s.statedPriority(a, false),
+	})
 	stop()
 	t.target = p.Target.GetAddress()
 	t.latency = time.Since(begin)
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -102,8 +102,14 @@
 	// ContinueFrom is the address of the engine that keeps a copy of the run's memory,
 	// which is the engine that the request is sent to, or empty if there is none.
 	ContinueFrom string
+	// Priority is stated to the target, from 0 for the most urgent requests to MaxStatedPriority; nil
+	// means that it is not stated.
+	Priority *int
 }
 
+// MaxStatedPriority is the least urgent priority that is stated to targets.
+const MaxStatedPriority = 9
+
 // ResponseMetadata is what the headers of a target's response state.
 type ResponseMetadata struct {
 	// ID is the id of the request that the response belongs to.
@@ -228,7 +234,7 @@
 	}
 }
 
-// Options are the dependencies of a Service. All are required except OnLeaving and Paths.
+// Options are the dependencies of a Service. All are required except Declared, OnLeaving and Paths.
 type Options struct {
 	Pool     *http1.Pool
 	Protocol TargetProtocol
@@ -240,6 +246,9 @@
 	Engines *placement.EngineTable
 	// Limits holds the limits that targets name.
 	Limits *ratelimit.Table
+	// Declared holds the configuration in force, which determines whether priorities are stated to
+	// engines; nil means that they are not.
+	Declared *declared.Holder
 	// OnLeaving is called with each response in which a start of the target at address states that it is
 	// about to stop; nil means no call.
 	OnLeaving func(address, instance string)
@@ -361,6 +370,24 @@
 	}
 }
 
+// statedPriority returns the priority that is stated to the target of a request, or nil. It is stated
+// to the engines of services that get requests of different priorities. begun: the caller has received
+// a part of the response.
+func (s *Service) statedPriority(a *AdmittedRequest, begun bool) *int {
+	if s.opts.Declared == nil || a.Service.Engine == nil {
+		return nil
+	}
+	view := s.opts.Declared.Current()
+	if view == nil || !view.HasMixedPriorities(a.Service.Name) {
+		return nil
+	}
+	priority := 0
+	if !begun {
+		priority = min(max(a.Priority, 0)+1, MaxStatedPriority)
+	}
+	return &priority
+}
+
 // ErrStopping is the cause of a context that ends because the process stops.
 const ErrStopping = errors.ConstError("the process stops")
 
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -209,7 +209,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	st.dispatchedAt = time.Now()
-	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.brokenConnection}
+	d := Dispatch{
+		Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.brokenConnection,
+		Priority: st.s.statedPriority(st.a, st.hasBegun()),
+	}
 	if from != nil {
 		d.ContinueFrom = from.GetAddress()
 	}
@@ -235,6 +238,9 @@
 	return false, nil
 }
 
+// hasBegun reports whether the caller has received a part of the response.
+func (st *stream) hasBegun() bool { return st.headerSent || st.lastEvent > 0 }
+
 func (st *stream) keepsBackups() bool {
 	engine := st.a.Service.Engine
 	return engine != nil && engine.BacksUpKVCache && st.a.Route.RetryPolicy == declared.Resumable
--- a/internal/version/declared/view.go
+++ b/internal/version/declared/view.go
@@ -12,6 +12,8 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	byKey    map[string]*Team
+	// mixedPriorities has the services with routes of different priorities.
+	mixedPriorities map[string]bool
 }
 
 // NewView returns a view of c, which must be valid and not be modified afterwards.
@@ -21,6 +23,8 @@
 		byHost:        map[string][]*Route{},
 		services:      map[string]*Service{},
 		byKey:         map[string]*Team{},
+
+		mixedPriorities: mixedPriorities(c),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -41,6 +45,24 @@
 	return v
 }
 
+// mixedPriorities returns the services that get requests from routes of different priorities.
+func mixedPriorities(c *Configuration) map[string]bool {
+	mixed, first := map[string]bool{}, map[string]int{}
+	for _, r := range c.Routes {
+		for _, s := range r.Services {
+			if s.Weight == 0 {
+				continue
+			}
+			if priority, ok := first[s.Service]; !ok {
+				first[s.Service] = r.Priority
+			} else if priority != r.Priority {
+				mixed[s.Service] = true
+			}
+		}
+	}
+	return mixed
+}
+
 // Version returns the version that the operator assigned.
 func (v *View) Version() uint64 { return v.configuration.Version }
 
@@ -61,6 +83,9 @@
 // Service returns the service with the name, or nil.
 func (v *View) Service(name string) *Service { return v.services[name] }
 
+// HasMixedPriorities reports whether routes with different priorities send requests to the service.
+func (v *View) HasMixedPriorities(service string) bool { return v.mixedPriorities[service] }
+
 // TeamByKey returns the team with the API key, or nil.
 func (v *View) TeamByKey(key string) *Team { return v.byKey[key] }
 
