dispatchqueue: decide which waiting stream gets an engine

The package holds the streams that wait at one entry VM and returns the one that gets room next: streams whose response has begun, then by priority, those that can still meet their latency objective, and the one that must start first; teams take turns. Each priority keeps a share, streams that others pass often are sent beyond the room, and room is left for 0.25 s to streams of a higher priority at other VMs. It has no network and no clock. Nothing uses it yet.

--- /dev/null
+++ b/internal/request/dispatchqueue/queue.go
@@ -0,0 +1,410 @@
+// Package dispatchqueue decides in which order streams get engines while no engine has room. It is for
+// load above the capacity of the engines, of requests that differ in priority, size, deadline and team,
+// at many entry VMs at once. It uses no network, and no clock other than the time that is passed to it.
+//
+// Streams whose response has begun come first, then priorities in their order. Within a priority, streams
+// that can still meet their latency objective precede those that can't, and among these the one that must
+// start first is first. Teams whose streams must start within the same span of time take turns.
+//
+// Each priority that waits keeps a share of the room, and a stream that others have passed often because
+// of its size is dispatched without room. Both bound the wait under load that does not end.
+//
+// Entry VMs share how many streams wait. While other VMs have waiting streams of a higher priority, a VM
+// leaves room to them for a short time.
+package dispatchqueue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// turnWindow is the span of latest starts within which teams take turns. It is short against
+	// latency objectives of seconds, and long enough for several streams of a busy VM.
+	turnWindow = 500 * time.Millisecond
+	// servedLifetime is the time for which an earlier dispatch of a team counts for its turns.
+	servedLifetime = 5 * time.Second
+	// minShare is the share of the dispatches that each priority gets at least while it waits.
+	minShare = 1.0 / 20
+	// maxPassed is the number of streams behind a stream that may be dispatched before it because they
+	// find room and it does not. One in maxPassed dispatches beyond the room is less than the error of
+	// the estimates of room.
+	maxPassed = 16
+	// maxStall is the longest time for which streams wait while no engine becomes free. Runs last some
+	// seconds, so with more than a few engines some run ends within it, unless the estimates of room
+	// are wrong. minStall is for streams that must start soon: two exchanges of loads between VMs.
+	maxStall = 2 * time.Second
+	minStall = 250 * time.Millisecond
+	// maxBegunWait is how long a stream whose response has begun waits for room: callers consider gaps
+	// of more than some 700 ms late, of which the loss of the engine has taken a part.
+	maxBegunWait = 150 * time.Millisecond
+	// maxHold is how long room is left to streams of a higher priority at other VMs. They learn of it,
+	// and this VM of their use of it, within 100 to 200 ms.
+	maxHold = 250 * time.Millisecond
+	// remoteLifetime is the time after which the demand of other VMs counts as none. The leader relies
+	// on what VMs share for as long, so demand is used for at most twice this time, 1 s.
+	remoteLifetime = 500 * time.Millisecond
+	// MaxEntries bounds the streams that wait for one service, and the cost of a decision. A VM that
+	// has 60 times as many streams as engines take from it in a second refuses most of them.
+	MaxEntries = 512
+)
+
+// Entry is a stream that waits for an engine. Its fields must not change while it waits.
+type Entry struct {
+	Service, Team string
+	// Priority is 0 for the highest.
+	Priority int
+	// Begun: the caller has received a part of the response.
+	Begun bool
+	// PromptTokens is the length of the prompt.
+	PromptTokens int
+	// Objective is when the first event is due, Deadline when the caller stops to wait.
+	Objective, Deadline time.Time
+	// Work is the expected time from the dispatch to the first event.
+	Work time.Duration
+
+	joinedAt time.Time
+	sequence uint64
+	// passed counts the dispatches of streams behind this one.
+	passed int
+	// beyondRoom: the entry was dispatched although no engine has room.
+	beyondRoom bool
+	waits      bool
+}
+
+// BeyondRoom reports whether Next has returned the entry although no engine has room for it.
+func (e *Entry) BeyondRoom() bool { return e.beyondRoom }
+
+// latestStart is the latest time of a dispatch with which the stream meets its latency objective.
+func (e *Entry) latestStart() time.Time { return e.Objective.Add(-e.Work) }
+
+func (e *Entry) isLate(now time.Time) bool { return now.After(e.latestStart()) }
+
+// isExpired reports whether the stream can't begin before its deadline.
+func (e *Entry) isExpired(now time.Time) bool {
+	return !e.Begun && !now.Add(e.Work).Before(e.Deadline)
+}
+
+// patience is how long the entry waits while no engine becomes free: half of the time that was left to its
+// latency objective, within minStall and maxStall. A stream that was late already has nothing to lose by waiting.
+func (e *Entry) patience() time.Duration {
+	if e.isLate(e.joinedAt) {
+		return maxStall
+	}
+	return min(max(e.latestStart().Sub(e.joinedAt)/2, minStall), maxStall)
+}
+
+// Demand is the number of streams of one priority that wait for a service.
+type Demand struct {
+	Service      string
+	Priority     int
+	Requests     int
+	PromptTokens int
+}
+
+// Queue holds the streams that wait at one entry VM. It is not safe for concurrent use.
+type Queue struct {
+	services map[string]*serviceQueue
+	sequence uint64
+	// remote is the number of streams at other VMs by service and priority, received at remoteAt.
+	remote   map[string]map[int]int
+	remoteAt time.Time
+}
+
+// New returns an empty queue.
+func New() *Queue {
+	return &Queue{services: map[string]*serviceQueue{}}
+}
+
+// serviceQueue holds the streams that wait for one service.
+type serviceQueue struct {
+	entries []*Entry
+	// credits are the dispatches owed to priorities that wait behind others.
+	credits map[int]float64
+	teams   map[string]*decayed
+	// roomAt is when an engine last became free, when a stream last found room, or when the queue became
+	// longer than 0.
+	roomAt time.Time
+	// heldSince is since when room has been left to other VMs; zero while none is.
+	heldSince time.Time
+	rates     rates
+}
+
+// Join adds a stream. If the queue is full, it returns a stream that no longer waits, which may be e: the last
+// one of the priority of which most wait.
+func (q *Queue) Join(e *Entry, now time.Time) (excess *Entry) {
+	s := q.services[e.Service]
+	if s == nil {
+		s = &serviceQueue{credits: map[int]float64{}, teams: map[string]*decayed{}}
+		q.services[e.Service] = s
+	}
+	if len(s.entries) == 0 {
+		s.roomAt, s.heldSince = now, time.Time{}
+		s.rates.begin(now)
+	}
+	q.sequence++
+	e.joinedAt, e.sequence, e.passed, e.beyondRoom, e.waits = now, q.sequence, 0, false, true
+	s.entries = append(s.entries, e)
+	s.rates.joined(e, now)
+	if len(s.entries) <= MaxEntries {
+		return nil
+	}
+	if excess = s.excess(now); excess != nil {
+		s.remove(excess)
+	}
+	return excess
+}
+
+// excess returns the stream that a full queue refuses, or nil if all have begun: those are never refused, and
+// their number is that of the open streams. A priority of which few wait keeps its place, so that it gets its
+// share.
+func (s *serviceQueue) excess(now time.Time) *Entry {
+	count := map[int]int{}
+	for _, e := range s.entries {
+		if !e.Begun {
+			count[e.Priority]++
+		}
+	}
+	var excess *Entry
+	for _, e := range s.entries {
+		switch {
+		case e.Begun:
+		case excess == nil || count[e.Priority] > count[excess.Priority]:
+			excess = e
+		case count[e.Priority] == count[excess.Priority] && s.rank(e, now).compare(s.rank(excess, now)) > 0:
+			excess = e
+		}
+	}
+	return excess
+}
+
+// RoomFreed records that an engine of some service has become free, even if a stream of another VM takes it.
+func (q *Queue) RoomFreed(now time.Time) {
+	for _, s := range q.services {
+		s.roomAt = now
+	}
+}
+
+// Leave removes a stream. It has no effect on a stream that doesn't wait.
+func (q *Queue) Leave(e *Entry) {
+	if s := q.services[e.Service]; s != nil && e.waits {
+		s.remove(e)
+	}
+}
+
+// Len returns the number of streams that wait.
+func (q *Queue) Len() int {
+	n := 0
+	for _, s := range q.services {
+		n += len(s.entries)
+	}
+	return n
+}
+
+// MustWait reports whether a stream that finds room must join the queue nevertheless: others wait, or
+// the room is left to other VMs.
+func (q *Queue) MustWait(e *Entry, now time.Time) bool {
+	s := q.services[e.Service]
+	if s != nil && len(s.entries) > 0 {
+		return true
+	}
+	return !e.Begun && q.yields(e, now)
+}
+
+// Next removes and returns the first stream that may be dispatched now, or nil if there is none. room reports
+// whether an engine has room for a stream.
+func (q *Queue) Next(now time.Time, room func(*Entry) bool) *Entry {
+	for _, s := range q.services {
+		if len(s.entries) == 0 {
+			continue
+		}
+		if e := q.next(s, now, room); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func (q *Queue) next(s *serviceQueue, now time.Time, room func(*Entry) bool) *Entry {
+	order := s.order(now)
+	held, beyond := false, (*Entry)(nil)
+	for i, e := range order {
+		if e.isExpired(now) {
+			continue
+		}
+		if !room(e) {
+			if beyond == nil && s.goesBeyondRoom(e, now) {
+				beyond = e
+			}
+			continue
+		}
+		s.roomAt = now
+		if q.isHeld(s, e, now) {
+			held = true
+			if s.heldSince.IsZero() {
+				s.heldSince = now
+			}
+			if now.Sub(s.heldSince) < maxHold {
+				continue
+			}
+			s.heldSince = now
+		}
+		for _, passed := range order[:i] {
+			passed.passed++
+		}
+		s.dispatched(e, now)
+		return e
+	}
+	if !held {
+		s.heldSince = time.Time{}
+	}
+	if beyond != nil {
+		beyond.beyondRoom = true
+		s.dispatched(beyond, now)
+	}
+	return beyond
+}
+
+// goesBeyondRoom reports whether a stream for which no engine has room is dispatched nevertheless.
+func (s *serviceQueue) goesBeyondRoom(e *Entry, now time.Time) bool {
+	if e.passed >= maxPassed || e.Begun && now.Sub(e.joinedAt) >= maxBegunWait {
+		return true
+	}
+	patience := e.patience()
+	return now.Sub(s.roomAt) >= patience && now.Sub(e.joinedAt) >= patience
+}
+
+// isHeld reports whether room for a stream is left to streams at other VMs.
+func (q *Queue) isHeld(s *serviceQueue, e *Entry, now time.Time) bool {
+	if e.Begun || s.credits[e.Priority] >= 1 || !e.isLate(now) && now.Sub(e.joinedAt) >= e.patience() {
+		return false
+	}
+	return q.yields(e, now)
+}
+
+// yields reports whether streams that precede e wait at other VMs: those of a higher priority, and if e is late,
+// those of its own, as demand counts no late ones.
+func (q *Queue) yields(e *Entry, now time.Time) bool {
+	if now.Sub(q.remoteAt) >= remoteLifetime {
+		return false
+	}
+	late := e.isLate(now)
+	for priority := range q.remote[e.Service] {
+		if priority < e.Priority || late && priority == e.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// dispatched removes a stream that gets an engine and counts it.
+func (s *serviceQueue) dispatched(e *Entry, now time.Time) {
+	s.remove(e)
+	s.rates.dispatched.add(1, now, rateLifetime)
+	if e.Begun {
+		return
+	}
+	s.teamServed(e.Team).add(1, now, servedLifetime)
+	s.removeIdleTeams(now)
+	if s.credits[e.Priority] >= 1 {
+		s.credits[e.Priority]--
+	}
+	behind := map[int]bool{}
+	for _, other := range s.entries {
+		if !other.Begun && other.Priority > e.Priority {
+			behind[other.Priority] = true
+		}
+	}
+	for priority := range behind {
+		s.credits[priority] = min(s.credits[priority]+minShare, 1)
+	}
+}
+
+func (s *serviceQueue) remove(e *Entry) {
+	if i := slices.Index(s.entries, e); i >= 0 {
+		s.entries = slices.Delete(s.entries, i, i+1)
+	}
+	e.waits = false
+}
+
+// rank is the place of a stream in the order at one time.
+type rank struct {
+	*Entry
+	owed, late  bool
+	latestStart time.Time
+	// served counts the recent dispatches of the team.
+	served float64
+}
+
+func (s *serviceQueue) rank(e *Entry, now time.Time) rank {
+	return rank{
+		Entry: e, owed: s.credits[e.Priority] >= 1, late: e.isLate(now), latestStart: e.latestStart(),
+		served: s.teams[e.Team].value(now, servedLifetime),
+	}
+}
+
+// order returns the streams in the order of their dispatch.
+func (s *serviceQueue) order(now time.Time) []*Entry {
+	ranks := make([]rank, len(s.entries))
+	for i, e := range s.entries {
+		ranks[i] = s.rank(e, now)
+	}
+	slices.SortFunc(ranks, rank.compare)
+	order := make([]*Entry, len(ranks))
+	for i, r := range ranks {
+		order[i] = r.Entry
+	}
+	return order
+}
+
+// compare returns a negative number if r precedes other.
+func (r rank) compare(other rank) int {
+	switch {
+	case r.Begun != other.Begun:
+		return firstIf(r.Begun)
+	case r.Begun:
+		return cmp.Compare(r.sequence, other.sequence)
+	case r.Priority != other.Priority && r.owed != other.owed:
+		return firstIf(r.owed)
+	case r.Priority != other.Priority:
+		return cmp.Compare(r.Priority, other.Priority)
+	case r.late != other.late:
+		return firstIf(other.late)
+	}
+	if order := r.latestStart.Truncate(turnWindow).Compare(other.latestStart.Truncate(turnWindow)); order != 0 {
+		return order
+	}
+	if r.Team != other.Team && r.served != other.served {
+		return cmp.Compare(r.served, other.served)
+	}
+	return cmp.Or(r.latestStart.Compare(other.latestStart), cmp.Compare(r.sequence, other.sequence))
+}
+
+func firstIf(a bool) int {
+	if a {
+		return -1
+	}
+	return 1
+}
+
+func (s *serviceQueue) teamServed(team string) *decayed {
+	d := s.teams[team]
+	if d == nil {
+		d = &decayed{}
+		s.teams[team] = d
+	}
+	return d
+}
+
+// removeIdleTeams bounds the number of teams that are kept.
+func (s *serviceQueue) removeIdleTeams(now time.Time) {
+	if len(s.teams) <= MaxEntries {
+		return
+	}
+	for team, d := range s.teams {
+		if now.Sub(d.at) > servedLifetime {
+			delete(s.teams, team)
+		}
+	}
+}
