placement: know which engines have room

An engine has room if it has a free slot, memory for the run at its end beside runs and backups of all VMs, and at most one unprocessed prompt. What the engine itself stated within the last 0.5 s counts more than what other VMs are believed to use, so that wrong loads don't keep it idle. Place can prefer engines with room or require one; nothing asks for that yet, so choices are as before. A channel and a counter report that engines become free.

--- a/internal/request/exchange/stream_probe.go
+++ b/internal/request/exchange/stream_probe.go
@@ -56,6 +56,9 @@
 	ctx, stop := context.WithTimeout(ctx, st.s.opts.Settings.ProbeTimeout)
 	defer stop()
 	report, err := st.s.opts.Prober.Report(ctx, run.Target.GetAddress(), st.a.ID)
+	if err == nil {
+		run.SetProbedRuns(report.Running, report.Waiting)
+	}
 	alive := err == nil && report.mayHaveRequest()
 	st.s.opts.Logger.Info(logging.EngineProbed, logging.Fields{
 		"request": st.a.ID, "target": run.Target.GetAddress(), "alive": alive, "reason": err,
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -37,7 +37,7 @@
 	}
 	st.s.recordState(run.Target.GetAddress(), run.Target.GetInstance(), response.Status, meta)
 	if meta.HasLoad {
-		run.SetReportedRuns(meta.Running)
+		run.SetReportedRuns(meta.Running, meta.Waiting, meta.Slots)
 	}
 	if !meta.Signed || response.Status != http.StatusOK {
 		return st.readNonStream(response, meta)
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -24,6 +24,9 @@
 		return nil
 	}
 	preferred := e.rendezvousEngine(w.Prompt, eligible, now)
+	if w.PreferRoom {
+		eligible = e.preferRoom(eligible, w, now)
+	}
 	candidates := make([]candidate, len(eligible))
 	for i, x := range eligible {
 		score := e.score(x, w.Size, excludeZone != "", now) + rand.Float64()*scoreJitter
@@ -47,7 +50,7 @@
 func (e *EngineTable) eligible(w PlaceRequest, excludeZone string, now time.Time) []*engineState {
 	var eligible []*engineState
 	for _, x := range e.byService[w.Service] {
-		if x.target.GetLeaving() || slices.Contains(w.Exclude, x.target.GetAddress()) {
+		if !isEligible(x, w) {
 			continue
 		}
 		if excludeZone != "" && (x.target.GetAvailabilityZone() == excludeZone || now.Before(x.avoidUntil) || e.limits.IsLimited(x.target.GetAddress())) {
@@ -58,6 +61,11 @@
 	return eligible
 }
 
+// isEligible reports whether an engine may be selected for a run.
+func isEligible(x *engineState, w PlaceRequest) bool {
+	return !x.target.GetLeaving() && !slices.Contains(w.Exclude, x.target.GetAddress())
+}
+
 // sampleBest returns a random one of the best candidates. Runs that other entry VMs place
 // concurrently are not known here yet. The more of them there are, the more candidates
 // are sampled from, so that entry VMs do not all select the same engine.
@@ -116,15 +124,7 @@
 // a backup is placed, they count as much as runs, so that the runs of a lost engine
 // continue on many different engines.
 func (e *EngineTable) score(x *engineState, size Size, backup bool, now time.Time) float64 {
-	runs, prompts, backups := float64(x.runTokens), float64(x.unreadTokens), float64(x.backupTokens)
-	switch {
-	case now.Sub(e.remoteLoadsAt) < e.settings.MaxLoadAge:
-		runs += float64(x.remoteLoad.GetTokens())
-		prompts += float64(x.remoteLoad.GetUnread())
-		backups += float64(x.remoteLoad.GetBackups())
-	case now.Sub(x.remoteRunsAt) < e.settings.MaxLoadAge:
-		runs += float64(x.remoteRuns) * e.meanRunTokens
-	}
+	runs, prompts, backups := e.load(x, now)
 	memory := float64(x.capacity)
 	score := (runs + e.settings.UnreadPromptWeight*prompts) / memory
 	if backup {
@@ -141,6 +141,20 @@
 	return score + e.lossPenalty(x, now)
 }
 
+// load returns the tokens of runs, of prompts that are not processed yet, and of backups at an engine.
+func (e *EngineTable) load(x *engineState, now time.Time) (runs, prompts, backups float64) {
+	runs, prompts, backups = float64(x.runTokens), float64(x.unreadTokens), float64(x.backupTokens)
+	switch {
+	case now.Sub(e.remoteLoadsAt) < e.settings.MaxLoadAge:
+		runs += float64(x.remoteLoad.GetTokens())
+		prompts += float64(x.remoteLoad.GetUnread())
+		backups += float64(x.remoteLoad.GetBackups())
+	case now.Sub(x.remoteRunsAt) < e.settings.MaxLoadAge:
+		runs += float64(x.remoteRuns) * e.meanRunTokens
+	}
+	return runs, prompts, backups
+}
+
 // lossPenalty is the penalty for an engine that was lost recently, or that is at risk
 // because another engine of its zone was lost.
 func (e *EngineTable) lossPenalty(x *engineState, now time.Time) float64 {
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -30,13 +30,17 @@
 	byService map[string][]*engineState
 	// zoneLosses is the time of the last loss of an engine, by availability zone.
 	zoneLosses map[string]time.Time
-	// meanRunTokens is a moving average of the size of runs.
-	meanRunTokens float64
+	// meanRunTokens and meanPromptTokens are moving averages of the size of runs and of their prompts.
+	meanRunTokens, meanPromptTokens float64
 	// remoteLoadsAt is when the loads of the other entry VMs were last received.
 	remoteLoadsAt time.Time
 	// remoteRate is the rate at which the other entry VMs place runs.
 	remoteRate rate
 	locations  locationTable
+	// room receives a value when an engine may have become free; it is never closed.
+	room chan struct{}
+	// freed counts the ends of runs, backups and prompts, and the loads of other VMs that decreased.
+	freed uint64
 }
 
 // engineState is the state of one listed engine address. It is guarded by EngineTable.mu.
@@ -46,6 +50,10 @@
 	// Load that this VM placed: the number of runs, the memory of runs in tokens, the
 	// prompt tokens not yet processed, and the memory of backups in tokens.
 	runs, runTokens, unreadTokens, backupTokens int
+	// unreadPrompts counts the prompts of unreadTokens.
+	unreadPrompts int
+	// report is what the engine last stated of its load.
+	report report
 	// remoteRuns is the number of runs of other entry VMs at remoteRunsAt.
 	remoteRuns   int
 	remoteRunsAt time.Time
@@ -72,6 +80,7 @@
 		zoneLosses:    map[string]time.Time{},
 		locations:     newLocationTable(),
 		meanRunTokens: float64(s.DefaultMemory) / 16,
+		room:          make(chan struct{}, 1),
 	}
 }
 
@@ -101,6 +110,7 @@
 		return x == nil || x.target.GetInstance() != instance || next != nil && next.target.GetInstance() == instance
 	})
 	e.byAddress, e.byService = byAddress, byService
+	e.roomFreed()
 }
 
 // PlaceRequest describes a run to place.
@@ -114,14 +124,21 @@
 	Exclude []string
 	// Reserved is the address of the engine that the run has a permit for, or empty.
 	Reserved string
+	// PreferRoom: engines without room for the run are selected only if no other has any.
+	PreferRoom bool
+	// NeedsRoom: Place fails with ErrNoRoom if no engine has room for the run.
+	NeedsRoom bool
 }
 
 // Place selects an engine for a run. It fails with the kind NoTarget, or Overloaded if the
-// engines that are left limit their requests and there is no permit for any of them.
+// engines that are left limit their requests and there is no permit for any of them, or with ErrNoRoom.
 func (e *EngineTable) Place(w PlaceRequest) (*Run, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	if w.NeedsRoom && !e.hasRoomFor(w, now) {
+		return nil, ErrNoRoom
+	}
 	x, err := e.selectPermitted(w, now)
 	if err != nil {
 		return nil, err
@@ -185,11 +202,24 @@
 	x.runs++
 	x.runTokens += size.Total()
 	x.unreadTokens += unread
-	const weight = 0.05 // of a new run in the moving average
-	e.meanRunTokens += weight * (float64(size.Total()) - e.meanRunTokens)
+	if unread > 0 {
+		x.unreadPrompts++
+		e.meanPromptTokens = meanOf(e.meanPromptTokens, float64(unread))
+	}
+	x.report.placedSince++
+	e.meanRunTokens = meanOf(e.meanRunTokens, float64(size.Total()))
 	return &Run{Target: x.target, EngineLost: x.lost, engines: e, engine: x, size: size, unreadTokens: unread}
 }
 
+// meanOf returns the moving average with a new value.
+func meanOf(mean, value float64) float64 {
+	const weight = 0.05 // of the new value
+	if mean == 0 {
+		return value
+	}
+	return mean + weight*(value-mean)
+}
+
 // ReserveBackup selects an engine in another availability zone than r's to keep a backup
 // of r, and counts the backup as load there until release is called. It returns nil if no
 // engine is eligible.
@@ -206,5 +236,6 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		x.backupTokens -= r.size.Total()
+		e.roomFreed()
 	}
 }
--- a/internal/request/placement/places.go
+++ b/internal/request/placement/places.go
@@ -83,6 +83,12 @@
 	return append([]*chicoryv1.PromptPlace(nil), l.local[len(l.local)-n:]...)
 }
 
+// isKnown reports whether some engine has processed the prompt within locationTTL.
+func (l *locationTable) isKnown(prompt string, now time.Time) bool {
+	loc, ok := l.byPrompt[prompt]
+	return ok && prompt != "" && now.Sub(loc.readAt) < locationTTL
+}
+
 // contains reports whether this instance of the engine has processed the prompt within
 // locationTTL.
 func (l *locationTable) contains(prompt string, t *chicoryv1.ListedTarget, now time.Time) bool {
--- a/internal/request/placement/run.go
+++ b/internal/request/placement/run.go
@@ -21,14 +21,22 @@
 	released     bool
 }
 
-// SetReportedRuns records the number of runs that the engine reported in a response.
-func (r *Run) SetReportedRuns(running int) {
+// SetReportedRuns records the load that the engine reported in a response. slots is 0 if it states none.
+func (r *Run) SetReportedRuns(running, waiting, slots int) {
 	r.engines.mu.Lock()
 	defer r.engines.mu.Unlock()
 	now := time.Now()
 	r.engine.remoteRuns = max(running-r.engine.runs, 0)
 	r.engine.remoteRunsAt = now
 	r.engine.lastSeen = now
+	r.engines.setReport(r.engine, running, waiting, slots, now)
+}
+
+// SetProbedRuns records the load that the engine reported in response to a probe.
+func (r *Run) SetProbedRuns(running, waiting int) {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	r.engines.setReport(r.engine, running, waiting, r.engine.report.slots, time.Now())
 }
 
 // HasFirstEvent reports whether the engine has sent an event.
@@ -47,9 +55,9 @@
 		r.engines.locations.addLocal(r.prompt, r.Target, time.Now())
 	}
 	r.firstEvent = true
-	r.engine.unreadTokens -= r.unreadTokens
-	r.unreadTokens = 0
+	r.endPrompt()
 	r.engine.losses = 0
+	r.engines.roomFreed()
 }
 
 // MarkLost records that the engine was lost: it notifies the other runs on the engine and
@@ -109,7 +117,17 @@
 	}
 	r.released = true
 	r.engine.runs--
+	r.engine.report.endedSince++
 	r.engine.runTokens -= r.size.Total()
-	r.engine.unreadTokens -= r.unreadTokens
+	r.endPrompt()
+	r.engines.roomFreed()
+}
+
+// endPrompt removes the prompt from those that the engine has yet to process. The caller holds mu.
+func (r *Run) endPrompt() {
+	if r.unreadTokens > 0 {
+		r.engine.unreadTokens -= r.unreadTokens
+		r.engine.unreadPrompts--
+	}
 	r.unreadTokens = 0
 }
--- a/internal/request/placement/shared.go
+++ b/internal/request/placement/shared.go
@@ -25,17 +25,26 @@
 	for _, l := range loads {
 		loadsByAddress[l.GetAddress()] = l
 	}
-	placed := 0
+	placed, freed := 0, false
 	for address, x := range e.byAddress {
 		if loadsByAddress[address].GetUnread() > x.remoteLoad.GetUnread() {
 			placed++
 		}
+		freed = freed || isLess(loadsByAddress[address], x.remoteLoad)
 		x.remoteLoad = loadsByAddress[address]
 	}
+	if freed {
+		e.roomFreed()
+	}
 	e.remoteRate.add(placed, now.Sub(e.remoteLoadsAt))
 	e.remoteLoadsAt = now
 }
 
+// isLess reports whether some part of a load is less than before.
+func isLess(l, before *chicoryv1.EngineLoad) bool {
+	return l.GetTokens() < before.GetTokens() || l.GetUnread() < before.GetUnread() || l.GetBackups() < before.GetBackups()
+}
+
 const (
 	// rateWindow is the approximate window of the moving average of the placement rate.
 	rateWindow = 2 * time.Second
