exchange: streams wait for room before they are sent to an engine

Streams of routes with a latency objective, to engines whose memory is configured, are sent at once while an engine has room, and otherwise wait in the order of dispatchqueue. A stream whose response has begun comes first and is never refused; one with a copy of its memory continues there without a wait. A stream that can't begin before its deadline is refused with the expected wait, with jitter, as Retry-After. A caller that leaves frees its place and its engine.

--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -268,6 +268,7 @@
 	opts      Options
 	latencies *pace.LatencyTracker
 	metrics   serviceMetrics
+	queue     *dispatchQueue
 }
 
 type serviceMetrics struct {
@@ -277,12 +278,16 @@
 	// quarantined counts refused requests, targetLosses the targets lost with a request
 	// whose answer had not begun.
 	quarantined, targetLosses metrics.Counter
+	// queueRefused counts the streams that were refused because no engine would have room before their deadline,
+	// queueBeyondRoom those that were sent to an engine without room after their wait.
+	queueRefused, queueBeyondRoom metrics.Counter
+	registry                      metrics.Registry
 }
 
 // New returns a service.
 func New(opts Options) *Service {
 	r := opts.Registry
-	return &Service{
+	s := &Service{
 		opts:      opts,
 		latencies: pace.NewLatencyTracker(),
 		metrics: serviceMetrics{
@@ -295,8 +300,14 @@
 
 			quarantined:  metrics.GetOrRegisterCounter("request.quarantined", r),
 			targetLosses: metrics.GetOrRegisterCounter("request.engine_lost_before_answer", r),
+
+			queueRefused:    metrics.GetOrRegisterCounter("request.stream.queue.refused", r),
+			queueBeyondRoom: metrics.GetOrRegisterCounter("request.stream.queue.beyond_room", r),
+			registry:        r,
 		},
 	}
+	s.queue = newDispatchQueue(s)
+	return s
 }
 
 const (
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -86,10 +86,13 @@
 // engines may be listed or able to take it a moment later, and its caller can't be refused.
 func (st *stream) awaitEngine(ctx context.Context) (*placement.Run, *chicoryv1.ListedTarget, error) {
 	claim, reserved := st.a.claim(st.class()), ""
+	var refused queueRefusal
 	for {
-		run, from, err := st.place(reserved)
+		run, from, err := st.place(ctx, reserved)
 		reserved = ""
 		switch {
+		case errors.As(err, &refused):
+			return nil, nil, err
 		case fault.Is(err, fault.Overloaded):
 			if reserved, err = st.s.opts.Limits.Await(ctx, claim); err != nil {
 				return nil, nil, waitError(ctx, err, st.headerSent || st.possibleRuns > 0)
@@ -104,8 +107,9 @@
 
 // place selects the engine on which the stream starts or continues. If that engine keeps
 // a copy of the run's memory, it is also returned as from. reserved is the address of the
-// engine that the stream has a permit for, or empty.
-func (st *stream) place(reserved string) (*placement.Run, *chicoryv1.ListedTarget, error) {
+// engine that the stream has a permit for, or empty. Without either, the stream waits in the queue until an engine
+// has room.
+func (st *stream) place(ctx context.Context, reserved string) (*placement.Run, *chicoryv1.ListedTarget, error) {
 	from := st.backup
 	st.backup = nil
 	if from != nil && st.a.trial == nil { // a trial is for an engine that was not lost with the keys
@@ -113,13 +117,34 @@
 			return run, from, nil
 		}
 	}
-	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, Reserved: reserved}
+	if reserved == "" && st.usesQueue() {
+		run, err := st.s.queue.place(ctx, st)
+		return run, nil, err
+	}
+	run, err := st.placeNew(reserved, false)
+	return run, nil, err
+}
+
+func (st *stream) placeRequest() placement.PlaceRequest {
+	return placement.PlaceRequest{
+		Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, PreferRoom: st.usesQueue(),
+	}
+}
+
+// hasRoom reports whether an engine has room for the stream.
+func (st *stream) hasRoom() bool { return st.s.opts.Engines.HasRoom(st.placeRequest()) }
+
+// placeNew selects the engine on which the stream starts, or continues without a copy of its memory. If needsRoom is set, it
+// fails with placement.ErrNoRoom if no engine has room.
+func (st *stream) placeNew(reserved string, needsRoom bool) (*placement.Run, error) {
+	req := st.placeRequest()
+	req.Reserved, req.NeedsRoom = reserved, needsRoom
 	run, err := st.placeAllowed(req)
 	if fault.Is(err, fault.NoTarget) && len(st.tried) > 0 && (st.a.trial == nil || st.headerSent) {
 		req.Exclude, req.Reserved = nil, "" // given back
 		run, err = st.placeAllowed(req)
 	}
-	return run, nil, err
+	return run, err
 }
 
 // placeAllowed selects an engine. If the request is a trial, it is one that was not lost with its
--- a/internal/request/exchange/stream_log.go
+++ b/internal/request/exchange/stream_log.go
@@ -5,6 +5,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/dispatchqueue"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 )
 
@@ -22,6 +23,26 @@
 	})
 }
 
+// logQueued logs that the stream waits for room at an engine. expected is 0 if the wait can't be estimated.
+func (st *stream) logQueued(e *dispatchqueue.Entry, expected time.Duration, waiting int) {
+	st.s.opts.Logger.Info(logging.StreamQueued, logging.Fields{
+		"request": st.a.ID, "route": st.a.Route.Name, "priority": e.Priority, "begun": e.Begun, "waiting": waiting,
+		"expected_wait_ms": expected.Milliseconds(), "prompt_tokens": st.size.Prompt,
+	})
+}
+
+// logDequeued logs that the stream has waited. run is nil if no engine could be selected.
+func (st *stream) logDequeued(e *dispatchqueue.Entry, run *placement.Run, waited time.Duration) {
+	fields := logging.Fields{
+		"request": st.a.ID, "route": st.a.Route.Name, "priority": e.Priority, "begun": e.Begun, "waited_ms": waited.Milliseconds(),
+		"beyond_room": e.BeyondRoom(),
+	}
+	if run != nil {
+		fields["target"] = run.Target.GetAddress()
+	}
+	st.s.opts.Logger.Info(logging.StreamDequeued, fields)
+}
+
 func (st *stream) logFirstEvent(run *placement.Run, meta ResponseMetadata, now time.Time) {
 	st.s.opts.Logger.Info(logging.StreamBegun, logging.Fields{
 		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
