--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -38,10 +38,11 @@
 	byPrompt map[string]*chicoryv1.PromptPlace
 	// version increases with every change of the loads.
 	version uint64
-	// suspects, limits and entryVMs have locks of their own.
+	// suspects, limits, entryVMs and waiting have locks of their own.
 	suspects *quarantine.Table
 	limits   *ratelimit.Allocator
 	entryVMs *entryVMList
+	waiting  *waitingTable
 }
 
 // NewSharedState returns an empty SharedState.
@@ -52,6 +53,7 @@
 		byPrompt: map[string]*chicoryv1.PromptPlace{},
 		limits:   ratelimit.NewAllocator(),
 		entryVMs: newEntryVMList(),
+		waiting:  newWaitingTable(),
 		suspects: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
 	}
 }
@@ -63,6 +65,7 @@
 	s.suspects.GrantTrials(r.GetEntryId(), r.GetSuspects(), now)
 	s.limits.Update(r.GetEntryId(), r.GetLimits(), now)
 	s.entryVMs.update(r.GetEntryVm(), now)
+	s.waiting.update(r.GetEntryId(), r.GetWaiting(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
@@ -124,6 +127,8 @@
 type RemoteState struct {
 	Loads []*chicoryv1.EngineLoad
 	Uses  []*chicoryv1.ServiceUse
+	// Waiting has the streams that wait for engines; only Sink.SetRemoteState gets them.
+	Waiting []*chicoryv1.WaitingDemand
 	// Limits are the limits of targets that changed, and the permits for the excluded VM.
 	Limits []*chicoryv1.TargetLimit
 	// EntryVMs is the number of entry VMs, including the excluded one.
--- a/internal/connection/feed/feed_test.go
+++ b/internal/connection/feed/feed_test.go
@@ -94,6 +94,9 @@
 	peers   []Peer
 	// self is shared if it has an ID.
 	self Peer
+	// waiting is shared, remoteWaiting the number of streams that wait at others.
+	waiting       []*chicoryv1.WaitingDemand
+	remoteWaiting uint32
 }
 
 func (e *entryVM) ApplyDeclaration(d *chicoryv1.Declaration, _ string) {
@@ -115,12 +118,16 @@
 	for _, l := range o.Loads {
 		e.tokens += l.GetTokens()
 	}
+	e.remoteWaiting = 0
+	for _, w := range o.Waiting {
+		e.remoteWaiting += w.GetRequests()
+	}
 }
 
 func (e *entryVM) LocalState(bool) *chicoryv1.ShareRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return &chicoryv1.ShareRequest{Loads: []*chicoryv1.EngineLoad{{Address: "e1", Tokens: 100}}, EntryVm: e.self.EntryVM()}
+	return &chicoryv1.ShareRequest{Loads: []*chicoryv1.EngineLoad{{Address: "e1", Tokens: 100}}, EntryVm: e.self.EntryVM(), Waiting: e.waiting}
 }
 
 func (e *entryVM) SetTargets(*chicoryv1.TargetList, observe.Reading) {}
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -56,7 +56,7 @@
 	// MergeSuspects adds what a control VM knows about parts of prompts that may crash
 	// engines. fromLeader reports whether that VM is the leader.
 	MergeSuspects(suspects []*chicoryv1.SuspectPart, fromLeader bool)
-	// LocalState returns the state that this entry VM shares: all of its loads and usage, what
+	// LocalState returns the state that this entry VM shares: all of its loads, usage and waiting streams, what
 	// others know of it, the permits that it wants, and the prompt locations, suspect parts and limits of targets
 	// added since the last call. If all is set, the receiver has none of this entry VM yet, and
 	// the latest locations, all suspect parts and all limits are returned instead. The result
@@ -271,7 +271,7 @@
 		}
 		state.applyEntryVMs(m, now)
 		f.opts.Sink.SetRemoteState(RemoteState{
-			Loads: state.loadList(), Uses: m.GetUses(), Limits: m.GetLimits(), EntryVMs: int(m.GetEntries()), Peers: f.updatePeers(m, state, now),
+			Loads: state.loadList(), Uses: m.GetUses(), Waiting: m.GetWaiting(), Limits: m.GetLimits(), EntryVMs: int(m.GetEntries()), Peers: f.updatePeers(m, state, now),
 		})
 	}
 	return nil
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -6,8 +6,8 @@
 // The leader's feed also distributes state that entry VMs share with each other: the load
 // that they cause on engines, and the prompt locations, that is, which engine has
 // processed a prompt, the parts of prompts that may crash engines, the limits that targets
-// name with the permits for requests to them, and the peer addresses of entry VMs. Loads,
-// limits and addresses are lost with the leader and shared again with the next one; prompt
+// name with the permits for requests to them, the peer addresses of entry VMs, and how many streams wait for
+// engines. Loads, limits, addresses and waiting streams are lost with the leader and shared again with the next one; prompt
 // locations and suspect parts are kept by all control VMs.
 package feed
 
@@ -123,6 +123,8 @@
 	// limitsVersion is the version up to which the limits of targets were sent.
 	limitsVersion uint64
 	numbers       engineNumbers
+	// sentWaiting: the previous message stated that streams wait.
+	sentWaiting bool
 	// entryVMsVersion is the version up to which changes of the entry VMs were sent;
 	// moreEntryVMs reports whether some were left to the next message.
 	entryVMsVersion uint64
@@ -165,6 +167,9 @@
 	if f.addEntryVMs(m, now) {
 		urgent = true
 	}
+	if f.addWaiting(m, now) {
+		urgent = true
+	}
 	if m.Declaration == nil && m.Targets == nil && m.TargetChange == nil && !urgent && now.Sub(f.sentAt) < KeepaliveInterval {
 		return nil, changed, listChanged
 	}
--- a/internal/connection/feed/share.go
+++ b/internal/connection/feed/share.go
@@ -56,6 +56,9 @@
 	if len(previous.GetLimits()) > 0 || len(current.GetLimits()) > 0 || len(current.GetPlaces()) > 0 || len(current.GetSuspects()) > 0 || furtherAttempts(previous) != furtherAttempts(current) || len(previous.GetLoads()) != len(current.GetLoads()) {
 		return true
 	}
+	if isWaitingUrgent(previous, current) {
+		return true
+	}
 	if !proto.Equal(previous.GetEntryVm(), current.GetEntryVm()) {
 		return true
 	}
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -132,6 +132,7 @@
 		Settings:   exchange.Defaults(),
 		Paths:      p.relaying.paths,
 	})
+	p.routingState.queue = server
 	if err := p.relaying.listen(p.routingState.self.PeerAddress); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -10,6 +10,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/dispatchqueue"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
@@ -34,6 +35,8 @@
 	limits       *ratelimit.Table
 	retryBudgets *retryBudgets
 	logger       *logging.Logger
+	// queue has the streams that wait for engines; nil means that none do. It is set before the feeds are followed.
+	queue streamQueue
 	// drainTime is how long a target that announces that it leaves serves further requests.
 	drainTime time.Duration
 	// self is what other entry VMs know of this one, except whether it is cut off, which
@@ -65,6 +68,14 @@
 	removedServices removedServices
 }
 
+// streamQueue has the streams that wait for engines at this VM.
+type streamQueue interface {
+	// Demand returns the number of streams that wait here.
+	Demand() []dispatchqueue.Demand
+	// SetRemoteDemand replaces the sum of what waits at all other VMs.
+	SetRemoteDemand(demand []dispatchqueue.Demand)
+}
+
 func newRoutingState(decoder Decoder, engines *placement.EngineTable, suspects *quarantine.Table, limits *ratelimit.Table, budgets *retryBudgets, drainTime time.Duration, logger *logging.Logger) *routingState {
 	return &routingState{
 		decoder:      decoder,
@@ -121,6 +132,7 @@
 	r.engines.SetRemoteLoads(o.Loads)
 	r.retryBudgets.setRemoteUsage(o.Uses, o.EntryVMs)
 	r.limits.SetRemoteState(o.Limits, o.EntryVMs, time.Now())
+	r.setRemoteDemand(o.Waiting)
 	r.setPeers(o.Peers, time.Now())
 }
 
@@ -139,6 +151,7 @@
 	loads, places := r.engines.LocalState(full)
 	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage(), EntryVm: r.localEntryVM()}
 	share.Limits = r.limits.LocalState(full, time.Now())
+	share.Waiting = r.localDemand()
 	if full {
 		share.Suspects, r.sharedSuspects = r.quarantine.All(time.Now())
 	} else {
@@ -147,6 +160,33 @@
 	return share
 }
 
+// localDemand returns the streams that wait at this VM.
+func (r *routingState) localDemand() []*chicoryv1.WaitingDemand {
+	if r.queue == nil {
+		return nil
+	}
+	var out []*chicoryv1.WaitingDemand
+	for _, d := range r.queue.Demand() {
+		out = append(out, &chicoryv1.WaitingDemand{
+			Service: d.Service, Priority: uint32(d.Priority), Requests: uint32(d.Requests), PromptTokens: uint64(d.PromptTokens),
+		})
+	}
+	return out
+}
+
+func (r *routingState) setRemoteDemand(waiting []*chicoryv1.WaitingDemand) {
+	if r.queue == nil {
+		return
+	}
+	var demand []dispatchqueue.Demand
+	for _, w := range waiting {
+		demand = append(demand, dispatchqueue.Demand{
+			Service: w.GetService(), Priority: int(w.GetPriority()), Requests: int(w.GetRequests()), PromptTokens: int(w.GetPromptTokens()),
+		})
+	}
+	r.queue.SetRemoteDemand(demand)
+}
+
 // SetTargets implements feed.Sink. It ignores a list that was read before the one in force.
 func (r *routingState) SetTargets(list *chicoryv1.TargetList, reading observe.Reading) {
 	r.mu.Lock()
