dispatchqueue: divide free room between VMs by demand

Room is divided now by the streams that wait at the VMs, room of an own run excepted; less urgent streams leave room to the others as long as these use it. After the leader is lost, the last demand still divides the room for 3 s.

Streams that wait while no engine becomes free are sent one by one, at halving intervals, after 1.5 s.

--- a/internal/request/dispatchqueue/demand.go
+++ b/internal/request/dispatchqueue/demand.go
@@ -54,6 +54,11 @@
 	return len(q.remote) > 0 && now.Sub(q.remoteAt) < remoteLifetime
 }
 
+// SharesRoom reports whether streams wait at other VMs, or may wait there since the leader is lost.
+func (q *Queue) SharesRoom(now time.Time) bool {
+	return len(q.remote) > 0 && now.Sub(q.remoteAt) < contestLifetime
+}
+
 const (
 	// rateLifetime is the time over which rates are averaged: several dispatches of a VM that gets one
 	// stream per second.
--- a/internal/request/dispatchqueue/queue.go
+++ b/internal/request/dispatchqueue/queue.go
@@ -10,11 +10,14 @@
 // of its size is dispatched without room. Both bound the wait under load that does not end.
 //
 // Entry VMs share how many streams wait. While other VMs have waiting streams of a higher priority, a VM
-// leaves room to them for a short time.
+// leaves room to them for a short time. Room that became free at a VM's own run is its own; of other room, a VM
+// takes as much as its part of the streams that wait at all VMs, so that not all of them send a stream to
+// the one engine that became free.
 package dispatchqueue
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,17 +34,31 @@
 	// find room and it does not. One in maxPassed dispatches beyond the room is less than the error of
 	// the estimates of room.
 	maxPassed = 16
-	// maxStall is the longest time for which streams wait while no engine becomes free. Runs last some
-	// seconds, so with more than a few engines some run ends within it, unless the estimates of room
-	// are wrong. minStall is for streams that must start soon: two exchanges of loads between VMs.
-	maxStall = 2 * time.Second
+	// maxStall is the time for which streams wait while no engine becomes free, before the first of them is
+	// sent nevertheless. Runs last some seconds, so with more than a few engines some run ends within it,
+	// unless the estimates of room are wrong. minStall is for streams that must start soon: two exchanges of loads between VMs.
+	maxStall = 1500 * time.Millisecond
 	minStall = 250 * time.Millisecond
+	// stallStep is the time between the first two streams that are sent beyond the room because no engine
+	// becomes free. It halves with each further one: the first ones show whether engines have room, and
+	// if nothing becomes free, all streams have been sent after twice this time.
+	stallStep = 250 * time.Millisecond
 	// maxBegunWait is how long a stream whose response has begun waits for room: callers consider gaps
 	// of more than some 700 ms late, of which the loss of the engine has taken a part.
 	maxBegunWait = 150 * time.Millisecond
-	// maxHold is how long room is left to streams of a higher priority at other VMs. They learn of it,
-	// and this VM of their use of it, within 100 to 200 ms.
-	maxHold = 250 * time.Millisecond
+	// minHold and maxHold bound how long room that is seen all the time is left to other VMs. They learn of it,
+	// and this VM of their use of it, within 100 to 200 ms. The time is random between them, so that VMs
+	// don't end to wait at the same time.
+	minHold = 250 * time.Millisecond
+	maxHold = time.Second
+	// maxContest is the same bound for room that streams of other VMs want as well that don't precede this
+	// VM's. What Offer allows ends the wait earlier unless other VMs have far more waiting streams.
+	maxContest = 1500 * time.Millisecond
+	// contestLifetime is the time for which demand that was not replaced, because the leader is lost, still
+	// shows that other VMs want the same room. An election takes up to a second.
+	contestLifetime = 3 * time.Second
+	// OfferInterval is the time between two calls of Offer: that until all VMs know of the use of room.
+	OfferInterval = 200 * time.Millisecond
 	// remoteLifetime is the time after which the demand of other VMs counts as none. The leader relies
 	// on what VMs share for as long, so demand is used for at most twice this time, 1 s.
 	remoteLifetime = 500 * time.Millisecond
@@ -110,11 +127,12 @@
 	// remote is the number of streams at other VMs by service and priority, received at remoteAt.
 	remote   map[string]map[int]int
 	remoteAt time.Time
+	random   func() float64
 }
 
-// New returns an empty queue.
-func New() *Queue {
-	return &Queue{services: map[string]*serviceQueue{}}
+// New returns an empty queue. random returns numbers from 0 up to 1.
+func New(random func() float64) *Queue {
+	return &Queue{services: map[string]*serviceQueue{}, random: random}
 }
 
 // serviceQueue holds the streams that wait for one service.
@@ -126,9 +144,19 @@
 	// roomAt is when an engine last became free, when a stream last found room, or when the queue became
 	// longer than 0.
 	roomAt time.Time
-	// heldSince is since when room has been left to other VMs; zero while none is.
+	// stalledAt is when the last stream was sent beyond the room because no engine became free, step the time
+	// to the next one; zero if an engine became free since.
+	stalledAt time.Time
+	step      time.Duration
+	// heldSince is since when room has been left to other VMs, zero while none is, and holdTime for how long
+	// it is.
 	heldSince time.Time
-	rates     rates
+	holdTime  time.Duration
+	// allowance is the number of streams for which this VM may take room that other VMs want as well.
+	allowance int
+	// surplus is the number of engines with room beyond what streams of higher priorities at other VMs can use.
+	surplus int
+	rates   rates
 }
 
 // Join adds a stream. If the queue is full, it returns a stream that no longer waits, which may be e: the last
@@ -140,7 +168,8 @@
 		q.services[e.Service] = s
 	}
 	if len(s.entries) == 0 {
-		s.roomAt, s.heldSince = now, time.Time{}
+		s.foundRoom(now)
+		s.heldSince, s.allowance, s.surplus = time.Time{}, 0, 0
 		s.rates.begin(now)
 	}
 	q.sequence++
@@ -179,13 +208,49 @@
 	return excess
 }
 
-// RoomFreed records that an engine of some service has become free, even if a stream of another VM takes it.
-func (q *Queue) RoomFreed(now time.Time) {
+// RoomFreed records that an engine of some service has become free, even if a stream of another VM takes it. here
+// is the number of runs and prompts of this VM that have ended.
+func (q *Queue) RoomFreed(here int, now time.Time) {
 	for _, s := range q.services {
-		s.roomAt = now
+		s.foundRoom(now)
+		s.allowance = min(s.allowance+here, len(s.entries))
 	}
 }
 
+// Offer states how many engines of a service have room, when a stream joins an empty queue and then every OfferInterval.
+// The VM may take what streams of higher priorities at other VMs leave, and of that a part that is its part of the waiting
+// streams.
+func (q *Queue) Offer(service string, engines int, now time.Time) {
+	s := q.services[service]
+	if s == nil || !q.SharesRoom(now) {
+		return
+	}
+	own, first := 0, math.MaxInt
+	for _, e := range s.entries {
+		switch {
+		case e.isLate(now) && !e.Begun || e.Priority > first:
+		case e.Priority < first:
+			own, first = 1, e.Priority
+		default:
+			own++
+		}
+	}
+	higher, same := 0, 0
+	for priority, n := range q.remote[service] {
+		if priority < first {
+			higher += n
+		} else if priority == first {
+			same += n
+		}
+	}
+	s.surplus = max(engines-higher, 0)
+	share := float64(s.surplus*own) / float64(max(own+same, 1))
+	if share > 0 && q.HasRemoteDemand(now) {
+		share += q.random() // without a leader, VMs don't learn that others have taken the same room
+	}
+	s.allowance = int(share)
+}
+
 // Leave removes a stream. It has no effect on a stream that doesn't wait.
 func (q *Queue) Leave(e *Entry) {
 	if s := q.services[e.Service]; s != nil && e.waits {
@@ -209,7 +274,7 @@
 	if s != nil && len(s.entries) > 0 {
 		return true
 	}
-	return !e.Begun && q.yields(e, now)
+	return q.yields(e, now) && !e.Begun || q.isContested(e, now)
 }
 
 // Next removes and returns the first stream that may be dispatched now, or nil if there is none. room reports
@@ -239,17 +304,26 @@
 			}
 			continue
 		}
-		s.roomAt = now
+		s.foundRoom(now)
+		limit := time.Duration(0)
 		if q.isHeld(s, e, now) {
+			limit = maxHold
+		} else if s.allowance < 1 && q.isContested(e, now) {
+			limit = maxContest
+		}
+		if limit > 0 {
 			held = true
 			if s.heldSince.IsZero() {
-				s.heldSince = now
+				s.heldSince, s.holdTime = now, q.holdTime(limit)
 			}
-			if now.Sub(s.heldSince) < maxHold {
+			if now.Sub(s.heldSince) < min(s.holdTime, limit) {
 				continue
 			}
-			s.heldSince = now
+			s.heldSince, s.holdTime = now, q.holdTime(limit)
+		} else {
+			s.allowance = max(s.allowance-1, 0)
 		}
+		s.surplus = max(s.surplus-1, 0)
 		for _, passed := range order[:i] {
 			passed.passed++
 		}
@@ -260,27 +334,60 @@
 		s.heldSince = time.Time{}
 	}
 	if beyond != nil {
+		if s.isStalled(beyond, now) {
+			s.stalledAt = now
+			if s.step == 0 {
+				s.step = 2 * stallStep
+			}
+			s.step /= 2
+		}
 		beyond.beyondRoom = true
 		s.dispatched(beyond, now)
 	}
 	return beyond
 }
 
+// foundRoom records that an engine became free or has room.
+func (s *serviceQueue) foundRoom(now time.Time) {
+	s.roomAt, s.stalledAt, s.step = now, time.Time{}, 0
+}
+
 // goesBeyondRoom reports whether a stream for which no engine has room is dispatched nevertheless.
 func (s *serviceQueue) goesBeyondRoom(e *Entry, now time.Time) bool {
 	if e.passed >= maxPassed || e.Begun && now.Sub(e.joinedAt) >= maxBegunWait {
 		return true
 	}
+	return s.isStalled(e, now) && now.Sub(s.stalledAt) >= s.step
+}
+
+// isStalled reports whether a stream has waited long enough while no engine became free.
+func (s *serviceQueue) isStalled(e *Entry, now time.Time) bool {
 	patience := e.patience()
 	return now.Sub(s.roomAt) >= patience && now.Sub(e.joinedAt) >= patience
 }
 
 // isHeld reports whether room for a stream is left to streams at other VMs.
 func (q *Queue) isHeld(s *serviceQueue, e *Entry, now time.Time) bool {
-	if e.Begun || s.credits[e.Priority] >= 1 || !e.isLate(now) && now.Sub(e.joinedAt) >= e.patience() {
+	return !e.Begun && s.surplus < 1 && s.credits[e.Priority] < 1 && q.yields(e, now)
+}
+
+// holdTime returns a random time for which room is left to other VMs.
+func (q *Queue) holdTime(limit time.Duration) time.Duration {
+	return minHold + time.Duration(q.random()*float64(limit-minHold))
+}
+
+// isContested reports whether streams that don't come after e wait at other VMs, or may wait there since the leader is
+// lost.
+func (q *Queue) isContested(e *Entry, now time.Time) bool {
+	if e.Begun || !q.SharesRoom(now) {
 		return false
 	}
-	return q.yields(e, now)
+	for priority := range q.remote[e.Service] {
+		if priority <= e.Priority || !q.HasRemoteDemand(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // yields reports whether streams that precede e wait at other VMs: those of a higher priority, and if e is late,
--- a/internal/request/exchange/dispatch_queue.go
+++ b/internal/request/exchange/dispatch_queue.go
@@ -43,7 +43,9 @@
 	// joined receives a value when a stream has joined.
 	joined chan struct{}
 	// freed is EngineTable.Freed at the last decision.
-	freed uint64
+	freed placement.Freed
+	// offeredAt is when the room of engines was last counted.
+	offeredAt time.Time
 	// lengths counts the waiting streams by priority, for metrics.
 	lengths map[int]int
 }
@@ -63,7 +65,7 @@
 
 func newDispatchQueue(s *Service) *dispatchQueue {
 	return &dispatchQueue{
-		s: s, queue: dispatchqueue.New(), waiting: map[*dispatchqueue.Entry]*waitingStream{},
+		s: s, queue: dispatchqueue.New(rand.Float64), waiting: map[*dispatchqueue.Entry]*waitingStream{},
 		joined: make(chan struct{}, 1), lengths: map[int]int{},
 	}
 }
@@ -136,7 +138,7 @@
 		q.end(excess, placed{err: q.refuse(q.waiting[excess].st, q.queue.ExpectedWait(excess, now), now.Sub(q.waiting[excess].joinedAt))})
 	}
 	if !q.running {
-		q.running = true
+		q.running, q.offeredAt = true, time.Time{}
 		q.freed = q.s.opts.Engines.Freed()
 		go q.run()
 	}
@@ -212,9 +214,10 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	if freed := q.s.opts.Engines.Freed(); freed != q.freed {
+		q.queue.RoomFreed(int(freed.Here-q.freed.Here), now)
 		q.freed = freed
-		q.queue.RoomFreed(now)
 	}
+	q.offer(now)
 	for _, e := range q.queue.RemoveExpired(now) {
 		w := q.waiting[e]
 		q.end(e, placed{err: q.refuse(w.st, q.queue.ExpectedWait(e, now), now.Sub(w.joinedAt))})
@@ -236,6 +239,21 @@
 	return q.running
 }
 
+// offer counts the engines with room for streams that other VMs may have waiting as well. The caller holds mu.
+func (q *dispatchQueue) offer(now time.Time) {
+	if now.Sub(q.offeredAt) < dispatchqueue.OfferInterval || !q.queue.SharesRoom(now) {
+		return
+	}
+	q.offeredAt = now
+	counted := map[string]bool{}
+	for e, w := range q.waiting {
+		if !counted[e.Service] {
+			counted[e.Service] = true
+			q.queue.Offer(e.Service, q.s.opts.Engines.CountRoom(w.st.placeRequest()), now)
+		}
+	}
+}
+
 // roomCheck returns a function that reports whether an engine has room for a stream. It looks for room for
 // each prompt that may be cached, but otherwise only for streams shorter than those without room. The caller holds mu.
 func (q *dispatchQueue) roomCheck() func(*dispatchqueue.Entry) bool {
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -38,9 +38,8 @@
 	remoteRate rate
 	locations  locationTable
 	// room receives a value when an engine may have become free; it is never closed.
-	room chan struct{}
-	// freed counts the ends of runs, backups and prompts, and the loads of other VMs that decreased.
-	freed uint64
+	room  chan struct{}
+	freed Freed
 }
 
 // engineState is the state of one listed engine address. It is guarded by EngineTable.mu.
@@ -110,7 +109,7 @@
 		return x == nil || x.target.GetInstance() != instance || next != nil && next.target.GetInstance() == instance
 	})
 	e.byAddress, e.byService = byAddress, byService
-	e.roomFreed()
+	e.freedElsewhere()
 }
 
 // PlaceRequest describes a run to place.
@@ -236,6 +235,6 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		x.backupTokens -= r.size.Total()
-		e.roomFreed()
+		e.freedHere()
 	}
 }
--- a/internal/request/placement/room.go
+++ b/internal/request/placement/room.go
@@ -43,20 +43,44 @@
 // a backup has ended, a prompt has been processed, or the loads of other VMs or the list have changed.
 func (e *EngineTable) Room() <-chan struct{} { return e.room }
 
-// Freed returns a number that changes when some engine, also one that is still full, becomes free of a run, a
-// backup or a prompt.
-func (e *EngineTable) Freed() uint64 {
+// Freed counts how often engines, also those that are still full, became free of a run, a backup or a prompt.
+type Freed struct {
+	// Here counts those of this VM, Elsewhere the reports of other VMs and the changes of the list.
+	Here, Elsewhere uint64
+}
+
+// Freed returns the counts since the table was created.
+func (e *EngineTable) Freed() Freed {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.freed
 }
 
-// roomFreed records that an engine has less load. The caller holds mu.
-func (e *EngineTable) roomFreed() {
-	e.freed++
+// freedHere records that an engine has less load of this VM. The caller holds mu.
+func (e *EngineTable) freedHere() {
+	e.freed.Here++
+	e.notifyRoom()
+}
+
+// freedElsewhere records that an engine may have less load for another reason. The caller holds mu.
+func (e *EngineTable) freedElsewhere() {
+	e.freed.Elsewhere++
 	e.notifyRoom()
 }
 
+// CountRoom returns the number of engines that have room for a run.
+func (e *EngineTable) CountRoom(w PlaceRequest) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n, now := 0, time.Now()
+	for _, x := range e.byService[w.Service] {
+		if isEligible(x, w) && !now.Before(x.avoidUntil) && e.hasRoom(x, w, now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *EngineTable) notifyRoom() {
 	select {
 	case e.room <- struct{}{}:
--- a/internal/request/placement/run.go
+++ b/internal/request/placement/run.go
@@ -57,7 +57,7 @@
 	r.firstEvent = true
 	r.endPrompt()
 	r.engine.losses = 0
-	r.engines.roomFreed()
+	r.engines.freedHere()
 }
 
 // MarkLost records that the engine was lost: it notifies the other runs on the engine and
@@ -120,7 +120,7 @@
 	r.engine.report.endedSince++
 	r.engine.runTokens -= r.size.Total()
 	r.endPrompt()
-	r.engines.roomFreed()
+	r.engines.freedHere()
 }
 
 // endPrompt removes the prompt from those that the engine has yet to process. The caller holds mu.
--- a/internal/request/placement/shared.go
+++ b/internal/request/placement/shared.go
@@ -34,7 +34,7 @@
 		x.remoteLoad = loadsByAddress[address]
 	}
 	if freed {
-		e.roomFreed()
+		e.freedElsewhere()
 	}
 	e.remoteRate.add(placed, now.Sub(e.remoteLoadsAt))
 	e.remoteLoadsAt = now
