--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -124,6 +124,7 @@
 		Loads:      loads,
 		Engines:    engines,
 		Limits:     p.routingState.limits,
+		Declared:   p.routingState.declared,
 		OnLeaving:  p.routingState.announceLeaving,
 		Quarantine: p.routingState.quarantine,
 		Budget:     p.retryBudgets.forService,
@@ -132,6 +133,7 @@
 		Settings:   exchange.Defaults(),
 		Paths:      p.relaying.paths,
 	})
+	p.routingState.queue = server
 	if err := p.relaying.listen(p.routingState.self.PeerAddress); err != nil {
 		return errors.Trace(err)
 	}
