declared: find all problems of a configuration, not only the first

Control VMs still reject a configuration with the first problem, in the same words. The problems are found one at a time, so that a control VM doesn't pay for the others.

--- a/internal/version/declared/validate.go
+++ b/internal/version/declared/validate.go
@@ -1,75 +1,117 @@
 package declared
 
 import (
+	"fmt"
+	"iter"
 	"strings"
-
-	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 )
 
 // Validate checks that c is consistent. It returns an error of the kind PlanRejected for
 // the first invalid item.
 func (c *Configuration) Validate() error {
-	if c.Version == 0 {
-		return fault.New(fault.PlanRejected, "the configuration has no version")
+	for p := range c.Problems() {
+		return p.Err()
 	}
-	services := map[string]bool{}
-	for _, s := range c.Services {
-		if s.Name == "" {
-			return fault.New(fault.PlanRejected, "a service has no name")
-		}
-		services[s.Name] = true
+	return nil
+}
+
+// Problems returns all reasons for which Validate rejects c. They are found one at a time, so
+// that a caller that stops at the first one doesn't pay for the others.
+func (c *Configuration) Problems() iter.Seq[Problem] {
+	return func(yield func(Problem) bool) {
+		_ = c.checkVersion(yield) && c.checkServices(yield) && c.checkRoutes(yield) && c.checkKeys(yield)
 	}
-	if err := c.validateRoutes(services); err != nil {
-		return err
+}
+
+// Each of the methods below passes the problems that it finds to yield. It returns false when
+// yield does.
+
+func (c *Configuration) checkVersion(yield func(Problem) bool) bool {
+	return c.Version != 0 || yield(NoVersion())
+}
+
+// NoVersion returns the problem of a configuration without a version.
+func NoVersion() Problem {
+	return Problem{Kind: ProblemNoVersion, Field: FieldVersion, Message: "the configuration has no version"}
+}
+
+func (c *Configuration) checkServices(yield func(Problem) bool) bool {
+	for i, s := range c.Services {
+		if s.Name != "" {
+			continue
+		}
+		p := Problem{Kind: ProblemUnnamedService, Item: Item{SectionServices, i, ""}, Field: FieldName, Message: "a service has no name"}
+		if !yield(p) {
+			return false
+		}
 	}
-	return c.validateKeys()
+	return true
 }
 
-func (c *Configuration) validateRoutes(services map[string]bool) error {
+func (c *Configuration) checkRoutes(yield func(Problem) bool) bool {
+	services := make(map[string]bool, len(c.Services))
+	for _, s := range c.Services {
+		if s.Name != "" {
+			services[s.Name] = true
+		}
+	}
 	type hostPrefix struct{ host, prefix string }
-	names := map[hostPrefix]string{}
-	for _, r := range c.Routes {
+	names := make(map[hostPrefix]string, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
 		key := hostPrefix{strings.ToLower(r.Host), r.PathPrefix}
-		if other, ok := names[key]; ok {
-			return fault.New(fault.PlanRejected, "routes %q and %q share host %q and prefix %q", other, r.Name, r.Host, r.PathPrefix)
+		if other, ok := names[key]; !ok {
+			names[key] = r.Name
+		} else if !yield(r.problem(i, ProblemDuplicateRoute, FieldPathPrefix, "routes %q and %q share host %q and prefix %q", other, r.Name, r.Host, r.PathPrefix)) {
+			return false
 		}
-		names[key] = r.Name
-		if err := r.validate(services); err != nil {
-			return err
+		if !r.check(i, services, yield) {
+			return false
 		}
 	}
-	return nil
+	return true
 }
 
-func (r *Route) validate(services map[string]bool) error {
-	if r.Timeout <= 0 {
-		return fault.New(fault.PlanRejected, "route %q has no timeout", r.Name)
+func (r *Route) problem(index int, kind ProblemKind, field Field, format string, args ...any) Problem {
+	return Problem{Kind: kind, Item: Item{SectionRoutes, index, r.Name}, Field: field, Message: fmt.Sprintf(format, args...)}
+}
+
+func (r *Route) check(index int, services map[string]bool, yield func(Problem) bool) bool {
+	if r.Timeout <= 0 && !yield(r.problem(index, ProblemNoTimeout, FieldTimeout, "route %q has no timeout", r.Name)) {
+		return false
 	}
-	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-		return fault.New(fault.PlanRejected, "prefix %q of route %q doesn't begin and end with a slash", r.PathPrefix, r.Name)
+	if (!strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/")) &&
+		!yield(r.problem(index, ProblemInvalidPrefix, FieldPathPrefix, "prefix %q of route %q doesn't begin and end with a slash", r.PathPrefix, r.Name)) {
+		return false
 	}
 	total := uint64(0)
 	for _, s := range r.Services {
-		if !services[s.Service] {
-			return fault.New(fault.PlanRejected, "route %q names the unknown service %q", r.Name, s.Service)
+		if !services[s.Service] &&
+			!yield(r.problem(index, ProblemUnknownService, FieldServices, "route %q names the unknown service %q", r.Name, s.Service)) {
+			return false
 		}
 		total += s.Weight
 	}
-	if total == 0 {
-		return fault.New(fault.PlanRejected, "the weights of route %q add up to 0", r.Name)
-	}
-	return nil
+	return total != 0 || yield(r.problem(index, ProblemNoWeight, FieldServices, "the weights of route %q add up to 0", r.Name))
 }
 
-func (c *Configuration) validateKeys() error {
-	teams := map[string]string{}
-	for _, t := range c.Teams {
+func (c *Configuration) checkKeys(yield func(Problem) bool) bool {
+	teams := make(map[string]string, len(c.Teams))
+	for i, t := range c.Teams {
 		for _, key := range t.Keys {
-			if other, ok := teams[key]; ok && other != t.Name {
-				return fault.New(fault.PlanRejected, "teams %q and %q share a key", other, t.Name)
+			other, ok := teams[key]
+			if !ok {
+				teams[key] = t.Name
+				continue
+			}
+			if other == t.Name {
+				continue
+			}
+			p := Problem{Kind: ProblemSharedKey, Item: Item{SectionTeams, i, t.Name}, Field: FieldKeys, Message: fmt.Sprintf("teams %q and %q share a key", other, t.Name)}
+			if !yield(p) {
+				return false
 			}
-			teams[key] = t.Name
 		}
 	}
-	return nil
+	return true
 }
