declared/check: find errors, entries without effect and differences of a configuration

The adapter reads a document with the code that control VMs use, which now finds all problems, and locates each by line and field.

Control VMs read engine.slots now, but accept any value of it, as before: the number is used by the check only.

--- a/internal/version/declared/declared.go
+++ b/internal/version/declared/declared.go
@@ -77,6 +77,8 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
+	// Slots is the number of requests that one target runs at once; 0 means unspecified.
+	Slots int
 	// KVCapacityTokens is the capacity of the KV cache in tokens, which running requests and
 	// cached prompt prefixes share.
 	KVCapacityTokens int
--- a/internal/version/declared/problem.go
+++ b/internal/version/declared/problem.go
@@ -37,6 +37,8 @@
 	FieldPriority         Field = "priority"
 	FieldMaxAttempts      Field = "maximum attempts"
 	FieldServices         Field = "services"
+	FieldPublic           Field = "public"
+	FieldHealthPath       Field = "health path"
 	FieldMaxConnections   Field = "maximum connections"
 	FieldEngine           Field = "engine"
 	FieldKeys             Field = "keys"
