--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -40,20 +40,37 @@
 	control string
 	keys    peer.Files
 	output  string
+	// documents is nil unless the program has an adapter for a platform.
+	documents Documents
 }
 
+// Option configures Run.
+type Option func(*app)
+
+// WithDocuments makes Run read configuration documents with d.
+func WithDocuments(d Documents) Option { return func(a *app) { a.documents = d } }
+
 // Run runs the command in args and returns the exit status.
-func Run(args []string, stdout, stderr io.Writer) int {
+func Run(args []string, stdout, stderr io.Writer, options ...Option) int {
 	a := &app{out: stdout}
+	for _, option := range options {
+		option(a)
+	}
 	err := a.root().ParseAndRun(context.Background(), args)
 	if err == nil || errors.Is(err, flag.ErrHelp) {
 		return ExitOK
 	}
-	fmt.Fprintln(stderr, "chicoryctl:", err)
+	if err.Error() != "" {
+		fmt.Fprintln(stderr, "chicoryctl:", err)
+	}
 	return exitStatus(err)
 }
 
 func exitStatus(err error) int {
+	var statusErr *statusError
+	if errors.As(err, &statusErr) {
+		return statusErr.status
+	}
 	var faultErr *fault.Error
 	if !errors.As(err, &faultErr) {
 		return ExitUsage
--- a/internal/ctl/read.go
+++ b/internal/ctl/read.go
@@ -165,8 +165,8 @@
 }
 
 func (a *app) configCommand() *ffcli.Command {
-	return a.command("config", "config", "Shows the configuration in force as JSON.",
-		"chicoryctl config -config ctl.yaml", nil,
+	c := a.command("config", "config [check FILE]", "Shows the configuration in force as JSON, or checks a declared one.",
+		"chicoryctl config -config ctl.yaml\nchicoryctl config check next.json", nil,
 		noArguments(func(ctx context.Context) error {
 			resp, err := callLeader(ctx, a, &chicoryv1.GetConfigurationRequest{}, chicoryv1connect.OperatorServiceClient.GetConfiguration)
 			if err != nil {
@@ -175,6 +175,8 @@
 			a.output = outputJSON
 			return a.print(resp.GetConfiguration(), nil)
 		}))
+	c.Subcommands = []*ffcli.Command{a.configCheckCommand()}
+	return c
 }
 
 func (a *app) claimsCommand() *ffcli.Command {
