exchange: resumes wait in the order of what waiting costs their callers; fewer attempts at lost engines

The loss of a zone's engines interrupts more streams than the retry budget allows to resume at that time. Streams with a valid copy now come first, then those of the highest priority and those that have waited for 2 s, then the others; each kind leaves a part of the common bound to the one before. A copy is not tried after its lifetime (handle_ttl_s of the configuration).

285 of some 360 refusals by another instance of the engine came within 2 s after the engines of a zone had restarted, while the list still had the former instances. After three losses within a second, engines of the zone that have sent nothing since come last for 4 s, unless a later list has a new instance.

--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -269,6 +269,14 @@
 	return true, ""
 }
 
+// highestPriority returns the highest priority of the streams of a service.
+func (r *routingState) highestPriority(service string) int {
+	if view := r.declared.Current(); view != nil {
+		return view.HighestPriority(service)
+	}
+	return 0
+}
+
 // maxConnections returns the number of connections that a target of the service accepts from all entry
 // VMs, or 0 if it is not configured.
 func (r *routingState) maxConnections(service string) int {
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -49,9 +49,7 @@
 func (s *Service) runAttempt(ctx context.Context, a *AdmittedRequest, p request.Placement, newConnection bool) *attempt {
 	begin := time.Now()
 	stop := s.watchSilence(a, p.Target.GetAddress())
-	t := s.roundTrip(ctx, a, p.Target.GetAddress(), Dispatch{
-		Instance: p.Target.GetInstance(), NewConnection: newConnection, Priority: s.statedPriority(a, false),
-	})
+	t := s.roundTrip(ctx, a, p.Target.GetAddress(), Dispatch{Instance: p.Target.GetInstance(), NewConnection: newConnection})
 	stop()
 	t.target = p.Target.GetAddress()
 	t.latency = time.Since(begin)
--- a/internal/request/exchange/event_relay.go
+++ b/internal/request/exchange/event_relay.go
@@ -95,6 +95,7 @@
 		r.st.gaps.Add(now.Sub(r.previous))
 	}
 	r.result.events++
+	r.result.lastEventAt = now
 	r.guard.received()
 	if r.result.events == eventsOfBegunAnswer {
 		r.st.markBegun()
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -102,14 +102,8 @@
 	// ContinueFrom is the address of the engine that keeps a copy of the run's memory,
 	// which is the engine that the request is sent to, or empty if there is none.
 	ContinueFrom string
-	// Priority is stated to the target, from 0 for the most urgent requests to MaxStatedPriority; nil
-	// means that it is not stated.
-	Priority *int
 }
 
-// MaxStatedPriority is the least urgent priority that is stated to targets.
-const MaxStatedPriority = 9
-
 // ResponseMetadata is what the headers of a target's response state.
 type ResponseMetadata struct {
 	// ID is the id of the request that the response belongs to.
@@ -234,7 +228,7 @@
 	}
 }
 
-// Options are the dependencies of a Service. All are required except Declared, OnLeaving and Paths.
+// Options are the dependencies of a Service. All are required except OnLeaving and Paths.
 type Options struct {
 	Pool     *http1.Pool
 	Protocol TargetProtocol
@@ -246,14 +240,14 @@
 	Engines *placement.EngineTable
 	// Limits holds the limits that targets name.
 	Limits *ratelimit.Table
-	// Declared holds the configuration in force, which determines whether priorities are stated to
-	// engines; nil means that they are not.
-	Declared *declared.Holder
 	// OnLeaving is called with each response in which a start of the target at address states that it is
 	// about to stop; nil means no call.
 	OnLeaving func(address, instance string)
 	// Quarantine refuses requests that crash targets.
 	Quarantine *quarantine.Table
+	// HighestPriority returns the highest priority of the streams of a service, which is the lowest
+	// number; nil means that all have the same.
+	HighestPriority func(service string) int
 	// Budget returns the retry budget of a service.
 	Budget   func(service string) request.RetryBudget
 	Logger   *logging.Logger
@@ -267,6 +261,7 @@
 type Service struct {
 	opts      Options
 	latencies *pace.LatencyTracker
+	resumes   *resumeOrder
 	metrics   serviceMetrics
 	queue     *dispatchQueue
 }
@@ -307,6 +302,7 @@
 		},
 	}
 	s.queue = newDispatchQueue(s)
+	s.resumes = newResumeOrder()
 	return s
 }
 
@@ -381,24 +377,6 @@
 	}
 }
 
-// statedPriority returns the priority that is stated to the target of a request, or nil. It is stated
-// to the engines of services that get requests of different priorities. begun: the caller has received
-// a part of the response.
-func (s *Service) statedPriority(a *AdmittedRequest, begun bool) *int {
-	if s.opts.Declared == nil || a.Service.Engine == nil {
-		return nil
-	}
-	view := s.opts.Declared.Current()
-	if view == nil || !view.HasMixedPriorities(a.Service.Name) {
-		return nil
-	}
-	priority := 0
-	if !begun {
-		priority = min(max(a.Priority, 0)+1, MaxStatedPriority)
-	}
-	return &priority
-}
-
 // ErrStopping is the cause of a context that ends because the process stops.
 const ErrStopping = errors.ConstError("the process stops")
 
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -13,7 +13,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/pause"
-	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/pace"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
@@ -43,6 +42,10 @@
 	// backup is the engine that keeps a copy of the run's memory, or nil if there is
 	// none.
 	backup *chicoryv1.ListedTarget
+	// copyUntil is when the copy there expires; the zero time if that is not known.
+	copyUntil time.Time
+	// lostAt is when the last attempt ended.
+	lostAt time.Time
 	tried  []string
 	// possibleRuns counts the engines that may have run the request, refused those that
 	// did not run it.
@@ -110,7 +113,7 @@
 // engine that the stream has a permit for, or empty. Without either, the stream waits in the queue until an engine
 // has room.
 func (st *stream) place(ctx context.Context, reserved string) (*placement.Run, *chicoryv1.ListedTarget, error) {
-	from := st.backup
+	from := st.validBackup(time.Now())
 	st.backup = nil
 	if from != nil && st.a.trial == nil { // a trial is for an engine that was not lost with the keys
 		if run := st.s.opts.Engines.PlaceOnBackup(from, st.a.PromptID, st.size); run != nil {
@@ -192,15 +195,10 @@
 	if st.nextAllowed {
 		return nil
 	}
-	for {
-		ok, wait := st.s.opts.Budget(st.a.Service.Name).Allow(request.ResumeGeneration)
-		if ok {
-			return nil
-		}
-		if !pause.For(ctx, wait) {
-			return contextError(ctx, st.possibleRuns > 0)
-		}
+	if !st.s.resumes.await(ctx, st) {
+		return contextError(ctx, st.possibleRuns > 0)
 	}
+	return nil
 }
 
 // trialError returns the error for a trial that one engine has received and not begun to answer.
@@ -234,10 +232,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	st.dispatchedAt = time.Now()
-	d := Dispatch{
-		Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.brokenConnection,
-		Priority: st.s.statedPriority(st.a, st.hasBegun()),
-	}
+	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.brokenConnection}
 	if from != nil {
 		d.ContinueFrom = from.GetAddress()
 	}
@@ -277,8 +272,10 @@
 	final   bool
 	outcome outcome
 	events  int
-	status  int
-	err     error
+	// lastEventAt is when the last new event arrived.
+	lastEventAt time.Time
+	status      int
+	err         error
 }
 
 // record updates the stream after an attempt: how many engines may have run the request,
@@ -290,6 +287,11 @@
 	} else {
 		st.refused++
 	}
+	st.lostAt = time.Now()
+	st.copyUntil = time.Time{}
+	if lifetime := st.copyLifetime(); lifetime > 0 && result.events > 0 {
+		st.copyUntil = result.lastEventAt.Add(lifetime)
+	}
 	// The copy begins with the first event.
 	if result.outcome != outcomeLost || result.events == 0 {
 		st.backup = nil
--- a/internal/request/exchange/stream_guard.go
+++ b/internal/request/exchange/stream_guard.go
@@ -22,6 +22,10 @@
 	cancel context.CancelCauseFunc
 	// movable: the route allows another attempt after this one.
 	movable bool
+	// backsUp: another engine keeps a copy of the run's memory, from the first event on. withoutCopy is the kind
+	// of the next attempt before.
+	backsUp     bool
+	withoutCopy request.RetryKind
 
 	mu sync.Mutex // guards the fields below
 	// granted: the retry budget has allowed the next attempt.
@@ -44,9 +48,18 @@
 		st: st, run: run, cancel: cancel,
 		movable: st.a.Route.RetryPolicy == declared.Resumable && st.possibleRuns+1 < st.a.maxAttempts() &&
 			(st.headerSent || st.refused < st.s.opts.Settings.MaxRefusals),
+		backsUp: st.backup != nil, withoutCopy: st.resumeKind(false, time.Now()),
 	}
 }
 
+// resumeKind returns the kind of the attempt that follows if this one is given up.
+func (g *attemptGuard) resumeKind() request.RetryKind {
+	if g.backsUp && g.run.HasFirstEvent() {
+		return request.ResumeFromCopy
+	}
+	return g.withoutCopy
+}
+
 // sent records the exchange that the attempt reads from.
 func (g *attemptGuard) sent(x *http1.Exchange) {
 	g.mu.Lock()
@@ -110,7 +123,7 @@
 		if !g.movable || !g.st.s.opts.Engines.HasOther(g.run.Target) {
 			return false
 		}
-		if g.granted, _ = g.st.s.opts.Budget(g.st.a.Service.Name).Allow(request.ResumeGeneration); !g.granted {
+		if g.granted, _ = g.st.s.opts.Budget(g.st.a.Service.Name).Allow(g.resumeKind()); !g.granted {
 			return false
 		}
 	}
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -131,6 +131,16 @@
 	// maxMemoryShare is the share of an engine's memory that may be used. Sizes are those
 	// at the end of a run, and some prompts stay in memory after their runs.
 	maxMemoryShare = 0.9
+	// massLossEngines is the number of engines of a zone that must be lost within massLossTime for all of its
+	// engines to count as lost. A single engine that restarts says nothing of the others.
+	massLossEngines = 3
+	massLossTime    = time.Second
+	// massLossWindow is the time after that in which engines of the zone that have sent nothing since come
+	// after all others. They restart within a second or two and then refuse what is addressed to their former
+	// instance, until the list, which lags by some seconds, has the new one.
+	massLossWindow = 4 * time.Second
+	// massLossPenalty exceeds the score of engines with many runs, and is below cooldownPenalty.
+	massLossPenalty = 5
 )
 
 // score is the share of the engine's memory that runs use, plus the cost of what delays
@@ -176,7 +186,11 @@
 	if now.Before(x.avoidUntil) {
 		penalty += cooldownPenalty
 	}
-	lostAt := e.zoneLosses[x.target.GetAvailabilityZone()]
+	zone := x.target.GetAvailabilityZone()
+	if at, ok := e.massLosses[zone]; ok && now.Sub(at) < massLossWindow && x.lastSeen.Before(at) && x.listedAt.Before(at) {
+		penalty += massLossPenalty
+	}
+	lostAt := e.zoneLosses[zone]
 	if now.Sub(lostAt) < e.settings.ZoneLossWindow && x.lastSeen.Before(lostAt) {
 		penalty += e.settings.ZoneLossWeight
 	}
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -30,6 +30,10 @@
 	byService map[string][]*engineState
 	// zoneLosses is the time of the last loss of an engine, by availability zone.
 	zoneLosses map[string]time.Time
+	// recentLosses has the engines lost lately, massLosses the time of the last loss of many, by availability
+	// zone.
+	recentLosses map[string]recentLosses
+	massLosses   map[string]time.Time
 	// meanRunTokens and meanPromptTokens are moving averages of the size of runs and of their prompts.
 	meanRunTokens, meanPromptTokens float64
 	// remoteLoadsAt is when the loads of the other entry VMs were last received.
@@ -47,6 +51,12 @@
 	freed Freed
 }
 
+// recentLosses are the engines of one zone that were lost within massLossTime after the first loss.
+type recentLosses struct {
+	at        time.Time
+	addresses map[string]bool
+}
+
 // engineState is the state of one listed engine address. It is guarded by EngineTable.mu.
 type engineState struct {
 	target   *chicoryv1.ListedTarget
@@ -69,6 +79,8 @@
 	losses     int
 	// avoidUntil is the end of the cooldown after a loss.
 	avoidUntil time.Time
+	// listedAt is when this instance of the engine was first listed.
+	listedAt time.Time
 	// lastSeen is when the engine last sent a response that states its load.
 	lastSeen time.Time
 	// lost is closed when a run finds this instance of the engine lost.
@@ -85,6 +97,8 @@
 		byAddress:     map[string]*engineState{},
 		byService:     map[string][]*engineState{},
 		zoneLosses:    map[string]time.Time{},
+		recentLosses:  map[string]recentLosses{},
+		massLosses:    map[string]time.Time{},
 		locations:     newLocationTable(),
 		meanRunTokens: float64(s.DefaultMemory) / 16,
 		room:          make(chan struct{}, 1),
@@ -118,7 +132,7 @@
 	for _, t := range targets {
 		x := e.byAddress[t.GetAddress()]
 		if x == nil || x.target.GetInstance() != t.GetInstance() || x.target.GetService() != t.GetService() {
-			x = &engineState{lost: make(chan struct{})}
+			x = &engineState{lost: make(chan struct{}), listedAt: time.Now()}
 		}
 		x.target = t
 		x.capacity = memory(t.GetService())
--- a/internal/request/placement/run.go
+++ b/internal/request/placement/run.go
@@ -76,11 +76,26 @@
 	cooldown := min(e.settings.LossCooldown<<min(x.losses, maxDoublings), e.settings.MaxLossCooldown)
 	x.avoidUntil = now.Add(cooldown)
 	x.losses++
-	e.zoneLosses[x.target.GetAvailabilityZone()] = now
+	e.recordZoneLoss(x, now)
 	close(x.lost)
 	x.lost = make(chan struct{})
 }
 
+// recordZoneLoss records the loss of an engine for the other engines of its zone. The caller holds mu.
+func (e *EngineTable) recordZoneLoss(x *engineState, now time.Time) {
+	zone := x.target.GetAvailabilityZone()
+	e.zoneLosses[zone] = now
+	recent := e.recentLosses[zone]
+	if recent.at.IsZero() || now.Sub(recent.at) > massLossTime {
+		recent = recentLosses{at: now, addresses: map[string]bool{}}
+	}
+	recent.addresses[x.target.GetAddress()] = true
+	e.recentLosses[zone] = recent
+	if len(recent.addresses) >= massLossEngines {
+		e.massLosses[zone] = now
+	}
+}
+
 // PathLost records that this VM has lost its path to the engine at address, which other VMs reach:
 // runs there that wait for their first event may move, and its losses were none.
 func (e *EngineTable) PathLost(address string) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -124,8 +124,16 @@
 	HedgeCall
 	// ResumeGeneration continues an interrupted generation.
 	ResumeGeneration
+	// ResumeFromCopy continues one on an engine that keeps a copy of its memory for some seconds. Later,
+	// the prompt is processed again.
+	ResumeFromCopy
+	// ResumeDeferrable continues one that costs its caller less by waiting than others would theirs.
+	ResumeDeferrable
 )
 
+// IsResume reports whether the kind continues a generation.
+func (k RetryKind) IsResume() bool { return k >= ResumeGeneration }
+
 // RetryBudget limits further attempts to a fraction of the first attempts, so that
 // retries don't amplify an outage.
 type RetryBudget interface {
--- a/internal/request/retry/budget.go
+++ b/internal/request/retry/budget.go
@@ -48,7 +48,7 @@
 
 // counters holds the metrics of Allow by kind.
 type counters struct {
-	allowed, refused [request.ResumeGeneration + 1]metrics.Counter
+	allowed, refused [request.ResumeDeferrable + 1]metrics.Counter
 }
 
 // kindNames are the names of the kinds in metrics.
@@ -56,6 +56,8 @@
 	request.RetryCall:        "retry",
 	request.HedgeCall:        "hedge",
 	request.ResumeGeneration: "resume",
+	request.ResumeFromCopy:   "resume_from_copy",
+	request.ResumeDeferrable: "resume_deferrable",
 }
 
 // NewBudget returns a Budget with a full bucket.
@@ -106,10 +108,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	switch kind {
-	case request.HedgeCall:
+	switch {
+	case kind == request.HedgeCall:
 		ok = !b.saturated() && b.take(1+b.settings.Burst*b.settings.HedgeReserve)
-	case request.ResumeGeneration:
+	case kind.IsResume():
 		ok = b.take(1) || b.takeResumeToken(now)
 	default:
 		ok = b.take(1)
@@ -119,7 +121,7 @@
 		return true, 0
 	}
 	b.counts.refused[kind].Inc(1)
-	if kind == request.ResumeGeneration {
+	if kind.IsResume() {
 		return false, b.resumeDelay(now)
 	}
 	return false, b.retryDelay()
--- a/internal/request/retry/shared.go
+++ b/internal/request/retry/shared.go
@@ -57,9 +57,12 @@
 	// usage of all entry VMs. The rest is left for attempts that entry VMs make before
 	// they know each other's usage, and for the local budgets.
 	sharedFraction = 0.5
-	// resumeSharedFraction is the same for resumes, of which all entry VMs together take no more than
-	// what is left: their shares are rounded at random, and local budgets are not added.
-	resumeSharedFraction = 0.85
+	// The same for resumes, of which all entry VMs together take no more than what is left: their shares
+	// are rounded at random, and local budgets are not added. When many streams are lost at once, those
+	// that continue from a copy come first, because it expires, and the deferrable ones last.
+	copySharedFraction       = 0.85
+	resumeSharedFraction     = 0.8
+	deferrableSharedFraction = 0.65
 	// hedgeFraction is the same for hedges, which have the least benefit.
 	hedgeFraction = 0.25
 	// unreportedRounds is the number of exchange rounds after which the usage of other
@@ -140,7 +143,7 @@
 	if entries >= s.peakEntries || now.Sub(s.peakAt) >= s.bound.Window {
 		s.peakEntries, s.peakAt = entries, now
 	}
-	s.resumeShare = s.roundShare(s.left(resumeSharedFraction, now) / float64(resumeRounds*s.peakEntries))
+	s.resumeShare = s.roundShare(s.left(copySharedFraction, now) / float64(resumeRounds*s.peakEntries))
 }
 
 // updateUnreported updates what is no longer reported after a change of the remote further attempts and of
@@ -186,7 +189,7 @@
 	if s.takeShared(kind) {
 		return true, 0
 	}
-	if kind == request.ResumeGeneration && !s.localResumes() {
+	if kind.IsResume() && !s.localResumes() {
 		return false, remoteUsageInterval
 	}
 	if ok, wait = s.local.Allow(kind); ok {
@@ -220,8 +223,8 @@
 	if now.Sub(s.remoteAt) > remoteUsageLifetime {
 		return false
 	}
-	if kind == request.ResumeGeneration {
-		if s.takenSinceReport >= s.resumeShare || s.left(resumeSharedFraction, now) < 1 {
+	if kind.IsResume() {
+		if s.takenSinceReport >= s.resumeShare || s.left(fractionOf(kind), now) < 1 {
 			return false
 		}
 	} else {
@@ -238,8 +241,15 @@
 }
 
 func fractionOf(kind request.RetryKind) float64 {
-	if kind == request.HedgeCall {
+	switch kind {
+	case request.HedgeCall:
 		return hedgeFraction
+	case request.ResumeFromCopy:
+		return copySharedFraction
+	case request.ResumeGeneration:
+		return resumeSharedFraction
+	case request.ResumeDeferrable:
+		return deferrableSharedFraction
 	}
 	return sharedFraction
 }
--- a/internal/version/declared/declared.go
+++ b/internal/version/declared/declared.go
@@ -85,6 +85,8 @@
 	// BacksUpKVCache means that a target copies the KV cache of a running request to another
 	// target as it grows.
 	BacksUpKVCache bool
+	// CopyLifetime is how long a copy is kept after its last part has arrived; 0 means unspecified.
+	CopyLifetime time.Duration
 }
 
 // Team is a customer's group with its API keys.
--- a/internal/version/declared/view.go
+++ b/internal/version/declared/view.go
@@ -12,8 +12,8 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	byKey    map[string]*Team
-	// mixedPriorities has the services with routes of different priorities.
-	mixedPriorities map[string]bool
+	// highestPriority is that of the streams of each service.
+	highestPriority map[string]int
 }
 
 // NewView returns a view of c, which must be valid and not be modified afterwards.
@@ -23,8 +23,6 @@
 		byHost:        map[string][]*Route{},
 		services:      map[string]*Service{},
 		byKey:         map[string]*Team{},
-
-		mixedPriorities: mixedPriorities(c),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -42,27 +40,43 @@
 			v.byKey[key] = &c.Teams[i]
 		}
 	}
+	v.highestPriority = highestPriorities(c)
 	return v
 }
 
-// mixedPriorities returns the services that get requests from routes of different priorities.
-func mixedPriorities(c *Configuration) map[string]bool {
-	mixed, first := map[string]bool{}, map[string]int{}
+// highestPriorities returns, for each service, the highest priority that its streams can have: that of a team
+// or, for requests without one, that of the route. 0 is the highest.
+func highestPriorities(c *Configuration) map[string]int {
+	byRoute, teams := len(c.Teams) == 0, []int{}
+	for _, t := range c.Teams {
+		if t.Priority == nil {
+			byRoute = true
+		} else {
+			teams = append(teams, *t.Priority)
+		}
+	}
+	highest := map[string]int{}
 	for _, r := range c.Routes {
+		priorities := teams
+		if byRoute || r.Public {
+			priorities = append(slices.Clone(teams), r.Priority)
+		}
+		if !r.Stream || len(priorities) == 0 {
+			continue
+		}
 		for _, s := range r.Services {
-			if s.Weight == 0 {
-				continue
-			}
-			if priority, ok := first[s.Service]; !ok {
-				first[s.Service] = r.Priority
-			} else if priority != r.Priority {
-				mixed[s.Service] = true
+			if known, ok := highest[s.Service]; s.Weight > 0 && (!ok || slices.Min(priorities) < known) {
+				highest[s.Service] = slices.Min(priorities)
 			}
 		}
 	}
-	return mixed
+	return highest
 }
 
+// HighestPriority returns the highest priority of the streams of a service, which is the lowest number; 0 if it
+// has none.
+func (v *View) HighestPriority(service string) int { return v.highestPriority[service] }
+
 // Version returns the version that the operator assigned.
 func (v *View) Version() uint64 { return v.configuration.Version }
 
@@ -83,9 +97,6 @@
 // Service returns the service with the name, or nil.
 func (v *View) Service(name string) *Service { return v.services[name] }
 
-// HasMixedPriorities reports whether routes with different priorities send requests to the service.
-func (v *View) HasMixedPriorities(service string) bool { return v.mixedPriorities[service] }
-
 // TeamByKey returns the team with the API key, or nil.
 func (v *View) TeamByKey(key string) *Team { return v.byKey[key] }
 
