--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -83,6 +83,7 @@
 	TargetsReached       Event = "targets_reached"
 	SettingsReloaded     Event = "settings_reloaded"
 	LinesLeftOut         Event = "lines_left_out"
+	ClientsRefused       Event = "clients_refused"
 )
 
 // Fields are the key=value pairs of one line apart from the event.
