--- a/internal/connection/frontend/caller_conn.go
+++ b/internal/connection/frontend/caller_conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 )
 
 // timeouts limit how long a caller may take. A value of 0 means unspecified.
@@ -30,11 +32,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
+	conn, ok := c.(*intake.Conn)
 	if !ok {
 		return c, nil
 	}
-	return &callerConn{TCPConn: tcp, limits: l.limits, since: time.Now()}, nil
+	return &callerConn{Conn: conn, limits: l.limits, since: time.Now()}, nil
 }
 
 // connPhase is what a connection waits for.
@@ -49,7 +51,7 @@
 // callerConn is a caller's connection. The timeouts of http.Server are fixed while it runs;
 // where the current configuration allows more time, the connection waits on.
 type callerConn struct {
-	*net.TCPConn
+	*intake.Conn
 	limits func() timeouts
 
 	mu    sync.Mutex // guards the fields below
@@ -63,6 +65,7 @@
 	if !ok {
 		return
 	}
+	intake.Track(caller.Conn, s)
 	switch s {
 	case http.StateActive:
 		caller.enter(phaseActive)
@@ -80,7 +83,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	for {
-		n, err := c.TCPConn.Read(b)
+		n, err := c.Conn.Read(b)
 		if n > 0 {
 			c.onBytes()
 		}
--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -10,7 +10,6 @@
 	stdlog "log"
 	"net"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/pause"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
@@ -49,6 +49,14 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyBytes applies if the configuration sets no limit.
 	maxBodyBytes = 8 << 20
+	// headBytesSlack is what the head of a request may exceed the configured limit by before it is
+	// parsed: the limit doesn't count spaces and the ends of some lines.
+	headBytesSlack = 4 << 10
+	// maxHeadLines is the number of the shortest lines in the largest head, of 4 bytes each.
+	maxHeadLines = (maxHeaderBytes + headBytesSlack) / 4
+	// maxEmptyLines is above what one read may return, since net/http refuses the first empty line.
+	// What is read may also be the body of a request that was sent before the last response.
+	maxEmptyLines = 8 << 10
 )
 
 // minTimeouts apply where the configuration sets no limit or a shorter one. They are generous
@@ -66,6 +74,10 @@
 	Registry metrics.Registry
 	// Random returns uniformly distributed random numbers. It selects a request's service.
 	Random func() uint64
+	// Budget is the memory that callers may use.
+	Budget *intake.Budget
+	// MaxConnections is the number of callers' connections; 0 means intake.DefaultConnections.
+	MaxConnections int
 }
 
 // Frontend serves callers on one address.
@@ -77,6 +89,7 @@
 	// open is the number of requests that are being served.
 	open     atomic.Int64
 	listener net.Listener
+	bodies   *intake.Use
 	// ending ends when the requests that are still open must be answered at once.
 	ending context.Context
 	end    context.CancelFunc
@@ -92,20 +105,34 @@
 }
 
 func serve(ln net.Listener, opts Options, shortest timeouts) *Frontend {
-	f := &Frontend{opts: opts, listener: ln}
+	f := &Frontend{opts: opts, bodies: intake.Bodies(opts.Budget)}
+	f.listener = intake.Listen(ln, intake.Limits{
+		Name: "callers", Connections: opts.MaxConnections, HeadBytes: f.maxHeadBytes,
+		HeadLines: maxHeadLines, EmptyLines: maxEmptyLines, Logger: opts.Logger,
+	}, opts.Budget)
 	f.ending, f.end = context.WithCancel(context.Background())
 	f.http = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: shortest.header,
 		IdleTimeout:       shortest.idle,
 		ConnState:         trackState,
+		ConnContext:       withConn,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // requests are logged individually
 	}
-	go func() { _ = f.http.Serve(&callerListener{ln, f.timeouts}) }() // returns on Shutdown or Close
+	go func() { _ = f.http.Serve(&callerListener{f.listener, f.timeouts}) }() // returns on Shutdown or Close
 	return f
 }
 
+// maxHeadBytes returns the size that the head of a request may have before it is parsed.
+func (f *Frontend) maxHeadBytes() int {
+	limit := maxHeaderBytes
+	if view := f.opts.Holder.Current(); view != nil && view.Configuration().Limits.HeaderBytes > 0 {
+		limit = min(limit, view.Configuration().Limits.HeaderBytes)
+	}
+	return limit + headBytesSlack
+}
+
 // timeouts returns the limits of the current configuration.
 func (f *Frontend) timeouts() timeouts {
 	view := f.opts.Holder.Current()
@@ -167,9 +194,15 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	defer f.logPanic(r)
+	m := &memory{conn: connOf(r), bodies: f.bodies}
+	defer m.release()
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if err := m.coverHead(r); err != nil {
+		f.refuse(w, r, "", err)
+		return
+	}
 	req, err := f.opts.Codec.Request(r)
 	if err != nil {
 		f.refuse(w, r, "", err)
@@ -177,7 +210,7 @@
 	}
 	req.ReceivedAt = arrived
 	f.awaitStarted(r.Context(), req)
-	a, err := f.admit(w, r, req)
+	a, err := f.admit(w, r, req, m)
 	if err != nil {
 		f.refuse(w, r, req.ID, err)
 		return
@@ -271,7 +304,7 @@
 }
 
 // admit checks a request against the current configuration and reads its body.
-func (f *Frontend) admit(w http.ResponseWriter, r *http.Request, req *exchange.Request) (*exchange.AdmittedRequest, error) {
+func (f *Frontend) admit(w http.ResponseWriter, r *http.Request, req *exchange.Request, m *memory) (*exchange.AdmittedRequest, error) {
 	view := f.opts.Holder.Current()
 	if view == nil {
 		return nil, fault.New(fault.NotReady, "there is no configuration yet")
@@ -287,7 +320,7 @@
 	if r.ContentLength != 0 {
 		limitReads(w, a.Deadline)
 	}
-	if err := readBody(r, req, limits.BodyBytes); err != nil {
+	if err := m.readBody(r, req, limits.BodyBytes, a.Deadline); err != nil {
 		return nil, err
 	}
 	if f.rejecting.Load() || f.draining.Load() && a.Route.Stream {
@@ -338,26 +371,3 @@
 	}
 	return n
 }
-
-// readBody reads the whole request body. A limit of 0 means maxBodyBytes.
-func readBody(r *http.Request, req *exchange.Request, limit int64) error {
-	if limit == 0 {
-		limit = maxBodyBytes
-	}
-	req.HasBody = r.ContentLength >= 0 && r.Header.Get("Content-Length") != "" || len(r.TransferEncoding) > 0
-	if r.ContentLength > limit {
-		return fault.New(fault.BodyTooLarge, "request body exceeds %d bytes", limit)
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fault.New(fault.DeadlineNotRun, "request body not received before the deadline")
-	case err != nil:
-		return fault.New(fault.InvalidArgument, "read request body: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return fault.New(fault.BodyTooLarge, "request body exceeds %d bytes", limit)
-	}
-	req.Body = body
-	return nil
-}
--- a/internal/connection/frontend/frontend_test.go
+++ b/internal/connection/frontend/frontend_test.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/exchange"
@@ -67,6 +68,9 @@
 	log     *lines
 }
 
+// testBudget is the memory of callers in tests that don't exhaust it.
+const testBudget = 36 << 20
+
 // testTimeouts apply where a test configures no limit.
 var testTimeouts = timeouts{header: 100 * time.Millisecond, idle: 100 * time.Millisecond}
 
@@ -77,6 +81,12 @@
 
 // listenOn is like listen, with a listener that wrap returns.
 func listenOn(t *testing.T, wrap func(net.Listener) net.Listener, h handlerFunc) *testFrontend {
+	t.Helper()
+	return listenWithBudget(t, wrap, h, intake.NewBudget(testBudget, metrics.NewRegistry()))
+}
+
+// listenWithBudget is like listenOn, with the memory of callers.
+func listenWithBudget(t *testing.T, wrap func(net.Listener) net.Listener, h handlerFunc, b *intake.Budget) *testFrontend {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -86,6 +96,7 @@
 	x.Frontend = serve(wrap(ln), Options{
 		Codec: testCodec{}, Handler: h, Holder: x.holder, Started: started, Logger: logging.New(x.log, "entry", "e1"),
 		Registry: metrics.NewRegistry(), Random: func() uint64 { return 0 },
+		Budget: b, MaxConnections: 100,
 	}, testTimeouts)
 	t.Cleanup(func() { _ = x.http.Close() })
 	x.apply(1, declared.Limits{})
--- a/internal/fault/kind.go
+++ b/internal/fault/kind.go
@@ -73,7 +73,7 @@
 	Cancelled Kind = "cancelled"
 	// Draining: the process is shutting down and has not started this request.
 	Draining Kind = "draining"
-	// NotReady: the process has not received a configuration yet.
+	// NotReady: the process has not received a configuration yet, or has no memory for the request.
 	NotReady Kind = "not_ready"
 	// NotLeader: this control VM is not the leader.
 	NotLeader Kind = "not_leader"
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -14,6 +14,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/frontend"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
@@ -51,6 +52,7 @@
 	relaying     *relaying
 	pool         *http1.Pool
 	retryBudgets *retryBudgets
+	clients      *intake.Budget
 
 	front   *frontend.Frontend
 	ready   *monitor.Server
@@ -74,6 +76,7 @@
 		log:          log,
 		registry:     registry,
 		retryBudgets: newRetryBudgets(s.Retry, registry),
+		clients:      intake.NewProcessBudget(s.Clients.MemoryBytes, registry, log),
 	}
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
@@ -137,6 +140,7 @@
 	var err error
 	if p.front, err = frontend.Listen(string(p.settings.CallerAddress), frontend.Options{
 		Codec: adapter, Handler: server, Holder: p.routingState.declared, Started: p.routingState.initialized, Logger: p.log, Registry: p.registry, Random: rand.Uint64,
+		Budget: p.clients, MaxConnections: p.settings.Clients.Connections,
 	}); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/process/entry/settings.go
+++ b/internal/process/entry/settings.go
@@ -33,6 +33,8 @@
 	// DrainTime is how long a target that is about to stop serves further requests.
 	DrainTime settings.Duration `yaml:"drain_time"`
 	Retry     RetrySettings     `yaml:"retry"`
+	// Clients limits what callers and other clients may use. The process finds values for what it omits.
+	Clients settings.Clients `yaml:"clients"`
 }
 
 // peer returns what other entry VMs know of this one.
