Memory and connections of clients at all other ports that outsiders reach

Operators' ports, peers' port of keepers, relay port of entry VMs, metrics and health ports, and the Connect front of routers: their connections and heads take memory from the process's budget, and have a number, a size and times. Connect handlers' messages are charged as they are read.

A hold that was released doesn't grow any more: a read that ended after its connection was closed reserved memory that was never returned (TestHeadsBeyondTheBudgetAreRefused, once).

The tests no longer leave out settings that a build doesn't know.

--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -89,7 +89,6 @@
 	// open is the number of requests that are being served.
 	open     atomic.Int64
 	listener net.Listener
-	bodies   *intake.Use
 	// ending ends when the requests that are still open must be answered at once.
 	ending context.Context
 	end    context.CancelFunc
@@ -105,7 +104,7 @@
 }
 
 func serve(ln net.Listener, opts Options, shortest timeouts) *Frontend {
-	f := &Frontend{opts: opts, bodies: intake.Bodies(opts.Budget)}
+	f := &Frontend{opts: opts}
 	f.listener = intake.Listen(ln, intake.Limits{
 		Name: "callers", Connections: opts.MaxConnections, HeadBytes: f.maxHeadBytes,
 		HeadLines: maxHeadLines, EmptyLines: maxEmptyLines, Logger: opts.Logger,
@@ -116,7 +115,7 @@
 		ReadHeaderTimeout: shortest.header,
 		IdleTimeout:       shortest.idle,
 		ConnState:         trackState,
-		ConnContext:       withConn,
+		ConnContext:       intake.WithConn,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // requests are logged individually
 	}
@@ -194,8 +193,8 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	defer f.logPanic(r)
-	m := &memory{conn: connOf(r), bodies: f.bodies}
-	defer m.release()
+	m := &memory{conn: intake.ConnOf(r), release: func() {}}
+	defer func() { m.release() }()
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/connection/intake/budget_test.go
+++ b/internal/connection/intake/budget_test.go
@@ -284,3 +284,15 @@
 	assert.Equal(t, total, int64(25<<20))
 	assert.Assert(t, known)
 }
+
+// TestReleasedHoldsDoNotGrow guards against memory that is reserved by a read which ends after its
+// connection was closed, and never returned.
+func TestReleasedHoldsDoNotGrow(t *testing.T) {
+	u := newBudget(100).Use("a", 1)
+	h := u.Begin(func() {})
+	assert.NilError(t, h.Grow(t.Context(), 10))
+	h.Release()
+	assert.ErrorIs(t, h.Grow(t.Context(), 10), ErrNoRoom)
+	h.Shrink(5)
+	assert.Equal(t, u.Reserved(), int64(0))
+}
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +29,8 @@
 	reasonEmptyLines  reason = "empty_lines"
 	reasonHeadMemory  reason = "head_memory"
 	reasonBodyMemory  reason = "body_memory"
+	// reasonClosed: the server has closed the connection meanwhile, which is no refusal.
+	reasonClosed reason = "closed"
 )
 
 // refusalOf returns the complete response of a refusal.
@@ -40,8 +42,7 @@
 	case reasonEmptyLines:
 		status, text = "400 Bad Request", "invalid_argument: too many empty lines before a request"
 	default:
-		// Spread over a second, so that refused clients don't return together.
-		header = fmt.Sprintf("Retry-After: %.3f\r\n", 1+rand.Float64())
+		header = fmt.Sprintf("Retry-After: %.3f\r\n", RetryAfter().Seconds())
 		status, text = "503 Service Unavailable", "not_ready: there is no memory for the request"
 	}
 	return fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s\n",
@@ -74,13 +75,35 @@
 	body      *Hold // while a body is being received
 	scanner   headScanner
 	headEnded bool
+	// preface counts the bytes of the connection's beginning that are those of HTTP/2's; -1 if it began
+	// otherwise.
+	preface int
+	// isOpaque: heads can't be counted.
+	isOpaque bool
 }
 
-// Track is the ConnState hook of an HTTP/1.1 server on a Listener. Connections of other listeners are
+// http2Preface is what a client of HTTP/2 sends first.
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
+// notePreface looks for the preface of HTTP/2 at the beginning of the connection. The caller holds mu.
+func (c *Conn) notePreface(b []byte) {
+	if !c.listener.limits.HTTP2 || c.preface < 0 {
+		return
+	}
+	next := b[:min(len(b), len(http2Preface)-c.preface)]
+	if !strings.HasPrefix(http2Preface[c.preface:], string(next)) {
+		c.preface = -1
+		return
+	}
+	c.preface += len(next)
+	c.isOpaque = c.preface == len(http2Preface)
+}
+
+// Track is the ConnState hook of a server on a Listener. Connections of other listeners are
 // ignored.
 func Track(c net.Conn, s http.ConnState) {
-	conn, ok := c.(*Conn)
-	if !ok {
+	conn := connIn(c)
+	if conn == nil {
 		return
 	}
 	switch s {
@@ -116,7 +139,7 @@
 	if n > 0 {
 		c.since = now
 	}
-	if c.phase == phaseActive || c.headEnded || c.listener.limits.Opaque {
+	if c.phase == phaseActive || c.headEnded || c.isOpaque {
 		c.mu.Unlock()
 		if n > 0 && body != nil {
 			body.Progress()
@@ -129,6 +152,7 @@
 	isOpen := n > 0 || c.scanner.bytes > 0
 	if n > 0 {
 		c.phase = phaseHead
+		c.notePreface(b[:n])
 	}
 	c.mu.Unlock()
 	switch {
@@ -139,7 +163,11 @@
 	case n == 0:
 		return n, err
 	}
-	if r := c.countHead(b[:n]); r != "" {
+	switch r := c.countHead(b[:n]); r {
+	case "":
+	case reasonClosed:
+		return 0, errClosed()
+	default:
 		return 0, c.refuse(r)
 	}
 	return n, err
@@ -150,6 +178,10 @@
 func (c *Conn) countHead(b []byte) reason {
 	limits := c.listener.limits
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return reasonClosed
+	}
 	before := c.scanner.cost()
 	c.headEnded = c.scanner.scan(b)
 	s := c.scanner
@@ -234,7 +266,7 @@
 		r.class = idle
 	case c.phase == phaseActive && c.body != nil && isStalled:
 		r.class = stalled
-	case c.phase == phaseActive || c.headEnded:
+	case c.phase == phaseActive || c.headEnded && !c.isOpaque:
 		r.class = served
 	case isStalled:
 		r.class = stalled
@@ -338,6 +370,10 @@
 // arrived: up to 4 KiB of a request that is sent before the response to the one before.
 func (c *Conn) CoverHead(ctx context.Context, lines, bytes int) error {
 	c.mu.Lock()
+	if c.head == nil && c.closed {
+		c.mu.Unlock()
+		return errClosed()
+	}
 	if c.head == nil {
 		c.head = c.listener.heads.Begin(c.giveUp)
 	}
--- a/internal/connection/intake/hold.go
+++ b/internal/connection/intake/hold.go
@@ -37,6 +37,7 @@
 	progress time.Time // when the client last sent something
 	waiting  bool      // the request waits for room, not for its client
 	givenUp  bool
+	released bool // nothing is reserved any more
 }
 
 // Begin returns the hold of an unfinished request. giveUp is called if the request must be given
@@ -107,7 +108,7 @@
 		}
 	}()
 	defer b.mu.Unlock()
-	if h.givenUp {
+	if h.givenUp || h.released {
 		h.waiting = false
 		return false, nil, ErrNoRoom
 	}
@@ -189,6 +190,9 @@
 func (h *Hold) Shrink(n int64) {
 	h.use.budget.mu.Lock()
 	defer h.use.budget.mu.Unlock()
+	if h.released {
+		return
+	}
 	h.bytes -= n
 	h.use.release(n)
 }
@@ -205,11 +209,12 @@
 	return true
 }
 
-// Release returns all that is reserved. It may be called more than once.
+// Release returns all that is reserved, and ends the hold: it doesn't grow after that. It may be called
+// more than once.
 func (h *Hold) Release() {
 	h.use.budget.mu.Lock()
 	defer h.use.budget.mu.Unlock()
 	delete(h.use.unfinished, h)
 	h.use.release(h.bytes)
-	h.bytes = 0
+	h.bytes, h.released = 0, true
 }
--- a/internal/connection/intake/listen.go
+++ b/internal/connection/intake/listen.go
@@ -42,6 +42,8 @@
 	HeadLines, EmptyLines int
 	// Opaque: the bytes are encrypted, so that only the connections are bounded.
 	Opaque bool
+	// HTTP2: connections may be those of plaintext HTTP/2, whose heads are bounded by net/http.
+	HTTP2  bool
 	Logger *logging.Logger
 }
 
@@ -126,7 +128,7 @@
 	if len(l.conns) >= l.limits.Connections || !l.connections.TryReserve(connectionCost) {
 		return nil, l.closed
 	}
-	c = &Conn{Conn: raw, listener: l, since: time.Now()}
+	c = &Conn{Conn: raw, listener: l, since: time.Now(), isOpaque: l.limits.Opaque}
 	l.conns[c] = true
 	l.open.Update(int64(len(l.conns)))
 	return c, nil
--- a/internal/connection/intake/memory.go
+++ b/internal/connection/intake/memory.go
@@ -16,10 +16,10 @@
 	// heap grow to twice what is in use, so that half of the memory is the most that clients' part
 	// takes.
 	memoryShare = 0.25
-	// descriptorShare is the part of the process's descriptors that clients may use. The others are
-	// for targets: with 280 engines of 500 connections and 65 entry VMs, one of them needs 2,150 of
-	// 3,075.
-	descriptorShare = 0.25
+	// descriptorShare is the part of the process's descriptors that clients of one server may use by
+	// default. With 280 engines of 500 connections and 65 entry VMs, one of them needs 2,150 of 3,075
+	// for targets, and up to 200 for its other ports.
+	descriptorShare = 0.2
 	// defaultDescriptors is assumed if the limit of descriptors can't be read.
 	defaultDescriptors = 1024
 )
@@ -47,7 +47,7 @@
 func DefaultConnections() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur == 0 {
-		return descriptorShare * defaultDescriptors
+		limit.Cur = defaultDescriptors
 	}
 	const most = 1 << 20 // an unlimited number of descriptors
 	return max(1, int(descriptorShare*float64(min(limit.Cur, most))))
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/watch"
@@ -28,6 +30,8 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	shutdownTimeout   = 5 * time.Second
+	// operatorConnections is the number of connections of operators unless the settings name one.
+	operatorConnections = 256
 )
 
 // Process is a running control VM.
@@ -40,6 +44,7 @@
 	burn        *burn.Tracker
 	watchServer *watch.Server
 	registry    metrics.Registry
+	clients     *intake.Budget
 
 	termMu   sync.Mutex // guards term and evidence
 	term     uint64
@@ -82,6 +87,7 @@
 		peers:    peer.NewClient(keys),
 		failed:   make(chan error, 1),
 	}
+	p.clients = intake.NewProcessBudget(s.Clients.MemoryBytes, p.registry, log)
 	p.watchServer = watch.NewServer(p.machine)
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	if p.dataFolderLock, err = lockDataFolder(s.DataFolder); err != nil {
@@ -140,7 +146,7 @@
 	if err := p.listenOperators(keys); err != nil {
 		return errors.Trace(err)
 	}
-	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.ready)
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.clients, p.ready)
 	return errors.Trace(err)
 }
 
@@ -151,13 +157,14 @@
 	}
 	path, h := chicoryv1connect.NewOperatorServiceHandler(&operatorService{p}, peer.ReadLimit)
 	mux := http.NewServeMux()
-	mux.Handle(path, peer.RequireRole(withOperatorName(h), peer.RoleOperator))
+	mux.Handle(path, peer.RequireRole(withOperatorName(intake.LimitMessages(h, p.clients)), peer.RoleOperator))
 	p.operatorServer = &http.Server{
 		Handler:           mux,
 		TLSConfig:         keys.ServerConfig(),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	go func() { _ = p.operatorServer.ServeTLS(ln, "", "") }()
+	limits := intake.Limits{Name: "operators", Connections: cmp.Or(p.settings.Clients.Connections, operatorConnections), Logger: p.log}
+	go func() { _ = intake.ServeTLS(p.operatorServer, ln, limits, p.clients) }()
 	return nil
 }
 
--- a/internal/process/control/settings.go
+++ b/internal/process/control/settings.go
@@ -45,6 +45,9 @@
 	// LoadInterval is the minimum time between two orders to load a version, given what
 	// the weight store can serve.
 	LoadInterval settings.Duration `yaml:"load_interval"`
+	// Clients limits what operators and other clients may use. The process finds values for what it
+	// omits.
+	Clients settings.Clients `yaml:"clients"`
 }
 
 // VM holds the identity and the peer address of one control VM.
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -134,7 +134,7 @@
 		Settings:   exchange.Defaults(),
 		Paths:      p.relaying.paths,
 	})
-	if err := p.relaying.listen(p.routingState.self.PeerAddress); err != nil {
+	if err := p.relaying.listen(p.routingState.self.PeerAddress, p.clients, p.log); err != nil {
 		return errors.Trace(err)
 	}
 	var err error
@@ -144,10 +144,10 @@
 	}); err != nil {
 		return errors.Trace(err)
 	}
-	if p.ready, err = monitor.Listen(string(p.settings.ReadyAddress), p.registry, p.isReady); err != nil {
+	if p.ready, err = monitor.Listen(string(p.settings.ReadyAddress), p.registry, p.clients, p.isReady); err != nil {
 		return errors.Trace(err)
 	}
-	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.isReady)
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.clients, p.isReady)
 	return errors.Trace(err)
 }
 
--- a/internal/process/entry/relaying.go
+++ b/internal/process/entry/relaying.go
@@ -8,8 +8,10 @@
 
 	"github.com/juju/errors"
 
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/relay"
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 )
@@ -19,6 +21,9 @@
 	// may hold some 100 KB.
 	maxRelayedConnections = 128
 	peerHeaderTimeout     = 3 * time.Second
+	// maxPeerConnections is the number of connections from other entry VMs, each of which has one or
+	// two to a helper.
+	maxPeerConnections = 128
 	// relayCheckInterval is the interval at which a VM that stops checks whether it still relays
 	// connections.
 	relayCheckInterval = 20 * time.Millisecond
@@ -76,7 +81,7 @@
 }
 
 // listen serves other entry VMs at the peer address.
-func (r *relaying) listen(address string) error {
+func (r *relaying) listen(address string, clients *intake.Budget, log *logging.Logger) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Annotate(err, "peer address")
@@ -85,7 +90,8 @@
 	mux.Handle(r.server.Handler())
 	r.http = &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 	relay.ConfigureServer(r.http)
-	go func() { _ = r.http.Serve(ln) }() // returns when the server is closed
+	limits := intake.Limits{Name: "relay", Connections: maxPeerConnections, Logger: log}
+	go func() { _ = intake.Serve(r.http, ln, limits, clients) }() // returns when the server is closed
 	return nil
 }
 
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/disk"
@@ -23,6 +25,9 @@
 const (
 	readHeaderTimeout = 3 * time.Second
 	shutdownTimeout   = time.Second
+	// operatorConnections is the number of connections of operators unless the settings name one: some
+	// operators and scripts for each of 69 entry VMs.
+	operatorConnections = 256
 )
 
 // Adapter provides the platform-specific parts of a keeper.
@@ -41,6 +46,7 @@
 	targetList *observe.TargetListPoller
 	board      *feed.SharedState
 
+	clients   *intake.Budget
 	peers     *http.Server
 	operators *http.Server
 	monitor   *monitor.Server
@@ -60,6 +66,7 @@
 		targetList: observe.NewTargetListPoller(adapter, log),
 		board:      feed.NewSharedState(),
 	}
+	p.clients = intake.NewProcessBudget(s.Clients.MemoryBytes, p.registry, log)
 	p.replica = newReplica(s, disk.OS{}, log)
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", p.registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", p.registry, func() int64 {
@@ -112,23 +119,26 @@
 	path, h := chicoryv1connect.NewDeclarationServiceHandler(declarationService{declarations}, peer.ReadLimit)
 	mux.Handle(path, h)
 	var err error
-	if p.peers, err = serve(p.settings.resolvePeerListenAddress(), mux); err != nil {
+	if p.peers, err = p.serve("peers", p.settings.resolvePeerListenAddress(), 0, mux); err != nil {
 		return errors.Annotate(err, "peer port")
 	}
-	if p.operators, err = serve(string(p.settings.OperatorAddress), adapter.Operators(declarations)); err != nil {
+	connections := cmp.Or(p.settings.Clients.Connections, operatorConnections)
+	if p.operators, err = p.serve("operators", string(p.settings.OperatorAddress), connections, adapter.Operators(declarations)); err != nil {
 		return errors.Annotate(err, "operator address")
 	}
-	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.ready)
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.clients, p.ready)
 	return errors.Trace(err)
 }
 
-func serve(address string, h http.Handler) (*http.Server, error) {
+// serve serves a port with at most the given number of connections; 0 means intake.DefaultConnections.
+func (p *Process) serve(port, address string, connections int, h http.Handler) (*http.Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = s.Serve(ln) }() // returns when the server is closed
+	limits := intake.Limits{Name: port, Connections: connections, Logger: p.log}
+	go func() { _ = intake.Serve(s, ln, limits, p.clients) }() // returns when the server is closed
 	return s, nil
 }
 
--- a/internal/process/keeper/settings.go
+++ b/internal/process/keeper/settings.go
@@ -30,6 +30,9 @@
 	// for the first time.
 	MayFound   bool   `yaml:"may_found"`
 	DataFolder string `yaml:"data_folder" settings:"required"`
+	// Clients limits what operators and other clients may use. The process finds values for what it
+	// omits.
+	Clients settings.Clients `yaml:"clients"`
 }
 
 // resolvePeerListenAddress returns the address on which the peer port is served.
--- a/internal/process/monitor/monitor.go
+++ b/internal/process/monitor/monitor.go
@@ -11,6 +11,8 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 )
 
 // Paths of the endpoints.
@@ -28,6 +30,11 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	closeTimeout      = time.Second
+	// readTimeout and writeTimeout bound a request: scrapers take some milliseconds.
+	readTimeout, writeTimeout = 10 * time.Second, 20 * time.Second
+	// maxConnections is the number of connections: a load balancer, scrapers and operators have less
+	// than ten.
+	maxConnections = 32
 )
 
 // Server is the HTTP server of the monitoring endpoints.
@@ -39,7 +46,9 @@
 
 // Listen starts a server on address (IP:port). ready reports whether the process can
 // serve requests and, if not, the reason.
-func Listen(address string, registry metrics.Registry, ready func() (bool, string)) (*Server, error) {
+//
+// The server's connections take memory from clients.
+func Listen(address string, registry metrics.Registry, clients *intake.Budget, ready func() (bool, string)) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Annotate(err, "monitor address")
@@ -56,8 +65,10 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		_ = writeText(w, registry) // fails only if the client disconnected; it will scrape again
 	})
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = s.http.Serve(ln) }()
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout}
+	go func() {
+		_ = intake.Serve(s.http, ln, intake.Limits{Name: "monitor", Connections: maxConnections}, clients)
+	}()
 	return s, nil
 }
 
--- a/internal/process/monitor/monitor_test.go
+++ b/internal/process/monitor/monitor_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 )
 
 // startServer returns a server on a free port and a function that returns the URL of a
@@ -17,7 +19,7 @@
 	assert.NilError(t, err)
 	address := ln.Addr().String()
 	assert.NilError(t, ln.Close())
-	s, err = Listen(address, metrics.NewRegistry(), ready)
+	s, err = Listen(address, metrics.NewRegistry(), intake.NewBudget(1<<20, metrics.NewRegistry()), ready)
 	assert.NilError(t, err)
 	return s, func(path string) string { return "http://" + address + path }
 }
--- a/internal/process/router/callers.go
+++ b/internal/process/router/callers.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/caller"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 )
 
 const (
@@ -30,7 +31,7 @@
 	path, h := chicoryv1connect.NewCallerServiceHandler(service, connect.WithCompressMinBytes(minCompressBytes), connect.WithReadMaxBytes(maxRequestBytes))
 	mux := http.NewServeMux()
 	mux.Handle(path, h)
-	server, err := newCallerServer(closeConnectionsWhen(&p.draining, mux), p.settings.CallerTLS)
+	server, err := newCallerServer(closeConnectionsWhen(&p.draining, intake.LimitMessages(mux, p.clients)), p.settings.CallerTLS)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -66,10 +67,11 @@
 // failure of the process.
 func (p *Process) serveCallers(ln net.Listener) {
 	var err error
+	limits := intake.Limits{Name: "callers", Connections: p.settings.Clients.Connections, Logger: p.log}
 	if p.callerServer.TLSConfig != nil {
-		err = p.callerServer.ServeTLS(ln, "", "")
+		err = intake.ServeTLS(p.callerServer, ln, limits, p.clients)
 	} else {
-		err = p.callerServer.Serve(ln)
+		err = intake.Serve(p.callerServer, ln, limits, p.clients)
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		p.failed <- errors.Annotate(err, "callers' listener")
--- a/internal/process/router/process.go
+++ b/internal/process/router/process.go
@@ -15,6 +15,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/control"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/target"
@@ -35,6 +36,7 @@
 	log           *logging.Logger
 	incarnation   string
 	registry      metrics.Registry
+	clients       *intake.Budget
 	holder        *config.Holder
 	pool          *target.Pool
 	leaderClient  *peer.Client // for requests to the leader
@@ -82,6 +84,7 @@
 		watchClient:  peer.NewClient(keys),
 		failed:       make(chan error, 1),
 	}
+	p.clients = intake.NewProcessBudget(s.Clients.MemoryBytes, p.registry, log)
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.controlClient = control.NewClient(controlVMs(s), p.leaderClient)
 	if err := p.assemble(resumeKey); err != nil {
@@ -188,7 +191,7 @@
 		return errors.Trace(err)
 	}
 	p.peerServer = server
-	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.reporter.ready)
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.clients, p.reporter.ready)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/process/router/settings.go
+++ b/internal/process/router/settings.go
@@ -57,6 +57,8 @@
 	// DrainTimeout bounds a graceful shutdown. Requests still open after it are
 	// aborted, so it must be longer than the longest generation.
 	DrainTimeout settings.Duration `yaml:"drain_timeout"`
+	// Clients limits what callers and other clients may use. The process finds values for what it omits.
+	Clients settings.Clients `yaml:"clients"`
 
 	Generation generation.Settings `yaml:"generation"`
 	Calls      CallSettings        `yaml:"calls"`
--- a/test/clients/system_test.go
+++ b/test/clients/system_test.go
@@ -52,16 +52,13 @@
 	log    *bytes.Buffer // complete once exited is closed
 }
 
-// start starts a program and kills it when the test ends. limits are settings that builds before
-// the limits on clients refuse; they are left out for those.
+// start starts a program and kills it when the test ends. limits are the settings of what clients may
+// use.
 func start(t *testing.T, name, settings, limits string) *program {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), name+".yaml")
 	path := filepath.Join(programs, name)
 	assert.NilError(t, os.WriteFile(file, []byte(settings+limits), 0o600))
-	if exec.Command(path, "check-settings", "-settings", file).Run() != nil {
-		assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
-	}
 	p := &program{cmd: exec.Command(path, "-settings", file), exited: make(chan struct{}), log: &bytes.Buffer{}}
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	assert.NilError(t, p.cmd.Start())
