connection/intake: a request whose head was read is not given up with its connection

A connection could be chosen to make room just before its head arrived; net/http then cancels the request that it has passed on, when the read of its connection fails.

--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -220,23 +220,29 @@
 func (c *Conn) giveUp() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.giveUpLocked()
+}
+
+// giveUpLocked requires that the caller holds mu.
+func (c *Conn) giveUpLocked() {
 	c.givenUp = true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails if the client has left
 }
 
-// giveUpIdle closes a connection that serves nothing, for another one.
-func (c *Conn) giveUpIdle() {
+// giveUpIdle closes a connection that serves nothing, for another one. A request whose head was read
+// completely is served: net/http would cancel it if a read of its connection failed.
+func (c *Conn) giveUpIdle(now time.Time) {
 	c.mu.Lock()
-	body, isRefused := c.body, c.isRefused
-	isActive := c.phase == phaseActive
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	// What was just read may be a request of HTTP/2 that the server doesn't know yet.
+	mayBeRequest := c.headEnded || c.isOpaque && now.Sub(c.since) < stallTime
 	switch {
-	case isRefused:
+	case c.isRefused:
 		_ = c.Conn.Close()
-	case !isActive:
-		c.giveUp()
-	case body != nil && body.tryGiveUp():
-		c.giveUp()
+	case c.phase != phaseActive && !mayBeRequest:
+		c.giveUpLocked()
+	case c.phase == phaseActive && c.body != nil && c.body.tryGiveUp():
+		c.giveUpLocked()
 	}
 }
 
--- a/internal/connection/intake/listen.go
+++ b/internal/connection/intake/listen.go
@@ -110,8 +110,9 @@
 		if c != nil {
 			return c
 		}
-		if victim := l.selectVictim(time.Now()); victim != nil {
-			victim.giveUpIdle()
+		now := time.Now()
+		if victim := l.selectVictim(now); victim != nil {
+			victim.giveUpIdle(now)
 		}
 		select {
 		case <-closed:
--- a/internal/connection/intake/listen_test.go
+++ b/internal/connection/intake/listen_test.go
@@ -215,3 +215,33 @@
 		assert.Equal(t, readStatus(t, r).StatusCode, http.StatusOK)
 	}
 }
+
+// TestRequestThatWasReadIsNotGivenUp guards against a request that is passed on and cancelled, because its
+// connection was chosen to make room just before its head arrived.
+func TestRequestThatWasReadIsNotGivenUp(t *testing.T) {
+	fake := &fakeListener{conns: make(chan net.Conn, 1), ended: make(chan struct{})}
+	l := Listen(fake, Limits{Name: "test", Connections: 1}, newBudget(1<<20))
+	ours, theirs := net.Pipe()
+	fake.conns <- theirs
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	conn := accepted.(*Conn)
+	conn.enter(phaseIdle)
+	victim := l.selectVictim(time.Now())
+	assert.Equal(t, victim, conn)
+	send(ours, "GET / HTTP/1.1\r\n\r\n")
+	n, err := conn.Read(make([]byte, 100))
+	assert.NilError(t, err)
+	assert.Equal(t, n, 18)
+	victim.giveUpIdle(time.Now())
+	assert.Assert(t, !conn.givenUp)
+}
+
+func BenchmarkScan(b *testing.B) {
+	head := []byte("POST /pay/fare HTTP/1.1\r\nHost: desk.example\r\n" + strings.Repeat("Some-Header: some value of a header\r\n", 12) + "\r\n")
+	b.SetBytes(int64(len(head)))
+	for b.Loop() {
+		var s headScanner
+		s.scan(head)
+	}
+}
