--- a/internal/connection/frontend/frontend.go
+++ b/internal/connection/frontend/frontend.go
@@ -107,7 +107,7 @@
 	f := &Frontend{opts: opts}
 	f.listener = intake.Listen(ln, intake.Limits{
 		Name: "callers", Connections: opts.MaxConnections, HeadBytes: f.maxHeadBytes,
-		HeadLines: maxHeadLines, EmptyLines: maxEmptyLines, Logger: opts.Logger,
+		HeadLines: maxHeadLines, EmptyLines: maxEmptyLines,
 	}, opts.Budget)
 	f.ending, f.end = context.WithCancel(context.Background())
 	f.http = &http.Server{
--- a/internal/connection/intake/budget.go
+++ b/internal/connection/intake/budget.go
@@ -16,6 +16,8 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
 // ErrNoRoom is the error of a request that is given up since there is no memory for it.
@@ -26,6 +28,7 @@
 type Budget struct {
 	total    int64
 	registry metrics.Registry
+	logger   *logging.Logger // nil for none
 
 	mu       sync.Mutex // guards the fields below, and those of its uses and holds
 	reserved int64
--- a/internal/connection/intake/conn.go
+++ b/internal/connection/intake/conn.go
@@ -365,11 +365,7 @@
 	body := c.body
 	c.body = nil
 	c.mu.Unlock()
-	if body.GivenUp() {
-		c.listener.report(reasonBodyMemory)
-		return false
-	}
-	return !complete || body.Finish()
+	return !body.GivenUp() && (!complete || body.Finish())
 }
 
 // CoverHead reserves memory for a head of the given size as far as it was not counted when it
--- a/internal/connection/intake/limited_bodies.go
+++ b/internal/connection/intake/limited_bodies.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -26,6 +25,7 @@
 		if r.ProtoMajor >= 2 {
 			cost := headCost(r)
 			if !heads.TryReserve(cost) {
+				report(r, reasonHeadMemory)
 				w.Header().Set("Retry-After", fmt.Sprintf("%.3f", RetryAfter().Seconds()))
 				http.Error(w, "there is no memory for the request", http.StatusServiceUnavailable)
 				return
@@ -36,7 +36,7 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		body := &limitedBody{ReadCloser: r.Body, ctx: r.Context()}
+		body := &limitedBody{ReadCloser: r.Body, request: r}
 		body.hold = u.Begin(body.giveUp(r))
 		defer body.hold.Release()
 		r.Body = body
@@ -59,8 +59,9 @@
 // limitedBody is the body of a request. Its read methods are used by one goroutine.
 type limitedBody struct {
 	io.ReadCloser
-	ctx  context.Context
-	hold *Hold
+	request *http.Request
+	hold    *Hold
+	refused bool
 }
 
 // giveUp returns a function that makes reads of the body fail.
@@ -77,7 +78,11 @@
 func (b *limitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p[:min(len(p), maxChunkBytes)])
 	switch {
-	case n > 0 && b.hold.Grow(b.ctx, int64(n)*messageFactor) != nil, b.hold.GivenUp():
+	case n > 0 && b.hold.Grow(b.request.Context(), int64(n)*messageFactor) != nil, b.hold.GivenUp():
+		if !b.refused {
+			report(b.request, reasonBodyMemory)
+		}
+		b.refused = true
 		return 0, fault.ToConnect(fault.New(fault.NotReady, "there is no memory for the request").WithRetryAfter(RetryAfter()), "")
 	case errors.Is(err, io.EOF):
 		b.hold.Finish()
@@ -85,6 +90,13 @@
 	return n, err
 }
 
+// report counts and logs a refusal of a request.
+func report(r *http.Request, why reason) {
+	if conn := ConnOf(r); conn != nil {
+		conn.listener.report(why)
+	}
+}
+
 // RetryAfter returns the time after which a request for which there was no room may return: a second, in
 // which most requests that hold memory end, and up to another one so that clients don't return together.
 func RetryAfter() time.Duration {
--- a/internal/connection/intake/listen.go
+++ b/internal/connection/intake/listen.go
@@ -43,8 +43,7 @@
 	// Opaque: the bytes are encrypted, so that only the connections are bounded.
 	Opaque bool
 	// HTTP2: connections may be those of plaintext HTTP/2, whose heads are bounded by net/http.
-	HTTP2  bool
-	Logger *logging.Logger
+	HTTP2 bool
 }
 
 // Listener accepts connections within limits.
@@ -167,10 +166,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refused++
-	if time.Since(l.loggedAt) < logInterval || l.limits.Logger == nil {
+	if time.Since(l.loggedAt) < logInterval || l.budget.logger == nil {
 		return
 	}
-	l.limits.Logger.Warn(logging.ClientsRefused, logging.Fields{
+	l.budget.logger.Warn(logging.ClientsRefused, logging.Fields{
 		"port": l.limits.Name, "reason": string(r), "refused": l.refused, "connections": len(l.conns), "memory_reserved": l.budget.Reserved(),
 	})
 	l.refused, l.loggedAt = 0, time.Now()
--- a/internal/connection/intake/memory.go
+++ b/internal/connection/intake/memory.go
@@ -62,5 +62,7 @@
 			log.Warn(logging.ClientsRefused, logging.Fields{"reason": "the memory of the machine can't be read", "memory_total": total})
 		}
 	}
-	return NewBudget(total, registry)
+	b := NewBudget(total, registry)
+	b.logger = log
+	return b
 }
--- a/internal/connection/intake/server.go
+++ b/internal/connection/intake/server.go
@@ -96,5 +96,8 @@
 	if !conn.EndBody(err == nil) {
 		err = errors.Trace(ErrNoRoom)
 	}
+	if errors.Is(err, ErrNoRoom) {
+		conn.listener.report(reasonBodyMemory)
+	}
 	return body, hold.Release, err
 }
--- a/internal/process/control/process.go
+++ b/internal/process/control/process.go
@@ -163,7 +163,7 @@
 		TLSConfig:         keys.ServerConfig(),
 		ReadHeaderTimeout: readHeaderTimeout,
 	}
-	limits := intake.Limits{Name: "operators", Connections: cmp.Or(p.settings.Clients.Connections, operatorConnections), Logger: p.log}
+	limits := intake.Limits{Name: "operators", Connections: cmp.Or(p.settings.Clients.Connections, operatorConnections)}
 	go func() { _ = intake.ServeTLS(p.operatorServer, ln, limits, p.clients) }()
 	return nil
 }
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -134,7 +134,7 @@
 		Settings:   exchange.Defaults(),
 		Paths:      p.relaying.paths,
 	})
-	if err := p.relaying.listen(p.routingState.self.PeerAddress, p.clients, p.log); err != nil {
+	if err := p.relaying.listen(p.routingState.self.PeerAddress, p.clients); err != nil {
 		return errors.Trace(err)
 	}
 	var err error
--- a/internal/process/entry/relaying.go
+++ b/internal/process/entry/relaying.go
@@ -11,7 +11,6 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/relay"
-	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 )
@@ -81,7 +80,7 @@
 }
 
 // listen serves other entry VMs at the peer address.
-func (r *relaying) listen(address string, clients *intake.Budget, log *logging.Logger) error {
+func (r *relaying) listen(address string, clients *intake.Budget) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Annotate(err, "peer address")
@@ -90,7 +89,7 @@
 	mux.Handle(r.server.Handler())
 	r.http = &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 	relay.ConfigureServer(r.http)
-	limits := intake.Limits{Name: "relay", Connections: maxPeerConnections, Logger: log}
+	limits := intake.Limits{Name: "relay", Connections: maxPeerConnections}
 	go func() { _ = intake.Serve(r.http, ln, limits, clients) }() // returns when the server is closed
 	return nil
 }
--- a/internal/process/keeper/process.go
+++ b/internal/process/keeper/process.go
@@ -137,7 +137,7 @@
 		return nil, errors.Trace(err)
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	limits := intake.Limits{Name: port, Connections: connections, Logger: p.log}
+	limits := intake.Limits{Name: port, Connections: connections}
 	go func() { _ = intake.Serve(s, ln, limits, p.clients) }() // returns when the server is closed
 	return s, nil
 }
--- a/internal/process/router/callers.go
+++ b/internal/process/router/callers.go
@@ -67,7 +67,7 @@
 // failure of the process.
 func (p *Process) serveCallers(ln net.Listener) {
 	var err error
-	limits := intake.Limits{Name: "callers", Connections: p.settings.Clients.Connections, Logger: p.log}
+	limits := intake.Limits{Name: "callers", Connections: p.settings.Clients.Connections}
 	if p.callerServer.TLSConfig != nil {
 		err = intake.ServeTLS(p.callerServer, ln, limits, p.clients)
 	} else {
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -197,3 +197,33 @@
 		})
 	}
 }
+
+// TestMonitorPortsWithEndlessHeads guards against processes that run out of memory or descriptors at the ports
+// of their health and metrics, which have fewer connections than those of callers and operators.
+func TestMonitorPortsWithEndlessHeads(t *testing.T) {
+	s := startSystem(t)
+	endless := func(w io.Writer, _ int) error {
+		_, err := io.WriteString(w, "GET /metrics HTTP/1.1\r\nHost: h\r\n")
+		for sent := 0; err == nil && sent < endlessHeaderBytes; sent += 4 << 10 {
+			_, err = io.WriteString(w, strings.Repeat("a:\r\n", 1<<10))
+		}
+		return err
+	}
+	attack(t, s.entry, s.monitorAt, maxHeadClients, endless, entryMemory, s.callOrdinary)
+	attack(t, s.keeper, s.keeperMonitorAt, maxHeadClients, endless, keeperMemory, s.declare)
+}
+
+// TestPeerPortsWithEndlessHeads is the same for the ports at which processes reach each other. They have more
+// connections, so that only as many clients connect as the others may.
+func TestPeerPortsWithEndlessHeads(t *testing.T) {
+	s := startSystem(t)
+	endless := func(w io.Writer, _ int) error {
+		_, err := io.WriteString(w, "POST /x HTTP/1.1\r\nHost: h\r\n")
+		for sent := 0; err == nil && sent < endlessHeaderBytes; sent += 4 << 10 {
+			_, err = io.WriteString(w, strings.Repeat("a:\r\n", 1<<10))
+		}
+		return err
+	}
+	attack(t, s.entry, s.relayAt, maxConnections, endless, entryMemory, s.callOrdinary)
+	attack(t, s.keeper, s.peersAt, maxConnections, endless, keeperMemory, s.declare)
+}
--- a/test/clients/system_test.go
+++ b/test/clients/system_test.go
@@ -145,7 +145,9 @@
 type system struct {
 	keeper, entry             *program
 	operatorAddress, callerAt string
-	target                    *standin.Target
+	// The ports that are not for callers and operators.
+	monitorAt, keeperMonitorAt, relayAt, peersAt string
+	target                                       *standin.Target
 }
 
 // startSystem starts the processes and waits until the entry VM serves calls.
@@ -163,6 +165,7 @@
 	ports := freePorts(t, 4, keeperIP, entryIP)
 	at := func(ip string, i int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[i])) }
 	s := &system{operatorAddress: at(keeperIP, 0), callerAt: at(entryIP, 0), target: target}
+	s.monitorAt, s.keeperMonitorAt, s.relayAt, s.peersAt = at(entryIP, 3), at(keeperIP, 1), at(entryIP, 2), at(keeperIP, 2)
 	limits := func(budget float64) string {
 		return fmt.Sprintf("clients: {memory_bytes: %d, connections: %d}\n", int64(budget), maxConnections)
 	}
