--- a/internal/connection/intake/listen_test.go
+++ b/internal/connection/intake/listen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -11,8 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
 
 // fakeListener returns one end of each pipe that dial opens.
@@ -245,3 +249,34 @@
 		s.scan(head)
 	}
 }
+
+// TestRefusalsAreCountedAndLogged guards against clients that are refused without a trace, and against a line
+// for each of many refusals.
+func TestRefusalsAreCountedAndLogged(t *testing.T) {
+	var log bytes.Buffer
+	var mu sync.Mutex
+	registry := metrics.NewRegistry()
+	b := NewProcessBudget(1<<20, registry, logging.New(lockedWriter{&mu, &log}, "entry", "e1"))
+	l := Listen(&fakeListener{}, Limits{Name: "callers", Connections: 1}, b)
+	for range 5 {
+		l.report(reasonHeadLines)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, strings.Count(log.String(), "event=clients_refused"), 1, "%s", &log)
+	for _, want := range []string{"port=callers", "reason=head_lines", "refused=1"} {
+		assert.Assert(t, strings.Contains(log.String(), want), "%s", &log)
+	}
+	assert.Equal(t, metrics.GetOrRegisterCounter("clients.refused.head_lines", registry).Count(), int64(5))
+}
+
+type lockedWriter struct {
+	mu *sync.Mutex
+	w  io.Writer
+}
+
+func (l lockedWriter) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(b)
+}
--- a/test/clients/system_test.go
+++ b/test/clients/system_test.go
@@ -18,6 +18,12 @@
 
 	"gotest.tools/v3/assert"
 
+	// The programs are built from these. Without the imports, go test would take an earlier result from its
+	// cache although they have changed.
+	_ "github.com/chicoryswitch/chicoryswitch/internal/process/entry"
+	_ "github.com/chicoryswitch/chicoryswitch/internal/process/keeper"
+	_ "github.com/chicoryswitch/chicoryswitch/internal/process/run"
+	_ "github.com/chicoryswitch/chicoryswitch/platform"
 	"github.com/chicoryswitch/chicoryswitch/platform/standin"
 )
 
