--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -14,6 +14,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/feed"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/frontend"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/intake"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/peer"
@@ -51,6 +52,7 @@
 	relaying     *relaying
 	pool         *http1.Pool
 	retryBudgets *retryBudgets
+	clients      *intake.Budget
 
 	front   *frontend.Frontend
 	ready   *monitor.Server
@@ -74,6 +76,7 @@
 		log:          log,
 		registry:     registry,
 		retryBudgets: newRetryBudgets(s.Retry, registry),
+		clients:      intake.NewProcessBudget(s.Clients.MemoryBytes, registry, log),
 	}
 	metrics.NewRegisteredFunctionalGauge("log.lines_left_out", registry, log.Dropped)
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
@@ -121,10 +124,9 @@
 			Logger:   p.log,
 			Settings: routing.Defaults(),
 		}),
-		Loads:   loads,
-		Engines: engines,
-		Limits:  p.routingState.limits,
-
+		Loads:           loads,
+		Engines:         engines,
+		Limits:          p.routingState.limits,
 		HighestPriority: p.routingState.highestPriority,
 		OnLeaving:       p.routingState.announceLeaving,
 		Quarantine:      p.routingState.quarantine,
@@ -135,19 +137,20 @@
 		Paths:           p.relaying.paths,
 	})
 	p.routingState.queue = server
-	if err := p.relaying.listen(p.routingState.self.PeerAddress); err != nil {
+	if err := p.relaying.listen(p.routingState.self.PeerAddress, p.clients); err != nil {
 		return errors.Trace(err)
 	}
 	var err error
 	if p.front, err = frontend.Listen(string(p.settings.CallerAddress), frontend.Options{
 		Codec: adapter, Handler: server, Holder: p.routingState.declared, Started: p.routingState.initialized, Logger: p.log, Registry: p.registry, Random: rand.Uint64,
+		Budget: p.clients, MaxConnections: p.settings.Clients.Connections,
 	}); err != nil {
 		return errors.Trace(err)
 	}
-	if p.ready, err = monitor.Listen(string(p.settings.ReadyAddress), p.registry, p.isReady); err != nil {
+	if p.ready, err = monitor.Listen(string(p.settings.ReadyAddress), p.registry, p.clients, p.isReady); err != nil {
 		return errors.Trace(err)
 	}
-	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.isReady)
+	p.monitor, err = monitor.Listen(string(p.settings.MonitorAddress), p.registry, p.clients, p.isReady)
 	return errors.Trace(err)
 }
 
