placement, exchange: use the estimated speed of engines

A run costs more on an engine that is slower than usual, so that it goes to a usual one with a run rather than to an idle one that is 1.6 times as slow, and to the slow one before others are full. Timeouts for silence and for first events are longer for slow engines. Services whose targets state no pace are served as before.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -25,6 +25,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/routing"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 )
 
 // Adapter provides the platform-specific parts of an entry VM.
@@ -69,6 +70,8 @@
 	registry := metrics.NewRegistry()
 	limits := ratelimit.NewTable(ratelimit.Options{EntryVMs: defaultEntryVMs, Logger: log, Registry: registry})
 	engines := placement.NewEngineTable(placement.Defaults(), string(s.AvailabilityZone), limits)
+	speeds := speed.NewTable()
+	engines.SetSpeeds(speeds)
 	p := &Process{
 		settings:     s,
 		log:          log,
@@ -79,7 +82,7 @@
 	metrics.NewRegisteredFunctionalGauge("declared.version", registry, func() int64 { return int64(p.routingState.DeclaredVersion()) })
 	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, IsShared: exchange.IsShared, Random: rand.Float64})
 	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, s.DrainTime.Std(), log)
-	p.routingState.self = s.peer()
+	p.routingState.self, p.routingState.speeds = s.peer(), speeds
 	p.relaying = p.newRelaying(adapter, engines)
 	p.routingState.isCutOff = p.cannotRelay
 	p.pool = http1.NewPoolWithDial(p.relaying.paths.Dial, http1.Defaults(), registry)
@@ -123,6 +126,7 @@
 		Loads:      loads,
 		Engines:    engines,
 		Limits:     p.routingState.limits,
+		Speeds:     p.routingState.speeds,
 		OnLeaving:  p.routingState.announceLeaving,
 		Quarantine: p.routingState.quarantine,
 		Budget:     p.retryBudgets.forService,
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -13,6 +13,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -26,12 +27,14 @@
 // routingState applies what the feeds report: the declaration, and the targets for
 // calls and for streams. It implements feed.Sink.
 type routingState struct {
-	decoder      Decoder
-	declared     *declared.Holder
-	targets      *config.Holder
-	engines      *placement.EngineTable
-	quarantine   *quarantine.Table
-	limits       *ratelimit.Table
+	decoder    Decoder
+	declared   *declared.Holder
+	targets    *config.Holder
+	engines    *placement.EngineTable
+	quarantine *quarantine.Table
+	limits     *ratelimit.Table
+	// speeds may be nil.
+	speeds       *speed.Table
 	retryBudgets *retryBudgets
 	logger       *logging.Logger
 	// drainTime is how long a target that announces that it leaves serves further requests.
@@ -280,6 +283,7 @@
 		}
 		return 0
 	})
+	r.speeds.Update(listed)
 	r.limits.UpdateTargets(listed) // last, as it wakes the requests that wait for permits
 }
 
--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -37,6 +37,9 @@
 	limited bool
 	err     error
 	latency time.Duration
+	// requests is the number of requests at the target according to its response; 0 if it does not
+	// state it.
+	requests int
 }
 
 // isServerError reports whether the target's response is a server error, in which case
@@ -56,6 +59,9 @@
 	if t.outcome == outcomeLost && ctx.Err() == nil {
 		s.opts.Pool.CloseIdle(t.target)
 	}
+	if t.outcome == outcomeAnswered && !t.isServerError() {
+		s.opts.Speeds.ObserveCall(t.target, p.Target.GetInstance(), t.latency, t.requests, time.Now())
+	}
 	s.reportCall(ctx, a, t, p, begin)
 	s.logAttempt(a, t)
 	return t
@@ -111,7 +117,7 @@
 	}
 	s.recordLoad(address, meta)
 	s.recordState(address, d.Instance, response.Status, meta)
-	t := &attempt{status: response.Status, header: response.Header, limited: meta.Limit > 0 || meta.RetryAfter > 0}
+	t := &attempt{status: response.Status, header: response.Header, limited: meta.Limit > 0 || meta.RetryAfter > 0, requests: meta.Running + meta.Waiting}
 	if t.body, err = response.ReadAll(s.opts.Settings.MaxResponseBytes); err != nil {
 		response.Abandon()
 		t.outcome, t.err = outcomeLost, err
@@ -175,17 +181,18 @@
 
 func (e *mismatchedResponseError) Error() string { return "response is for another request: " + e.id }
 
-// recordState records what a response states about its target: the limit of its requests, when it wants
-// the next one, and whether it is about to stop. A response of another start of the target, or one that
+// recordState records what a response states about its target: how long work takes there, the limit of
+// its requests, when it wants the next one, and whether it is about to stop. A response of another start of the target, or one that
 // only the target's address shows to be of the target, says nothing.
 func (s *Service) recordState(address, instance string, status int, r ResponseMetadata) {
 	if status == http.StatusMisdirectedRequest || !r.Signed && !r.NotRun {
 		return
 	}
+	now := time.Now()
+	s.opts.Speeds.ObserveStated(address, instance, r.PacePercent, now)
 	if r.Leaving && s.opts.OnLeaving != nil {
 		s.opts.OnLeaving(address, instance)
 	}
-	now := time.Now()
 	if !math.IsNaN(r.Limit) {
 		s.opts.Limits.Observe(address, instance, r.Limit, now)
 	}
--- a/internal/request/exchange/event_relay.go
+++ b/internal/request/exchange/event_relay.go
@@ -24,6 +24,7 @@
 	result attemptResult
 	// previous is when the last new event had been written to the caller.
 	previous time.Time
+	pace     paceObserver
 	// otherBytes is the size of all events since the last new one.
 	otherBytes int
 }
@@ -91,8 +92,10 @@
 	if r.result.events == 0 {
 		r.run.MarkPromptRead()
 		r.st.logFirstEvent(r.run, r.meta, now)
+		r.pace.firstEvent(r.run, r.st.size.Prompt, r.st.dispatchedAt, now)
 	} else {
 		r.st.gaps.Add(now.Sub(r.previous))
+		r.pace.event(r.run, r.previous, now)
 	}
 	r.result.events++
 	r.guard.received()
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -26,6 +26,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
@@ -228,7 +229,7 @@
 	}
 }
 
-// Options are the dependencies of a Service. All are required except OnLeaving and Paths.
+// Options are the dependencies of a Service. All are required except Speeds, OnLeaving and Paths.
 type Options struct {
 	Pool     *http1.Pool
 	Protocol TargetProtocol
@@ -240,6 +241,8 @@
 	Engines *placement.EngineTable
 	// Limits holds the limits that targets name.
 	Limits *ratelimit.Table
+	// Speeds estimates how fast targets are; nil means that all are equally fast.
+	Speeds *speed.Table
 	// OnLeaving is called with each response in which a start of the target at address states that it is
 	// about to stop; nil means no call.
 	OnLeaving func(address, instance string)
--- a/internal/request/exchange/harness_test.go
+++ b/internal/request/exchange/harness_test.go
@@ -51,7 +51,8 @@
 
 func (testProtocol) DecodeReply(h http.Header) ResponseMetadata {
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64) // 0 without one
-	return ResponseMetadata{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Limit: limit}
+	pace, _ := strconv.Atoi(h.Get("Pace"))             // 0 without one
+	return ResponseMetadata{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Limit: limit, PacePercent: pace}
 }
 
 // testNetwork holds in-memory targets. Each handles one request per connection with its
@@ -259,6 +260,8 @@
 	silent bool
 	// copies holds the ids of the requests whose memory the engine keeps a copy of.
 	copies map[string]bool
+	// header holds further header lines of responses.
+	header string
 }
 
 func (e *engine) serve(c net.Conn, r *http.Request) {
@@ -271,7 +274,7 @@
 	if r.Header.Get("From") == "" {
 		time.Sleep(e.first)
 	}
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedBy+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedBy+e.header+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for made := 0; next < e.total; made++ {
 		if e.dieAfter > 0 && made == e.dieAfter {
 			if e.silent {
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -39,6 +39,8 @@
 	gaps       pace.GapEstimator
 	// dispatchedAt is when the request was sent to the current engine.
 	dispatchedAt time.Time
+	// slowness is how long work takes on that engine, as a multiple of what is usual.
+	slowness float64
 
 	// backup is the engine that keeps a copy of the run's memory, or nil if there is
 	// none.
@@ -113,7 +115,7 @@
 			return run, from, nil
 		}
 	}
-	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, Reserved: reserved}
+	req := placement.PlaceRequest{Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, Reserved: reserved, MaxEventGap: st.maxEventGap()}
 	run, err := st.placeAllowed(req)
 	if fault.Is(err, fault.NoTarget) && len(st.tried) > 0 && (st.a.trial == nil || st.headerSent) {
 		req.Exclude, req.Reserved = nil, "" // given back
@@ -208,7 +210,7 @@
 	defer run.Release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	st.dispatchedAt = time.Now()
+	st.dispatchedAt, st.slowness = time.Now(), st.s.speedFactor(run)
 	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.brokenConnection}
 	if from != nil {
 		d.ContinueFrom = from.GetAddress()
--- a/internal/request/exchange/stream_log.go
+++ b/internal/request/exchange/stream_log.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"math"
 	"time"
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
@@ -14,12 +15,16 @@
 		event = logging.StreamResumed
 		st.s.metrics.resumed.Inc(1)
 	}
-	st.s.opts.Logger.Info(event, logging.Fields{
+	fields := logging.Fields{
 		"request": st.a.ID, "route": st.a.Route.Name, "target": run.Target.GetAddress(),
 		"instance": run.Target.GetInstance(), "backup": d.BackupTo, "from": d.ContinueFrom,
 		"last_event": st.lastEvent, "prompt_tokens": st.size.Prompt, "tried": len(st.tried),
 		"shared_parts": st.a.SharedParts,
-	})
+	}
+	if st.slowness != 1 {
+		fields["factor"] = math.Round(100*st.slowness) / 100
+	}
+	st.s.opts.Logger.Info(event, fields)
 }
 
 func (st *stream) logFirstEvent(run *placement.Run, meta ResponseMetadata, now time.Time) {
--- a/internal/request/exchange/stream_run.go
+++ b/internal/request/exchange/stream_run.go
@@ -17,7 +17,7 @@
 func (st *stream) dispatch(ctx context.Context, g *attemptGuard, run *placement.Run, d Dispatch) attemptResult {
 	watchdog := pace.NewWatchdogFunc(g.onSilence, st.firstEventTimeout(d))
 	defer watchdog.Pause()
-	go st.probeEngine(ctx, g, run, d)
+	go st.probeEngine(ctx, g, run, st.firstProbeDelay(d))
 	x, err := st.s.opts.Pool.Send(ctx, run.Target.GetAddress(), st.s.targetRequest(st.a, d))
 	if err != nil {
 		if http1.IsNotSent(err) {
@@ -42,7 +42,7 @@
 	if !meta.Signed || response.Status != http.StatusOK {
 		return st.readNonStream(response, meta)
 	}
-	relay := &eventRelay{st: st, response: response, meta: meta, run: run, guard: g, watchdog: watchdog}
+	relay := &eventRelay{st: st, response: response, meta: meta, run: run, guard: g, watchdog: watchdog, pace: paceObserver{speeds: st.s.opts.Speeds}}
 	return relay.relayAll()
 }
 
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -26,7 +26,7 @@
 	preferred := e.rendezvousEngine(w.Prompt, eligible, now)
 	candidates := make([]candidate, len(eligible))
 	for i, x := range eligible {
-		score := e.score(x, w.Size, excludeZone != "", now) + rand.Float64()*scoreJitter
+		score := e.score(x, w, excludeZone != "", now) + rand.Float64()*scoreJitter
 		switch {
 		case e.locations.contains(w.Prompt, x.target, now):
 			score -= e.settings.CachedPromptWeight
@@ -115,7 +115,7 @@
 // runs there. Backups use memory but no processing time, so they have a low weight. When
 // a backup is placed, they count as much as runs, so that the runs of a lost engine
 // continue on many different engines.
-func (e *EngineTable) score(x *engineState, size Size, backup bool, now time.Time) float64 {
+func (e *EngineTable) score(x *engineState, w PlaceRequest, backup bool, now time.Time) float64 {
 	runs, prompts, backups := float64(x.runTokens), float64(x.unreadTokens), float64(x.backupTokens)
 	switch {
 	case now.Sub(e.remoteLoadsAt) < e.settings.MaxLoadAge:
@@ -127,6 +127,7 @@
 	}
 	memory := float64(x.capacity)
 	score := (runs + e.settings.UnreadPromptWeight*prompts) / memory
+	score += e.slownessCost(x, score, w, backup, now)
 	if backup {
 		score += backups / memory
 	} else {
@@ -135,7 +136,7 @@
 			score += e.settings.ZoneWeight
 		}
 	}
-	if runs+backups+float64(size.Total()) > maxMemoryShare*memory {
+	if runs+backups+float64(w.Size.Total()) > maxMemoryShare*memory {
 		score += overloadPenalty
 	}
 	return score + e.lossPenalty(x, now)
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -16,6 +16,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 )
 
 // EngineTable holds this entry VM's view of the engines and their load. It is safe for
@@ -24,6 +25,7 @@
 	settings Settings
 	zone     string
 	limits   request.RateLimits
+	speeds   *speed.Table
 
 	mu        sync.Mutex // guards the fields below and all engines
 	byAddress map[string]*engineState
@@ -114,6 +116,9 @@
 	Exclude []string
 	// Reserved is the address of the engine that the run has a permit for, or empty.
 	Reserved string
+	// MaxEventGap is the longest gap between events that the caller considers timely; 0 if it is
+	// not known.
+	MaxEventGap time.Duration
 }
 
 // Place selects an engine for a run. It fails with the kind NoTarget, or Overloaded if the
@@ -182,12 +187,13 @@
 }
 
 func (e *EngineTable) startRun(x *engineState, size Size, unread int) *Run {
+	onlyPrompt := unread > 0 && x.unreadTokens == 0 && x.remoteLoad.GetUnread() == 0
 	x.runs++
 	x.runTokens += size.Total()
 	x.unreadTokens += unread
 	const weight = 0.05 // of a new run in the moving average
 	e.meanRunTokens += weight * (float64(size.Total()) - e.meanRunTokens)
-	return &Run{Target: x.target, EngineLost: x.lost, engines: e, engine: x, size: size, unreadTokens: unread}
+	return &Run{Target: x.target, EngineLost: x.lost, engines: e, engine: x, size: size, unreadTokens: unread, onlyPrompt: onlyPrompt}
 }
 
 // ReserveBackup selects an engine in another availability zone than r's to keep a backup
--- a/internal/request/placement/run.go
+++ b/internal/request/placement/run.go
@@ -16,6 +16,7 @@
 	engine       *engineState
 	size         Size
 	unreadTokens int
+	onlyPrompt   bool
 	prompt       string
 	firstEvent   bool
 	released     bool
--- a/internal/request/placement/settings.go
+++ b/internal/request/placement/settings.go
@@ -31,6 +31,8 @@
 	// CachedPromptWeight is the same for an engine that is known to have processed the
 	// prompt.
 	CachedPromptWeight float64
+	// PaceWeight is the cost, as a share of memory, of events that take twice as long as usual.
+	PaceWeight float64
 	// LossCooldown is how long an engine gets no new work after a loss; each consecutive
 	// loss doubles it, up to MaxLossCooldown.
 	LossCooldown    time.Duration
@@ -60,6 +62,7 @@
 		ZoneWeight:                 0.05,                   // half of a typical run's share of an engine
 		AffinityWeight:             0.15,                   // more than one run, less than one unread prompt
 		CachedPromptWeight:         0.6,                    // two unread prompts
+		PaceWeight:                 0.2,                    // about two runs: more than AffinityWeight and one run for an engine that is 1.6 times as slow
 		CandidatesPerUnreportedRun: 2,                      // two engines for each run that may go to the same one
 		LossCooldown:               500 * time.Millisecond, // an engine restart takes about a second
 		MaxLossCooldown:            2 * time.Second,        // the list contains a dead engine for some seconds
