routing: slow targets of calls get trials, and estimated speeds count

A target whose calls took a second once got no calls for minutes while others were idle: its mean latency was not bounded and decreased by a two-hundredth a review. It now gets a trial call at most once a second and in 20 calls.

--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -120,6 +120,7 @@
 			Zone:     string(p.settings.AvailabilityZone),
 			Loads:    loads,
 			Limits:   p.routingState.limits,
+			Speeds:   p.routingState.speeds,
 			Logger:   p.log,
 			Settings: routing.Defaults(),
 		}),
--- a/internal/request/routing/choose.go
+++ b/internal/request/routing/choose.go
@@ -54,12 +54,15 @@
 }
 
 // choose returns the endpoint for one attempt, or nil. A target that is due for a
-// probe is preferred. Otherwise the work goes to a usable target, and to an ejected
+// probe or a trial is preferred. Otherwise the work goes to a usable target, and to an ejected
 // one only when none is usable.
 func (p *Picker) choose(g *group, w *request.Work, exclude []string, now time.Time) *endpoint {
 	if e := g.nextProbeTarget(w, exclude, now); e != nil {
 		return e
 	}
+	if e := g.nextTrialTarget(w, exclude, now); e != nil {
+		return e
+	}
 	e := p.chooseByStatus(g, usable, w, exclude, now)
 	if e == nil {
 		return p.chooseByStatus(g, ejected, w, exclude, now)
@@ -92,6 +95,21 @@
 	return nil
 }
 
+// nextTrialTarget returns a slow target that is due for a trial call, or nil. Only first
+// attempts of idempotent calls are trials: a slow one can be hedged.
+func (g *group) nextTrialTarget(w *request.Work, exclude []string, now time.Time) *endpoint {
+	if len(exclude) > 0 || w.Tokens > 0 || w.Route.GetNonIdempotent() {
+		return nil
+	}
+	members, picks := g.members(), g.picks.Load()
+	for _, e := range members {
+		if e.tryTakeTrial(now, picks, uint64(len(members))) {
+			return e
+		}
+	}
+	return nil
+}
+
 // sampleSize is the number of targets that are sampled from the router's own
 // availability zone, and the number sampled from the other ones.
 const sampleSize = 2
@@ -135,6 +153,7 @@
 		defaultCapacity: p.opts.Settings.DefaultCapacity,
 		routers:         float64(max(p.opts.Routers(), 1)),
 		isCall:          w.Tokens == 0,
+		speeds:          p.opts.Speeds,
 	}
 }
 
--- a/internal/request/routing/endpoint.go
+++ b/internal/request/routing/endpoint.go
@@ -11,6 +11,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/observe"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 )
 
 // maxReasons is the number of reasons that an endpoint keeps for Picker.Explain.
@@ -19,6 +20,10 @@
 // latencyWeight is the weight of a new latency in an endpoint's moving average.
 const latencyWeight = 0.2
 
+// recoveryWeight is the weight of a shorter latency of a target that counts as slow: it gets few
+// calls that show whether it still is.
+const recoveryWeight = 0.35
+
 // endpoint is a target and its health as observed by this router's requests.
 type endpoint struct {
 	target *chicoryv1.Target
@@ -28,6 +33,10 @@
 	// slowness, as float64 bits, is the factor by which the load is scaled when
 	// targets are compared: the latency relative to the median of the group.
 	slowness atomic.Uint64
+	// lastPick is the number of picks of the group when the target was picked last, and
+	// nextTrialAt the Unix time in nanoseconds before which it gets no trial call while it is slow.
+	lastPick    atomic.Uint64
+	nextTrialAt atomic.Int64
 	// ejectedUntil is the Unix time in nanoseconds after which an ejected target is
 	// probed; 0 when the target is not ejected.
 	ejectedUntil atomic.Int64
@@ -102,13 +111,45 @@
 	if float64(e.state.InFlight()+1) > capacity/params.routers {
 		load += routerSharePenalty
 	}
-	slowness := math.Float64frombits(e.slowness.Load())
+	slowness := e.expectedSlowness(now, params.speeds)
 	if params.isCall && e.isAvoidedByCalls(now) {
 		slowness = maxSlowness
 	}
 	return load * slowness
 }
 
+// expectedSlowness returns the larger of the slowness that this process has learned from calls and
+// the estimate that is shared; only the latter shows a target that is faster than usual.
+func (e *endpoint) expectedSlowness(now time.Time, speeds *speed.Table) float64 {
+	learned := e.learnedSlowness()
+	factor := speeds.Factor(e.target.GetAddress(), e.target.GetInstance(), now)
+	if learned > 1 {
+		return max(learned, factor)
+	}
+	return factor
+}
+
+func (e *endpoint) learnedSlowness() float64 { return math.Float64frombits(e.slowness.Load()) }
+
+// tryTakeTrial reports whether the target counts as slow and is due for a call that shows whether
+// it still is. If so, the caller must send the call.
+func (e *endpoint) tryTakeTrial(now time.Time, picks, members uint64) bool {
+	if e.learnedSlowness() <= 1 || picks-e.lastPick.Load() < max(minTrialPicks, trialPicksPerMember*members) || e.isStalled(now) || e.status(now) != usable {
+		return false
+	}
+	next := e.nextTrialAt.Load()
+	return now.UnixNano() >= next && e.nextTrialAt.CompareAndSwap(next, now.Add(trialInterval).UnixNano())
+}
+
+// A slow target gets a trial call if it was not picked for minTrialPicks picks of its group, and
+// trialPicksPerMember for each target, so that at most a quarter of the calls are trials, and for
+// trialInterval. Without trials, a target that was slow once gets no calls while others are idle.
+const (
+	minTrialPicks       = 20
+	trialPicksPerMember = 4
+	trialInterval       = time.Second
+)
+
 // scoreParams are the inputs of a score other than the endpoint.
 type scoreParams struct {
 	// defaultCapacity is the capacity of targets whose capacity is unknown.
@@ -116,6 +157,7 @@
 	// routers is the number of live routers.
 	routers float64
 	isCall  bool
+	speeds  *speed.Table
 }
 
 // routerSharePenalty is added to the load, as a fraction of capacity, of a target at
@@ -290,7 +332,11 @@
 		e.meanLatency = d
 		return
 	}
-	e.meanLatency += time.Duration(latencyWeight * float64(d-e.meanLatency))
+	weight := latencyWeight
+	if d < e.meanLatency && e.learnedSlowness() > 1 {
+		weight = recoveryWeight
+	}
+	e.meanLatency += time.Duration(weight * float64(d-e.meanLatency))
 }
 
 // resetConsecutiveCounts sets the consecutive counts to 0. The caller holds mu.
--- a/internal/request/routing/group.go
+++ b/internal/request/routing/group.go
@@ -23,6 +23,8 @@
 	// endpoints is replaced when the configuration changes.
 	endpoints atomic.Pointer[[]*endpoint]
 
+	// picks counts the picks.
+	picks atomic.Uint64
 	// lastReview is the Unix time in nanoseconds of the last review.
 	lastReview atomic.Int64
 	mu         sync.Mutex // serializes reviews, ejections and restorations
--- a/internal/request/routing/picker.go
+++ b/internal/request/routing/picker.go
@@ -17,6 +17,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 	"github.com/chicoryswitch/chicoryswitch/internal/request"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 )
 
@@ -31,6 +32,8 @@
 	Loads *observe.Table
 	// Limits are the limits that targets name; nil means that they name none.
 	Limits request.RateLimits
+	// Speeds estimates how fast targets are; nil means that all are equally fast.
+	Speeds *speed.Table
 	Logger *logging.Logger
 	// Rand returns uniform random 64-bit numbers and must be safe for concurrent use;
 	// nil selects math/rand/v2.
@@ -138,6 +141,7 @@
 	if w.PrefixHash != 0 {
 		p.opts.Loads.Hints.Add(w.PrefixHash, e.target.GetAddress(), now)
 	}
+	e.lastPick.Store(g.picks.Add(1))
 	return newPlacement(g, e, now, w.Tokens == 0), nil
 }
 
--- a/internal/request/routing/review.go
+++ b/internal/request/routing/review.go
@@ -41,7 +41,7 @@
 		elapsed = 0
 	}
 	g.decayResults(now, time.Duration(elapsed))
-	g.compareLatencies()
+	g.compareLatencies(now)
 	g.compareErrors(now)
 	for _, e := range g.members() {
 		g.logConditions(e, now)
@@ -65,7 +65,7 @@
 
 // compareLatencies sets each target's slowness and stall time from the median latency
 // of the group. The caller holds mu.
-func (g *group) compareLatencies() {
+func (g *group) compareLatencies(now time.Time) {
 	latencies := make([]time.Duration, 0, len(g.members()))
 	for _, e := range g.members() {
 		e.mu.Lock()
@@ -81,6 +81,8 @@
 	median := latencies[(len(latencies)-1)/2]
 	for _, e := range g.members() {
 		e.mu.Lock()
+		// A single call of a second would count for minutes otherwise.
+		e.meanLatency = min(e.meanLatency, maxSlowness*median)
 		ratio := float64(e.meanLatency) / float64(median)
 		if ratio > slowThreshold {
 			// Without new samples the target must not count as slow forever.
@@ -89,6 +91,8 @@
 		e.mu.Unlock()
 		if ratio < slowThreshold {
 			ratio = 1
+		} else if e.learnedSlowness() <= 1 {
+			e.nextTrialAt.Store(now.Add(trialInterval).UnixNano())
 		}
 		e.setSlowness(min(ratio, maxSlowness))
 		e.stallAfter.Store(int64(max(stallFactor*median, minStall)))
