feed, entry: share speed estimates over the entry VMs

Estimates that changed by more than a tenth are sent to the leader, merged for each incarnation and forwarded to all followers, at most 64 in a message. Those that differ from the usual are repeated every half minute, as their weight decreases with age. Gauges show how many targets have estimates and how far these differ.

--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -7,6 +7,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 )
 
 const (
@@ -38,10 +39,11 @@
 	byPrompt map[string]*chicoryv1.PromptPlace
 	// version increases with every change of the loads.
 	version uint64
-	// suspects, limits and entryVMs have locks of their own.
+	// suspects, limits, entryVMs and speeds have locks of their own.
 	suspects *quarantine.Table
 	limits   *ratelimit.Allocator
 	entryVMs *entryVMList
+	speeds   *speed.Board
 }
 
 // NewSharedState returns an empty SharedState.
@@ -52,17 +54,19 @@
 		byPrompt: map[string]*chicoryv1.PromptPlace{},
 		limits:   ratelimit.NewAllocator(),
 		entryVMs: newEntryVMList(),
+		speeds:   speed.NewBoard(),
 		suspects: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
 	}
 }
 
 // Update replaces the shared loads and usage of one entry VM and what other entry VMs know of
-// it, and adds its prompt locations, suspect parts and limits.
+// it, and adds its prompt locations, suspect parts, limits and speed estimates.
 func (s *SharedState) Update(r *chicoryv1.ShareRequest, now time.Time) {
 	s.MergeSuspects(r.GetSuspects(), now)
 	s.suspects.GrantTrials(r.GetEntryId(), r.GetSuspects(), now)
 	s.limits.Update(r.GetEntryId(), r.GetLimits(), now)
 	s.entryVMs.update(r.GetEntryVm(), now)
+	s.speeds.Merge(r.GetSpeeds(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
@@ -126,6 +130,8 @@
 	Uses  []*chicoryv1.ServiceUse
 	// Limits are the limits of targets that changed, and the permits for the excluded VM.
 	Limits []*chicoryv1.TargetLimit
+	// Speeds are the speed estimates that changed; only Sink.SetRemoteState gets them.
+	Speeds []*chicoryv1.TargetSpeed
 	// EntryVMs is the number of entry VMs, including the excluded one.
 	EntryVMs int
 	// Peers are the other entry VMs by ID; only Sink.SetRemoteState gets them. They don't
--- a/internal/connection/feed/follower.go
+++ b/internal/connection/feed/follower.go
@@ -271,7 +271,7 @@
 		}
 		state.applyEntryVMs(m, now)
 		f.opts.Sink.SetRemoteState(RemoteState{
-			Loads: state.loadList(), Uses: m.GetUses(), Limits: m.GetLimits(), EntryVMs: int(m.GetEntries()), Peers: f.updatePeers(m, state, now),
+			Loads: state.loadList(), Uses: m.GetUses(), Limits: m.GetLimits(), Speeds: m.GetSpeeds(), EntryVMs: int(m.GetEntries()), Peers: f.updatePeers(m, state, now),
 		})
 	}
 	return nil
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -6,9 +6,9 @@
 // The leader's feed also distributes state that entry VMs share with each other: the load
 // that they cause on engines, and the prompt locations, that is, which engine has
 // processed a prompt, the parts of prompts that may crash engines, the limits that targets
-// name with the permits for requests to them, and the peer addresses of entry VMs. Loads,
-// limits and addresses are lost with the leader and shared again with the next one; prompt
-// locations and suspect parts are kept by all control VMs.
+// name with the permits for requests to them, estimates of how fast targets are, and the peer
+// addresses of entry VMs. Loads, limits, estimates and addresses are lost with the leader and
+// shared again with the next one; prompt locations and suspect parts are kept by all control VMs.
 package feed
 
 import (
@@ -122,6 +122,8 @@
 	sentLoads    map[string]load
 	// limitsVersion is the version up to which the limits of targets were sent.
 	limitsVersion uint64
+	// speedsVersion is the version up to which speed estimates were sent.
+	speedsVersion uint64
 	numbers       engineNumbers
 	// entryVMsVersion is the version up to which changes of the entry VMs were sent;
 	// moreEntryVMs reports whether some were left to the next message.
@@ -165,6 +167,9 @@
 	if f.addEntryVMs(m, now) {
 		urgent = true
 	}
+	if f.addSpeeds(m, now) {
+		urgent = true
+	}
 	if m.Declaration == nil && m.Targets == nil && m.TargetChange == nil && !urgent && now.Sub(f.sentAt) < KeepaliveInterval {
 		return nil, changed, listChanged
 	}
@@ -291,6 +296,19 @@
 	return len(m.GetLimits()) > 0
 }
 
+// addSpeeds adds to a leader's message the speed estimates that changed, up to a limit, and reports
+// whether there are any. A follower ignores those of targets that it does not know, so they follow
+// the list.
+func (f *followerState) addSpeeds(m *chicoryv1.FollowResponse, now time.Time) bool {
+	switch {
+	case !m.GetLeads():
+		f.speedsVersion = 0 // the follower may get others from another leader
+	case f.list != nil && !m.GetListContinues():
+		m.Speeds, f.speedsVersion = f.server.sharedState.speeds.ChangesSince(f.speedsVersion, now)
+	}
+	return len(m.GetSpeeds()) > 0
+}
+
 // addEntryVMs adds to a leader's message the changes of the entry VMs, or all of them if it
 // also adds all loads, and reports whether there are any.
 func (f *followerState) addEntryVMs(m *chicoryv1.FollowResponse, now time.Time) bool {
--- a/internal/connection/feed/share.go
+++ b/internal/connection/feed/share.go
@@ -53,7 +53,7 @@
 // isUrgent reports whether a change must be shared immediately. Request counts alone are
 // not urgent, since they only raise the retry limits.
 func isUrgent(previous, current *chicoryv1.ShareRequest) bool {
-	if len(previous.GetLimits()) > 0 || len(current.GetLimits()) > 0 || len(current.GetPlaces()) > 0 || len(current.GetSuspects()) > 0 || furtherAttempts(previous) != furtherAttempts(current) || len(previous.GetLoads()) != len(current.GetLoads()) {
+	if len(previous.GetLimits()) > 0 || len(current.GetLimits()) > 0 || len(current.GetPlaces()) > 0 || len(current.GetSuspects()) > 0 || len(current.GetSpeeds()) > 0 || furtherAttempts(previous) != furtherAttempts(current) || len(previous.GetLoads()) != len(current.GetLoads()) {
 		return true
 	}
 	if !proto.Equal(previous.GetEntryVm(), current.GetEntryVm()) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -83,6 +83,7 @@
 	suspects := quarantine.NewTable(quarantine.Options{ID: s.ID, IsShared: exchange.IsShared, Random: rand.Float64})
 	p.routingState = newRoutingState(adapter, engines, suspects, limits, p.retryBudgets, s.DrainTime.Std(), log)
 	p.routingState.self, p.routingState.speeds = s.peer(), speeds
+	registerSpeedGauges(speeds, registry)
 	p.relaying = p.newRelaying(adapter, engines)
 	p.routingState.isCutOff = p.cannotRelay
 	p.pool = http1.NewPoolWithDial(p.relaying.paths.Dial, http1.Defaults(), registry)
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -124,6 +124,7 @@
 	r.engines.SetRemoteLoads(o.Loads)
 	r.retryBudgets.setRemoteUsage(o.Uses, o.EntryVMs)
 	r.limits.SetRemoteState(o.Limits, o.EntryVMs, time.Now())
+	r.speeds.MergeRemote(o.Speeds, time.Now())
 	r.setPeers(o.Peers, time.Now())
 }
 
@@ -142,6 +143,7 @@
 	loads, places := r.engines.LocalState(full)
 	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage(), EntryVm: r.localEntryVM()}
 	share.Limits = r.limits.LocalState(full, time.Now())
+	share.Speeds = r.speeds.Local(full, time.Now())
 	if full {
 		share.Suspects, r.sharedSuspects = r.quarantine.All(time.Now())
 	} else {
--- a/internal/request/speed/shared.go
+++ b/internal/request/speed/shared.go
@@ -25,6 +25,8 @@
 	// sharedLifetime is the age from which a shared estimate is ignored: e^-5 of its weight is
 	// left.
 	sharedLifetime = 5 * lifetime
+	// maxReceivedWeight limits the weight of one entry VM's estimate beside those of others.
+	maxReceivedWeight = 8
 	// maxBoardEntries limits the estimates that a Board holds, above the number of targets of the
 	// largest deployments.
 	maxBoardEntries = 16384
@@ -158,8 +160,8 @@
 	return &Board{speeds: map[incarnation]*boardEntry{}, byChange: list.New()}
 }
 
-// Merge adds the estimates of one entry VM. Each counts as some observations, so that those of
-// several VMs are averaged.
+// Merge adds the estimates of one entry VM. Beside earlier ones each counts as a few observations,
+// so that those of several VMs are averaged.
 func (b *Board) Merge(speeds []*chicoryv1.TargetSpeed, now time.Time) {
 	if len(speeds) == 0 {
 		return
@@ -176,6 +178,9 @@
 		if e == nil {
 			continue
 		}
+		if e.estimate.weightAt(now) >= minWeight {
+			weight = min(weight, maxReceivedWeight)
+		}
 		e.estimate.add(received.log, weight, maxWeight, now)
 		if e.sent.isDue(e.estimate.log, e.estimate.weight, now) {
 			b.version++
