--- a/internal/request/exchange/attempt.go
+++ b/internal/request/exchange/attempt.go
@@ -51,7 +51,7 @@
 // runAttempt sends a call to a target, waits for the response and reports to the picker.
 func (s *Service) runAttempt(ctx context.Context, a *AdmittedRequest, p request.Placement, newConnection bool) *attempt {
 	begin := time.Now()
-	stop := s.watchSilence(a, p.Target.GetAddress())
+	stop := s.watchSilence(a, p.Target)
 	t := s.roundTrip(ctx, a, p.Target.GetAddress(), Dispatch{Instance: p.Target.GetInstance(), NewConnection: newConnection})
 	stop()
 	t.target = p.Target.GetAddress()
--- a/internal/request/exchange/paths.go
+++ b/internal/request/exchange/paths.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 
+	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/paths"
 )
 
@@ -22,11 +23,12 @@
 	}
 }
 
-// watchSilence reports the target if it has not answered a call long after it usually does. The
-// returned function ends the watch.
-func (s *Service) watchSilence(a *AdmittedRequest, target string) (stop func() bool) {
+// watchSilence reports the target if it has not answered a call long after it usually does, which is
+// later for a slow target. The returned function ends the watch.
+func (s *Service) watchSilence(a *AdmittedRequest, target *chicoryv1.Target) (stop func() bool) {
 	delay := max(lateAnswerFactor*s.latencies.HedgeDelay(a.Route.Name), minLateAnswer)
-	return time.AfterFunc(delay, func() { s.suspectPath(target, true) }).Stop
+	delay = slowerBy(s.opts.Speeds.Factor(target.GetAddress(), target.GetInstance(), time.Now()), delay)
+	return time.AfterFunc(delay, func() { s.suspectPath(target.GetAddress(), true) }).Stop
 }
 
 // isIsolated reports whether an attempt failed because this VM reaches no target at all, so that
--- a/internal/request/exchange/stream_log.go
+++ b/internal/request/exchange/stream_log.go
@@ -21,8 +21,8 @@
 		"last_event": st.lastEvent, "prompt_tokens": st.size.Prompt, "tried": len(st.tried),
 		"shared_parts": st.a.SharedParts,
 	}
-	if st.slowness != 1 {
-		fields["factor"] = math.Round(100*st.slowness) / 100
+	if factor := math.Round(100*st.slowness) / 100; factor != 1 {
+		fields["factor"] = factor
 	}
 	st.s.opts.Logger.Info(event, fields)
 }
--- a/internal/request/speed/shared.go
+++ b/internal/request/speed/shared.go
@@ -17,6 +17,10 @@
 	sharedDifference = 0.0953 // a tenth
 	// minSharedWeight is the weight from which an estimate is shared.
 	minSharedWeight = 4
+	// trustedCount is the number of observations of a service from which its estimates are shared
+	// with their full weight. The first ones are those of a few streams on as many targets, and
+	// what they are compared with is not yet what is usual.
+	trustedCount = 64
 	// minSharedInterval is the time between two messages with the same target.
 	minSharedInterval = time.Second
 	// repeatInterval is the time after which an estimate that has new observations is shared again
@@ -57,12 +61,12 @@
 			break
 		}
 		local := e.local(now)
-		log := local.log - e.service.center
+		log, weight := local.log-e.service.center, local.weight*e.service.trust()
 		switch {
 		case now.Sub(e.shared.at) < minSharedInterval:
 			continue
-		case local.weight >= minSharedWeight && e.service.isStated(now) && e.shared.isDue(log, local.weight, now):
-			e.shared = sharedState{log: log, weight: local.weight, at: now}
+		case weight >= minSharedWeight && e.service.isStated(now) && e.shared.isDue(log, weight, now):
+			e.shared = sharedState{log: log, weight: weight, at: now}
 			speeds = append(speeds, newTargetSpeed(e.address, e.instance, e.shared, local.at))
 		}
 		delete(t.changed, e)
@@ -70,6 +74,12 @@
 	return speeds
 }
 
+// trust returns the share of the weight with which estimates of the service are shared.
+func (s *service) trust() float64 {
+	count := max(s.gaps.count, s.calls.count, s.perToken.count, s.stated.count)
+	return min(float64(count)/trustedCount, 1)
+}
+
 // sharedState is what was shared last of an estimate. The zero value means that nothing was: the
 // receiver takes the target for one that is as fast as usual.
 type sharedState struct {
