--- a/internal/connection/feed/board.go
+++ b/internal/connection/feed/board.go
@@ -7,6 +7,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 )
 
 const (
@@ -38,11 +39,12 @@
 	byPrompt map[string]*chicoryv1.PromptPlace
 	// version increases with every change of the loads.
 	version uint64
-	// suspects, limits, entryVMs and waiting have locks of their own.
+	// suspects, limits, entryVMs, waiting and speeds have locks of their own.
 	suspects *quarantine.Table
 	limits   *ratelimit.Allocator
 	entryVMs *entryVMList
 	waiting  *waitingTable
+	speeds   *speed.Board
 }
 
 // NewSharedState returns an empty SharedState.
@@ -54,18 +56,20 @@
 		limits:   ratelimit.NewAllocator(),
 		entryVMs: newEntryVMList(),
 		waiting:  newWaitingTable(),
+		speeds:   speed.NewBoard(),
 		suspects: quarantine.NewTable(quarantine.Options{Random: func() float64 { return 0 }}),
 	}
 }
 
 // Update replaces the shared loads and usage of one entry VM and what other entry VMs know of
-// it, and adds its prompt locations, suspect parts and limits.
+// it, and adds its prompt locations, suspect parts, limits and speed estimates.
 func (s *SharedState) Update(r *chicoryv1.ShareRequest, now time.Time) {
 	s.MergeSuspects(r.GetSuspects(), now)
 	s.suspects.GrantTrials(r.GetEntryId(), r.GetSuspects(), now)
 	s.limits.Update(r.GetEntryId(), r.GetLimits(), now)
 	s.entryVMs.update(r.GetEntryVm(), now)
 	s.waiting.update(r.GetEntryId(), r.GetWaiting(), now)
+	s.speeds.Merge(r.GetSpeeds(), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
@@ -131,6 +135,8 @@
 	Waiting []*chicoryv1.WaitingDemand
 	// Limits are the limits of targets that changed, and the permits for the excluded VM.
 	Limits []*chicoryv1.TargetLimit
+	// Speeds are the speed estimates that changed; only Sink.SetRemoteState gets them.
+	Speeds []*chicoryv1.TargetSpeed
 	// EntryVMs is the number of entry VMs, including the excluded one.
 	EntryVMs int
 	// Peers are the other entry VMs by ID; only Sink.SetRemoteState gets them. They don't
--- a/internal/connection/feed/server.go
+++ b/internal/connection/feed/server.go
@@ -6,9 +6,10 @@
 // The leader's feed also distributes state that entry VMs share with each other: the load
 // that they cause on engines, and the prompt locations, that is, which engine has
 // processed a prompt, the parts of prompts that may crash engines, the limits that targets
-// name with the permits for requests to them, the peer addresses of entry VMs, and how many streams wait for
-// engines. Loads, limits, addresses and waiting streams are lost with the leader and shared again with the next one; prompt
-// locations and suspect parts are kept by all control VMs.
+// name with the permits for requests to them, estimates of how fast targets are, the peer
+// addresses of entry VMs, and how many streams wait for engines. Loads, limits, estimates, addresses and waiting
+// streams are lost with the leader and shared again with the next one; prompt locations and suspect parts are kept
+// by all control VMs.
 package feed
 
 import (
@@ -122,6 +123,8 @@
 	sentLoads    map[string]load
 	// limitsVersion is the version up to which the limits of targets were sent.
 	limitsVersion uint64
+	// speedsVersion is the version up to which speed estimates were sent.
+	speedsVersion uint64
 	numbers       engineNumbers
 	// sentWaiting: the previous message stated that streams wait.
 	sentWaiting bool
@@ -170,6 +173,9 @@
 	if f.addWaiting(m, now) {
 		urgent = true
 	}
+	if f.addSpeeds(m, now) {
+		urgent = true
+	}
 	if m.Declaration == nil && m.Targets == nil && m.TargetChange == nil && !urgent && now.Sub(f.sentAt) < KeepaliveInterval {
 		return nil, changed, listChanged
 	}
@@ -296,6 +302,19 @@
 	return len(m.GetLimits()) > 0
 }
 
+// addSpeeds adds to a leader's message the speed estimates that changed, up to a limit, and reports
+// whether there are any. A follower ignores those of targets that it does not know, so they follow
+// the list.
+func (f *followerState) addSpeeds(m *chicoryv1.FollowResponse, now time.Time) bool {
+	switch {
+	case !m.GetLeads():
+		f.speedsVersion = 0 // the follower may get others from another leader
+	case f.list != nil && !m.GetListContinues():
+		m.Speeds, f.speedsVersion = f.server.sharedState.speeds.ChangesSince(f.speedsVersion, now)
+	}
+	return len(m.GetSpeeds()) > 0
+}
+
 // addEntryVMs adds to a leader's message the changes of the entry VMs, or all of them if it
 // also adds all loads, and reports whether there are any.
 func (f *followerState) addEntryVMs(m *chicoryv1.FollowResponse, now time.Time) bool {
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -14,6 +14,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/request/placement"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/quarantine"
 	"github.com/chicoryswitch/chicoryswitch/internal/request/ratelimit"
+	"github.com/chicoryswitch/chicoryswitch/internal/request/speed"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/config"
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
@@ -27,12 +28,14 @@
 // routingState applies what the feeds report: the declaration, and the targets for
 // calls and for streams. It implements feed.Sink.
 type routingState struct {
-	decoder      Decoder
-	declared     *declared.Holder
-	targets      *config.Holder
-	engines      *placement.EngineTable
-	quarantine   *quarantine.Table
-	limits       *ratelimit.Table
+	decoder    Decoder
+	declared   *declared.Holder
+	targets    *config.Holder
+	engines    *placement.EngineTable
+	quarantine *quarantine.Table
+	limits     *ratelimit.Table
+	// speeds may be nil.
+	speeds       *speed.Table
 	retryBudgets *retryBudgets
 	logger       *logging.Logger
 	// queue has the streams that wait for engines; nil means that none do. It is set before the feeds are followed.
@@ -134,6 +137,7 @@
 	r.retryBudgets.setRemoteUsage(o.Uses, o.EntryVMs)
 	r.limits.SetRemoteState(o.Limits, o.EntryVMs, time.Now())
 	r.setRemoteDemand(o.Waiting)
+	r.speeds.MergeRemote(o.Speeds, time.Now())
 	r.setPeers(o.Peers, time.Now())
 }
 
@@ -153,6 +157,7 @@
 	share := &chicoryv1.ShareRequest{Loads: loads, Places: places, Uses: r.retryBudgets.localUsage(), EntryVm: r.localEntryVM()}
 	share.Limits = r.limits.LocalState(full, time.Now())
 	share.Waiting = r.localDemand()
+	share.Speeds = r.speeds.Local(full, time.Now())
 	if full {
 		share.Suspects, r.sharedSuspects = r.quarantine.All(time.Now())
 	} else {
@@ -340,6 +345,7 @@
 		}
 		return 0
 	})
+	r.speeds.Update(listed)
 	r.limits.UpdateTargets(listed) // last, as it wakes the requests that wait for permits
 }
 
--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -38,6 +38,8 @@
 	gaps       pace.GapEstimator
 	// dispatchedAt is when the request was sent to the current engine.
 	dispatchedAt time.Time
+	// slowness is how long work takes on that engine, as a multiple of what is usual.
+	slowness float64
 
 	// backup is the engine that keeps a copy of the run's memory, or nil if there is
 	// none.
@@ -131,6 +133,7 @@
 func (st *stream) placeRequest() placement.PlaceRequest {
 	return placement.PlaceRequest{
 		Service: st.a.Service.Name, Size: st.size, Prompt: st.a.PromptID, Exclude: st.tried, PreferRoom: st.usesQueue(),
+		MaxEventGap: st.maxEventGap(),
 	}
 }
 
@@ -231,7 +234,7 @@
 	defer run.Release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	st.dispatchedAt = time.Now()
+	st.dispatchedAt, st.slowness = time.Now(), st.s.speedFactor(run)
 	d := Dispatch{Instance: run.Target.GetInstance(), LastEventID: st.lastEvent, NewConnection: st.brokenConnection}
 	if from != nil {
 		d.ContinueFrom = from.GetAddress()
--- a/internal/request/placement/settings.go
+++ b/internal/request/placement/settings.go
@@ -37,6 +37,8 @@
 	// ScarceConnections is the number of connections of an engine for each entry VM below which
 	// they are scarce: each VM then uses few of the engines, and they keep a reserve for others.
 	ScarceConnections float64
+	// PaceWeight is the cost, as a share of memory, of events that take twice as long as usual.
+	PaceWeight float64
 	// LossCooldown is how long an engine gets no new work after a loss; each consecutive
 	// loss doubles it, up to MaxLossCooldown.
 	LossCooldown    time.Duration
@@ -68,6 +70,7 @@
 		CachedPromptWeight:         0.6,                    // two unread prompts
 		ConnectionWeight:           0.2,                    // about two runs, more than AffinityWeight
 		ScarceConnections:          16,                     // the idle connections that a VM keeps to one engine
+		PaceWeight:                 0.2,                    // about two runs: more than AffinityWeight and one run for an engine that is 1.6 times as slow
 		CandidatesPerUnreportedRun: 2,                      // two engines for each run that may go to the same one
 		LossCooldown:               500 * time.Millisecond, // an engine restart takes about a second
 		MaxLossCooldown:            2 * time.Second,        // the list contains a dead engine for some seconds
