--- a/internal/version/declared/declared_test.go
+++ b/internal/version/declared/declared_test.go
@@ -91,3 +91,31 @@
 	}
 	assert.DeepEqual(t, counts, map[string]int{"a": 300, "c": 100})
 }
+
+// TestHighestPriority guards against streams that count as less urgent than others although no request of
+// their service can have a higher priority: priorities of teams replace those of routes.
+func TestHighestPriority(t *testing.T) {
+	priority := func(p int) *int { return &p }
+	stream := func(name string, p int, public bool) declared.Route {
+		r := route(name, "/"+name+"/", declared.WeightedService{Service: "model", Weight: 1})
+		r.Stream, r.Priority, r.Public = true, p, public
+		return r
+	}
+	for name, test := range map[string]struct {
+		routes []declared.Route
+		teams  []declared.Team
+		want   int
+	}{
+		"without teams":             {[]declared.Route{stream("a", 3, false), stream("b", 2, false)}, nil, 2},
+		"all teams have one":        {[]declared.Route{stream("a", 0, false)}, []declared.Team{{Name: "x", Priority: priority(1)}, {Name: "y", Priority: priority(4)}}, 1},
+		"a team has none":           {[]declared.Route{stream("a", 0, false)}, []declared.Team{{Name: "x", Priority: priority(1)}, {Name: "y"}}, 0},
+		"a public route":            {[]declared.Route{stream("a", 0, true), stream("b", 3, false)}, []declared.Team{{Name: "x", Priority: priority(1)}}, 0},
+		"calls of the same service": {[]declared.Route{stream("a", 2, false), route("calls", "/c/", declared.WeightedService{Service: "model", Weight: 1})}, nil, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			view := declared.NewView(&declared.Configuration{Version: 1, Routes: test.routes, Teams: test.teams})
+			assert.Equal(t, view.HighestPriority("model"), test.want)
+			assert.Equal(t, view.HighestPriority("other"), 0)
+		})
+	}
+}
