placement: an engine that refuses a run has no room for a moment

Runs of other VMs are known 100 to 200 ms late, so a VM sent its waiting streams again and again to full engines that refused them, until its retry budget was used up: with twelve streams for four slots, some were not served within 7 s. An engine that has refused a run counts as full for 0.3 s now, until it states room or a run of this VM there ends.

--- a/internal/request/exchange/stream.go
+++ b/internal/request/exchange/stream.go
@@ -294,8 +294,11 @@
 	if result.outcome != outcomeLost || result.events == 0 {
 		st.backup = nil
 	}
-	if result.status == http.StatusMisdirectedRequest {
+	switch {
+	case result.status == http.StatusMisdirectedRequest:
 		run.MarkStale()
+	case result.outcome == outcomeNotRun:
+		run.MarkRefused()
 	}
 	if result.outcome == outcomeNotRun && from != nil {
 		return // the copy no longer exists, but the engine itself works
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -53,6 +53,8 @@
 	unreadPrompts int
 	// report is what the engine last stated of its load.
 	report report
+	// refusedUntil is until when the engine is believed to have no room because it has refused a run.
+	refusedUntil time.Time
 	// remoteRuns is the number of runs of other entry VMs at remoteRunsAt.
 	remoteRuns   int
 	remoteRunsAt time.Time
--- a/internal/request/placement/room.go
+++ b/internal/request/placement/room.go
@@ -20,6 +20,9 @@
 	// maxReportAge is the age from which a report of an engine says nothing of its room: runs of other
 	// VMs may have been placed since, which loads state after 100 to 200 ms.
 	maxReportAge = 500 * time.Millisecond
+	// refusalLifetime is the time for which an engine that has refused a run has no room: until the runs of other VMs
+	// that take it are known.
+	refusalLifetime = 300 * time.Millisecond
 )
 
 // report is the load that an engine stated.
@@ -36,9 +39,17 @@
 // setReport records the load that an engine stated. The caller holds mu.
 func (e *EngineTable) setReport(x *engineState, running, waiting, slots int, now time.Time) {
 	x.report = report{at: now, running: running, waiting: waiting, slots: slots}
+	x.refusedUntil = time.Time{}
 	e.notifyRoom()
 }
 
+// MarkRefused records that the engine has refused the run, for want of room as far as this VM knows.
+func (r *Run) MarkRefused() {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	r.engine.refusedUntil = time.Now().Add(refusalLifetime)
+}
+
 // Room returns a channel that receives a value when an engine may have become free since the last one: a run or
 // a backup has ended, a prompt has been processed, or the loads of other VMs or the list have changed.
 func (e *EngineTable) Room() <-chan struct{} { return e.room }
@@ -140,6 +151,9 @@
 // process. An engine that recently stated a load at which it has room does, whatever other VMs or
 // earlier runs are believed to use. The caller holds mu.
 func (e *EngineTable) hasRoom(x *engineState, w PlaceRequest, now time.Time) bool {
+	if now.Before(x.refusedUntil) {
+		return false
+	}
 	runs, prompts, backups := e.load(x, now)
 	memory := maxMemoryShare*float64(x.capacity) - float64(w.Size.Total())
 	fresh := now.Sub(x.report.at) < maxReportAge
--- a/internal/request/placement/room_test.go
+++ b/internal/request/placement/room_test.go
@@ -179,6 +179,32 @@
 	})
 }
 
+// TestEngineThatRefusesHasNoRoom guards against streams that are sent again and again to an engine that refuses them, because
+// runs of other VMs there are not known yet, and against an engine that is passed over for good.
+func TestEngineThatRefusesHasNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newEngines("a", withSlots(12, listedTargets(1, "a")))
+		running := mustPlace(t, e, "")
+		running.MarkPromptRead()
+		refuse := func() {
+			r, err := e.Place(roomRequest)
+			assert.NilError(t, err)
+			r.MarkRefused()
+			r.Release()
+			assert.Assert(t, !e.HasRoom(roomRequest))
+		}
+		refuse()
+		time.Sleep(refusalLifetime)
+		assert.Assert(t, e.HasRoom(roomRequest))
+		refuse()
+		running.SetReportedRuns(1, 0, 12)
+		assert.Assert(t, e.HasRoom(roomRequest), "the engine states room")
+		refuse()
+		running.Release()
+		assert.Assert(t, e.HasRoom(roomRequest), "a run has ended")
+	})
+}
+
 // TestReportOfFullSlotsTakesRoom guards against runs sent to an engine that is known to have no free slot, whatever the
 // loads state.
 func TestReportOfFullSlotsTakesRoom(t *testing.T) {
--- a/internal/request/placement/run.go
+++ b/internal/request/placement/run.go
@@ -116,6 +116,9 @@
 		return
 	}
 	r.released = true
+	if r.firstEvent {
+		r.engine.refusedUntil = time.Time{} // this run leaves its slot
+	}
 	r.engine.runs--
 	r.engine.report.endedSince++
 	r.engine.runTokens -= r.size.Total()
