--- a/internal/request/dispatchqueue/queue.go
+++ b/internal/request/dispatchqueue/queue.go
@@ -438,15 +438,17 @@
 // rank is the place of a stream in the order at one time.
 type rank struct {
 	*Entry
-	owed, late  bool
-	latestStart time.Time
+	owed, late bool
+	// start is the latest start in nanoseconds, window the number of its turnWindow.
+	start, window int64
 	// served counts the recent dispatches of the team.
 	served float64
 }
 
 func (s *serviceQueue) rank(e *Entry, now time.Time) rank {
+	start := e.latestStart().UnixNano()
 	return rank{
-		Entry: e, owed: s.credits[e.Priority] >= 1, late: e.isLate(now), latestStart: e.latestStart(),
+		Entry: e, owed: s.credits[e.Priority] >= 1, late: e.isLate(now), start: start, window: start / int64(turnWindow),
 		served: s.teams[e.Team].value(now, servedLifetime),
 	}
 }
@@ -479,13 +481,13 @@
 	case r.late != other.late:
 		return firstIf(other.late)
 	}
-	if order := r.latestStart.Truncate(turnWindow).Compare(other.latestStart.Truncate(turnWindow)); order != 0 {
-		return order
+	if r.window != other.window {
+		return cmp.Compare(r.window, other.window)
 	}
 	if r.Team != other.Team && r.served != other.served {
 		return cmp.Compare(r.served, other.served)
 	}
-	return cmp.Or(r.latestStart.Compare(other.latestStart), cmp.Compare(r.sequence, other.sequence))
+	return cmp.Or(cmp.Compare(r.start, other.start), cmp.Compare(r.sequence, other.sequence))
 }
 
 func firstIf(a bool) int {
