exchange: test that a begun stream passes waiting ones

The test passed with streams that have begun queued like new ones, because the loss put all its engines into cooldown. One engine is full now, and the gap in the response is bounded by 700 ms.

--- a/internal/request/exchange/dispatch_queue_test.go
+++ b/internal/request/exchange/dispatch_queue_test.go
@@ -284,26 +284,29 @@
 }
 
 // TestBegunStreamPrecedesAll guards against a stream whose response has begun that waits behind new ones, or is refused,
-// when its engine is lost. Load pattern: all engines are full and streams of the highest priority wait.
+// when its engine is lost. Load pattern: the other engine is full and streams of the highest priority wait.
 func TestBegunStreamPrecedesAll(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		q := newQueued(t, defaultEngine, "a", "b")
+		slow := defaultEngine
+		slow.gap = 200 * time.Millisecond
+		q := newQueued(t, slow, "a", "b")
 		lost := &engine{w: q.w, first: 300 * time.Millisecond, gap: 40 * time.Millisecond, total: eventCount, dieAfter: 8}
 		q.w.set("a", lost.serve)
-		q.w.set("b", lost.serve)
 		var wg sync.WaitGroup
-		begun := make([]*httptest.ResponseRecorder, 2)
-		for i := range begun {
-			begun[i] = httptest.NewRecorder()
-			wg.Go(func() { assert.NilError(t, q.Serve(t.Context(), begun[i], queuedRequest(5))) })
+		serve := func(w http.ResponseWriter, priority int) {
+			wg.Go(func() { _ = q.Serve(t.Context(), w, queuedRequest(priority)) })
+			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(100 * time.Millisecond)
+		first, second := &gapRecorder{ResponseRecorder: httptest.NewRecorder()}, &gapRecorder{ResponseRecorder: httptest.NewRecorder()}
+		serve(first, 5)
+		serve(second, 5)
 		for range 3 {
-			wg.Go(func() { _ = q.Serve(t.Context(), httptest.NewRecorder(), queuedRequest(0)) })
+			serve(httptest.NewRecorder(), 0)
 		}
 		wg.Wait()
-		for _, rec := range begun {
+		for _, rec := range []*gapRecorder{first, second} {
 			assert.Equal(t, rec.Body.String(), streamText(eventCount))
+			assert.Assert(t, rec.longest < 700*time.Millisecond, "%v", rec.longest)
 		}
 		assert.Equal(t, q.queueLengths(), 0)
 	})
