--- a/internal/connection/intake/budget_test.go
+++ b/internal/connection/intake/budget_test.go
@@ -155,7 +155,7 @@
 	holds, givenUp := victims(t, u, 100)
 	assert.Assert(t, holds[0].Finish())
 	age(holds[0], time.Hour)
-	ctx, cancel := context.WithTimeout(t.Context(), 5*patience)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*evictionDelay)
 	defer cancel()
 	small := u.Begin(func() {})
 	assert.ErrorIs(t, small.Grow(ctx, 5), ErrNoRoom)
--- a/internal/connection/intake/hold.go
+++ b/internal/connection/intake/hold.go
@@ -12,8 +12,8 @@
 	// where others need the room. A caller at 10 Mbit/s beside others has a new packet each few
 	// milliseconds.
 	stallTime = 300 * time.Millisecond
-	// patience is how long a request waits for room before the largest unfinished one is given up.
-	patience = 100 * time.Millisecond
+	// evictionDelay is how long a request waits for room before the largest unfinished one is given up.
+	evictionDelay = 100 * time.Millisecond
 	// maxWait bounds the time that a request waits for room, so that a share that is taken by
 	// requests that are being served gives a refusal and no connection that hangs.
 	maxWait = 2 * time.Second
@@ -126,7 +126,7 @@
 		return false, b.released, nil
 	}
 	h.use.selected = now
-	selected := h.use.selectVictim(h, n, now, waited >= patience)
+	selected := h.use.selectVictim(h, n, now, waited >= evictionDelay)
 	if selected == h {
 		h.waiting = false
 		return false, nil, ErrNoRoom
@@ -139,9 +139,9 @@
 }
 
 // selectVictim returns the unfinished request to give up so that wants can grow by n: one that has
-// stalled, the largest of these, or, if any is true, the largest one, which may be wants itself. It
+// stalled, the largest of these, or, if largest is true, the largest one, which may be wants itself. It
 // returns nil if what was given up already makes enough room. The caller holds the budget's lock.
-func (u *Use) selectVictim(wants *Hold, n int64, now time.Time, any bool) *Hold {
+func (u *Use) selectVictim(wants *Hold, n int64, now time.Time, largest bool) *Hold {
 	var freed int64
 	var worst *Hold
 	var worstStalled bool
@@ -155,7 +155,7 @@
 		if h == wants {
 			size += n // it would have that size
 		}
-		if size == 0 || !stalled && !any {
+		if size == 0 || !stalled && !largest {
 			continue
 		}
 		if worst == nil || isWorse(stalled, worstStalled, size, worst.sizeFor(wants, n), h.begun, worst.begun) {
