--- a/internal/request/exchange/stream_log.go
+++ b/internal/request/exchange/stream_log.go
@@ -25,6 +25,9 @@
 	if factor := math.Round(100*st.slowness) / 100; factor != 1 {
 		fields["factor"] = factor
 	}
+	if event == logging.StreamResumed {
+		fields["waited_ms"] = st.dispatchedAt.Sub(st.lostAt).Milliseconds()
+	}
 	st.s.opts.Logger.Info(event, fields)
 }
 
