--- a/internal/connection/http1/pool.go
+++ b/internal/connection/http1/pool.go
@@ -135,15 +135,6 @@
 	return nil
 }
 
-// HasIdle reports whether there is a connection to the target at address that a request may use. It may
-// turn out to be closed.
-func (p *Pool) HasIdle(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	return len(list) > 0 && time.Now().Before(list[len(list)-1].idleUntil)
-}
-
 // put adds a connection to the idle ones. keepAlive is the timeout that the target
 // announced, or 0 if it announced none.
 func (p *Pool) put(address string, c *conn, keepAlive time.Duration) {
--- a/internal/process/entry/process.go
+++ b/internal/process/entry/process.go
@@ -90,7 +90,6 @@
 	p.relaying = p.newRelaying(adapter, engines)
 	p.routingState.isCutOff = p.cannotRelay
 	p.pool = http1.NewPoolWithDial(p.relaying.paths.Dial, http1.Defaults(), registry)
-	engines.UseConnections(p.pool.HasIdle, p.routingState.maxConnections)
 	adapter.DialEngines(p.relaying.paths.Dial)
 	p.follower = feed.NewFollower(feed.FollowerOptions{
 		ID:     s.ID,
--- a/internal/process/entry/routing_state.go
+++ b/internal/process/entry/routing_state.go
@@ -133,7 +133,6 @@
 // SetRemoteState implements feed.Sink.
 func (r *routingState) SetRemoteState(o feed.RemoteState) {
 	r.engines.SetRemoteLoads(o.Loads)
-	r.engines.SetEntryVMs(o.EntryVMs)
 	r.retryBudgets.setRemoteUsage(o.Uses, o.EntryVMs)
 	r.limits.SetRemoteState(o.Limits, o.EntryVMs, time.Now())
 	r.setRemoteDemand(o.Waiting)
@@ -282,17 +281,6 @@
 	return 0
 }
 
-// maxConnections returns the number of connections that a target of the service accepts from all entry
-// VMs, or 0 if it is not configured.
-func (r *routingState) maxConnections(service string) int {
-	if view := r.declared.Current(); view != nil {
-		if s := view.Service(service); s != nil {
-			return s.MaxConnections
-		}
-	}
-	return 0
-}
-
 // updateTargets puts the list in force for the services of the configuration. The
 // caller holds mu.
 func (r *routingState) updateTargets() {
--- a/internal/request/placement/choose.go
+++ b/internal/request/placement/choose.go
@@ -12,8 +12,6 @@
 type candidate struct {
 	*engineState
 	score float64
-	// connected: the engine is preferred for an idle connection of this VM.
-	connected bool
 }
 
 // selectEngine returns an engine with a low score, or nil if none is eligible. If
@@ -38,28 +36,16 @@
 		case x == preferred:
 			score -= e.settings.AffinityWeight
 		}
-		connected := excludeZone == "" && e.prefersConnection(x)
-		if connected {
-			score -= e.settings.ConnectionWeight
-		}
-		candidates[i] = candidate{x, score, connected}
+		candidates[i] = candidate{x, score}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
 	best := candidates[0]
-	if best.engineState == preferred || best.connected || e.locations.contains(w.Prompt, best.target, now) {
+	if best.engineState == preferred || e.locations.contains(w.Prompt, best.target, now) {
 		return best.engineState // other entry VMs do not select this engine for the same reason
 	}
 	return e.sampleBest(candidates).engineState
 }
 
-// prefersConnection reports whether the engine is preferred because this VM has an idle connection to it.
-// It addresses many entry VMs with few streams each and many engines: placed by load alone, nearly every
-// stream opens a connection. The caller holds mu.
-func (e *EngineTable) prefersConnection(x *engineState) bool {
-	scarce := float64(x.maxConnections) < e.settings.ScarceConnections*float64(e.entryVMs)
-	return x.maxConnections > 0 && scarce && e.isConnected != nil && e.isConnected(x.target.GetAddress())
-}
-
 // eligible returns the engines that may be selected. The caller holds mu.
 func (e *EngineTable) eligible(w PlaceRequest, excludeZone string, now time.Time) []*engineState {
 	var eligible []*engineState
--- a/internal/request/placement/engines.go
+++ b/internal/request/placement/engines.go
@@ -43,11 +43,6 @@
 	// remoteRate is the rate at which the other entry VMs place runs.
 	remoteRate rate
 	locations  locationTable
-	// isConnected and connectionsPerEngine are those of UseConnections, or nil.
-	isConnected          func(address string) bool
-	connectionsPerEngine func(service string) int
-	// entryVMs is the number of entry VMs, 0 if it is unknown.
-	entryVMs int
 	// room receives a value when an engine may have become free; it is never closed.
 	room  chan struct{}
 	freed Freed
@@ -63,9 +58,6 @@
 type engineState struct {
 	target   *chicoryv1.ListedTarget
 	capacity int
-	// maxConnections is the number of connections that the engine accepts from all entry VMs, 0 if it is
-	// unknown.
-	maxConnections int
 	// Load that this VM placed: the number of runs, the memory of runs in tokens, the
 	// prompt tokens not yet processed, and the memory of backups in tokens.
 	runs, runTokens, unreadTokens, backupTokens int
@@ -109,22 +101,6 @@
 	}
 }
 
-// UseConnections makes the table prefer engines to which this VM has an idle connection, where
-// connections are scarce. isConnected is called with the table locked. perEngine returns the number of
-// connections that an engine of a service accepts from all entry VMs, or 0 if it is not configured.
-func (e *EngineTable) UseConnections(isConnected func(address string) bool, perEngine func(service string) int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.isConnected, e.connectionsPerEngine = isConnected, perEngine
-}
-
-// SetEntryVMs sets the number of entry VMs, 0 if it is unknown.
-func (e *EngineTable) SetEntryVMs(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.entryVMs = n
-}
-
 // Update replaces the list of engines. memory returns the memory in tokens of a service's
 // engines, or 0 if it is not configured. The state of an address is kept only while its
 // instance and service are unchanged: an engine that returns may have started again under its ID.
@@ -140,9 +116,6 @@
 		}
 		x.target = t
 		x.capacity = memory(t.GetService())
-		if e.connectionsPerEngine != nil {
-			x.maxConnections = e.connectionsPerEngine(t.GetService())
-		}
 		if x.capacity == 0 {
 			x.capacity = e.settings.DefaultMemory
 		}
--- a/internal/request/placement/settings.go
+++ b/internal/request/placement/settings.go
@@ -31,12 +31,6 @@
 	// CachedPromptWeight is the same for an engine that is known to have processed the
 	// prompt.
 	CachedPromptWeight float64
-	// ConnectionWeight is the share of memory by which other engines must be less loaded than one
-	// to which this VM has an idle connection, where connections are scarce.
-	ConnectionWeight float64
-	// ScarceConnections is the number of connections of an engine for each entry VM below which
-	// they are scarce: each VM then uses few of the engines, and they keep a reserve for others.
-	ScarceConnections float64
 	// PaceWeight is the cost, as a share of memory, of events that take twice as long as usual.
 	PaceWeight float64
 	// LossCooldown is how long an engine gets no new work after a loss; each consecutive
@@ -68,8 +62,6 @@
 		ZoneWeight:                 0.05,                   // half of a typical run's share of an engine
 		AffinityWeight:             0.15,                   // more than one run, less than one unread prompt
 		CachedPromptWeight:         0.6,                    // two unread prompts
-		ConnectionWeight:           0.2,                    // about two runs, more than AffinityWeight
-		ScarceConnections:          16,                     // the idle connections that a VM keeps to one engine
 		PaceWeight:                 0.2,                    // about two runs: more than AffinityWeight and one run for an engine that is 1.6 times as slow
 		CandidatesPerUnreportedRun: 2,                      // two engines for each run that may go to the same one
 		LossCooldown:               500 * time.Millisecond, // an engine restart takes about a second
