--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -54,7 +54,11 @@
   go_test "" $crashed
 }
 
-# The tests of whole systems have bounds in real time, so they don't run beside the other packages.
-systems=github.com/chicoryswitch/chicoryswitch/test/soak
-run_tests $(go list ./... | grep -vx "$systems")
-run_tests "$systems"
+# The tests of whole systems have bounds in real time or on the memory of a process, so each package of them runs
+# apart from the others.
+module=github.com/chicoryswitch/chicoryswitch
+systems=("$module/test/soak" "$module/test/clients")
+run_tests $(go list ./... | grep -vxF "$(printf '%s\n' "${systems[@]}")")
+for package in "${systems[@]}"; do
+  run_tests "$package"
+done
