Review case 9: the cluster is never founded if one control VM restarts during the first start

Cause: only the seed with the lowest address founds the cluster, and only if its own settings allow it. A process that is killed before that and restarts is told that the system has started before.

Change: the case with its script. The product is unchanged.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,6 +24,7 @@
 		os.Exit(notRun)
 	}
 	cases := map[string]func(*bed) (bool, error){
+		"founding":    founding,
 		"replacement": replacement,
 	}
 	run := cases[os.Args[1]]
