Review case 8: control VMs need more memory with each configuration until they are killed

Cause: the log is compacted after 10,000 entries, whatever their size, and each entry holds a whole configuration, in memory and on disk until then.

Change: the case with its script. The product is unchanged.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,6 +24,7 @@
 		os.Exit(notRun)
 	}
 	cases := map[string]func(*bed) (bool, error){
+		"changes":     changes,
 		"descriptors": descriptors,
 		"founding":    founding,
 		"replacement": replacement,
