Review case 6: an answer that broke off looks complete

Cause: a long request body is written in the background. If the target resets the connection, the kernel may give the error to that write, and the read sees a clean end. An answer without a length is then taken as complete, since nobody looks at the result of the write.

The product is unchanged.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 	cases := map[string]func(*bed) (bool, error){
 		"changes":     changes,
 		"descriptors": descriptors,
+		"early":       early,
 		"founding":    founding,
 		"replacement": replacement,
 	}
