Review cases 6 and 8: keep to the site's limits

Cause: case 6 broke off answers for 20 s, the site's limit is 5 s; in case 8 a target drained for 3 s, the site has 4 s; processes took their clients' share of memory from the machine that plays the case.

--- a/review/standin2/descriptors.go
+++ b/review/standin2/descriptors.go
@@ -16,7 +16,7 @@
 	releasePercent = 34
 	releaseStep    = 6
 	releaseGap     = 780 * time.Millisecond
-	drainTime      = 3 * time.Second
+	drainTime      = 4 * time.Second // bound drain_ms
 	troubleTime    = 85 * time.Second
 	contactTime    = 4 * time.Second
 	newConsumers   = 8
@@ -28,7 +28,7 @@
 	for range 3 {
 		b.addKeeper(true)
 	}
-	b.addEntry(maxFDs)
+	b.addEntry(maxFDs, memoryGrown)
 	for range liveReplicas {
 		if _, err := b.addReplica(slots, workTime); err != nil {
 			return false, err
--- a/review/standin2/early.go
+++ b/review/standin2/early.go
@@ -26,6 +26,8 @@
 	spoiltShare    = 0.5 // of the replicas
 	spoiltEvery    = 20  // each such answer of these replicas breaks off: x = 0.05
 	earlyTime      = 20 * time.Second
+	spoiltFrom     = 5 * time.Second // of that time
+	spoiltTime     = 5 * time.Second // for_s
 	consumerWait   = 2500 * time.Millisecond
 )
 
@@ -33,7 +35,8 @@
 // answers with their channels.
 type earlyReplica struct {
 	entry    entry
-	spoils   bool
+	spoils   *atomic.Bool // some of its answers break off now
+	faulty   bool
 	answers  atomic.Int64
 	brokeOff *sync.Map // by request id
 	listener net.Listener
@@ -44,8 +47,9 @@
 	for range 3 {
 		b.addKeeper(true)
 	}
-	b.addEntry(0)
+	b.addEntry(0, memoryCeleste)
 	var brokeOff sync.Map
+	var spoils atomic.Bool
 	var entries []entry
 	for n := range earlyReplicas {
 		r := &earlyReplica{
@@ -53,7 +57,7 @@
 				ID: fmt.Sprintf("i-%d", n+1), Service: service, Zone: "zone-a", Version: "v1", Slots: slots, State: "ready",
 				Address: fmt.Sprintf("%s.10.%d:%d", b.network, n+1, portReplica),
 			},
-			spoils: b.trouble && float64(n) < spoiltShare*earlyReplicas, brokeOff: &brokeOff,
+			faulty: float64(n) < spoiltShare*earlyReplicas, spoils: &spoils, brokeOff: &brokeOff,
 		}
 		if err := r.listen(); err != nil {
 			return false, err
@@ -89,6 +93,14 @@
 			}
 		})
 	}
+	if b.trouble {
+		time.Sleep(spoiltFrom)
+		b.record.line("from now on replicas break off answers")
+		spoils.Store(true)
+		time.Sleep(spoiltTime)
+		spoils.Store(false)
+		b.record.line("no more answers are broken off")
+	}
 	crowd.Wait()
 	total := 0
 	brokeOff.Range(func(any, any) bool { total++; return true })
@@ -180,7 +192,7 @@
 	}
 	answer := earlyAnswer(id)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: signed by %s\r\nConnection: close\r\n\r\n", id, r.entry.ID)
-	if r.spoils && r.answers.Add(1)%spoiltEvery == 0 {
+	if r.faulty && r.spoils.Load() && r.answers.Add(1)%spoiltEvery == 0 {
 		r.brokeOff.Store(id, true)
 		_, _ = io.WriteString(c, head+answer[:len(answer)/2])
 		time.Sleep(50 * time.Millisecond)
--- a/review/standin2/processes.go
+++ b/review/standin2/processes.go
@@ -92,6 +92,17 @@
 	entries  []*program
 }
 
+// Memory of the sites' machines, in MB.
+const (
+	memoryCore    = 256 // of the smaller machines
+	memoryCeleste = 284
+	memoryGrown   = 184
+)
+
+// clientsShare is what a process lets its clients use: a quarter of the machine's memory. It is set, since the
+// process would read the memory of the machine that plays the case.
+func clientsShare(memory int) int { return memory << 20 / 4 }
+
 // Ports, the same on all machines.
 const (
 	portCallers  = 8740
@@ -107,10 +118,14 @@
 func (d *deployment) entryIP(n int) string  { return fmt.Sprintf("%s.2.%d", d.network, n+1) }
 func (d *deployment) platform() string      { return fmt.Sprintf("%s.4.1:%d", d.network, portPlatform) }
 
-func (d *deployment) seeds() string {
+// dataFolder is the disk of a control machine.
+func (d *deployment) dataFolder(id string) string { return filepath.Join(d.folder, id) }
+
+// seeds returns the addresses of three control machines.
+func (d *deployment) seeds(first int) string {
 	var seeds []string
 	for n := range 3 {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", d.keeperIP(n), portControl)))
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", d.keeperIP(first+n), portControl)))
 	}
 	return "[" + strings.Join(seeds, ",") + "]"
 }
@@ -127,14 +142,15 @@
 seeds: %s
 may_found: %t
 data_folder: %q
-`, id, ip, portControl, ip, portMetrics, d.platform(), portPeers, d.seeds(), bootstrap, filepath.Join(d.folder, id))
+clients: {memory_bytes: %d}
+`, id, ip, portControl, ip, portMetrics, d.platform(), portPeers, d.seeds(0), bootstrap, d.dataFolder(id), clientsShare(memoryCore))
 	p := d.newProgram(id, "chicory-keeper", settings)
 	d.keepers = append(d.keepers, p)
 	return p
 }
 
-// addEntry prepares an entry machine with a limit of descriptors.
-func (d *deployment) addEntry(files int) *program {
+// addEntry prepares an entry machine with a limit of descriptors and the memory in MB that it has.
+func (d *deployment) addEntry(files, memory int) *program {
 	n := len(d.entries)
 	id, ip := fmt.Sprintf("edge-%d", n+1), d.entryIP(n)
 	settings := fmt.Sprintf(`id: %q
@@ -150,7 +166,8 @@
   ratio: 0.8
   extra: 150
   window: 10s
-`, id, ip, portCallers, ip, portReady, ip, portMetrics, d.platform(), portPeers, d.seeds())
+clients: {memory_bytes: %d}
+`, id, ip, portCallers, ip, portReady, ip, portMetrics, d.platform(), portPeers, d.seeds(0), clientsShare(memory))
 	p := d.newProgram(id, "chicory-entry", settings)
 	p.files = files
 	d.entries = append(d.entries, p)
