--- a/review/standin2/replacement.go
+++ b/review/standin2/replacement.go
@@ -1,21 +1,25 @@
 package main
 
 import (
+	"os"
+	"strings"
 	"syscall"
 	"time"
 )
 
-// The times of the case "replacement".
+// The machines and times of the case "replacement".
 const (
-	coreMachines = 3
+	coreMachines = 5
+	spares       = 3
 	catchUp      = 4 * time.Second // bound catch_up_s
 	catchUpSlack = 500 * time.Millisecond
+	leaveGap     = time.Second
 	graceTime    = 8 * time.Second // bound grace_s
 )
 
-// replacement replaces each core machine by an empty one at another address, one after the other: the
-// successor runs for longer than catch_up_s and returns the manifest before the old machine gets SIGTERM. The
-// manifest is then read back.
+// replacement replaces three core machines by empty ones at other addresses: the successors run for longer
+// than catch_up_s and return the manifest before the old machines get SIGTERM. A fourth machine then loses
+// its disk. The manifest is read back.
 func replacement(b *bed) (bool, error) {
 	for range coreMachines {
 		b.addKeeper(true)
@@ -34,10 +38,11 @@
 	b.record.line("version %d is acknowledged", o.acked.Load())
 	time.Sleep(catchUp)
 	if b.trouble {
-		for n := range coreMachines {
-			if err := b.replaceKeeper(o, n); err != nil {
-				return false, err
-			}
+		if err := b.replaceKeepers(); err != nil {
+			return false, err
+		}
+		if err := b.loseDisk(b.keepers[spares]); err != nil {
+			return false, err
 		}
 	}
 	b.record.line("waiting for recover_s")
@@ -51,20 +56,52 @@
 	return broken, nil
 }
 
-// replaceKeeper starts the successor of a core machine and then stops the machine for good.
-func (b *bed) replaceKeeper(o *operator, n int) error {
-	old, successor := b.keepers[n], b.addKeeper(false)
-	if err := successor.start(); err != nil {
-		return err
+// replaceKeepers starts the successors of the first core machines and then stops those for good.
+func (b *bed) replaceKeepers() error {
+	for n := range spares {
+		successor := b.addKeeper(false)
+		if err := successor.start(); err != nil {
+			return err
+		}
+		b.record.line("%s was started, the successor of %s", successor.id, b.keepers[n].id)
 	}
-	b.record.line("%s was started, the successor of %s", successor.id, old.id)
 	time.Sleep(catchUp + catchUpSlack)
-	b.record.line("%s returns version %d", successor.id, b.readManifest(len(b.keepers)-1))
-	b.record.line("%s gets SIGTERM and leaves", old.id)
-	b.leave(old)
+	for n := coreMachines; n < len(b.keepers); n++ {
+		b.record.line("%s returns version %d", b.keepers[n].id, b.readManifest(n))
+	}
+	for n := range spares {
+		b.record.line("%s gets SIGTERM and leaves", b.keepers[n].id)
+		b.leave(b.keepers[n])
+		time.Sleep(leaveGap)
+	}
 	return nil
 }
 
+// loseDisk ends a machine, which is back after the restart delay with an empty disk.
+func (b *bed) loseDisk(p *program) error {
+	p.kill()
+	if err := os.RemoveAll(b.dataFolder(p.id)); err != nil {
+		return err
+	}
+	b.record.line("%s was killed and has lost its disk", p.id)
+	if err := b.renewSeeds(p); err != nil {
+		return err
+	}
+	time.Sleep(restartDelay)
+	b.record.line("%s is started again", p.id)
+	return p.start()
+}
+
+// renewSeeds writes settings in which the seeds are core machines that run.
+func (b *bed) renewSeeds(p *program) error {
+	file := p.command[len(p.command)-1]
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, []byte(strings.Replace(string(text), b.seeds(0), b.seeds(coreMachines), 1)), 0o600)
+}
+
 // leave stops a machine for good.
 func (b *bed) leave(p *program) {
 	p.signal(syscall.SIGTERM)
