Refuse responses without a valid status

What callers saw: a target in trouble sends a response whose status is 000. The platform's front took what followed it on the connection as the response to the request, for example a success in its body, or waited until the deadline. A status of 600 to 999 was forwarded. On the Connect front, an error in the body of such a response counted as the target's own refusal.

Cause: net/http reads any three digits as a status, and any number over HTTP/2. http1 skipped every response below 200 as an informational one, 000 and a 101 that no request asks for among them, and read on. The Connect clients use the body of any response that isn't 200 as an error of the target.

Why the fix works: http1 reads on only after 100 to 199 without 101, and takes 200 to 599 as final; all else is a response that was lost, so the outcome is unknown or another target serves the request. The Connect front does the same check where responses enter it, and refuses a number that isn't written as three digits.

--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/responsecheck"
 )
 
 // Request is a request to a target.
@@ -159,17 +161,22 @@
 
 // ReadResponse reads the status line and headers of the next final response on the
 // connection. It may be called again if the response belongs to another request. It fails
-// with a *LimitError if the head or the number of informational responses exceeds a limit.
+// with a *LimitError if the head or the number of informational responses exceeds a limit, and
+// with a *responsecheck.StatusError if the status is invalid.
 func (x *Exchange) ReadResponse() (*Response, error) {
 	for range maxInformational + 1 {
 		resp, err := x.readHead()
+		if err == nil && responsecheck.IsInformational(resp.StatusCode) {
+			continue
+		}
+		if err == nil {
+			err = responsecheck.FinalStatus(resp.StatusCode)
+		}
 		if err != nil {
 			x.abandon()
 			return nil, errors.Annotatef(x.connectionError(err), "read from target %s", x.address)
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return x.response(resp), nil
-		}
+		return x.response(resp), nil
 	}
 	x.abandon()
 	return nil, errors.Annotatef(&LimitError{LimitInformational, maxInformational}, "read from target %s", x.address)
--- a/internal/connection/target/endpoint.go
+++ b/internal/connection/target/endpoint.go
@@ -7,8 +7,10 @@
 	"sync/atomic"
 
 	"connectrpc.com/connect"
+	"github.com/juju/errors"
 
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/responsecheck"
 )
 
 // endpoint is one target address. It implements http.RoundTripper over its current
@@ -62,6 +64,11 @@
 		set.release()
 		return nil, err
 	}
+	if err := responsecheck.Head(resp); err != nil {
+		_ = resp.Body.Close() // nothing of the response is used
+		set.release()
+		return nil, errors.Annotatef(err, "response of target %s", e.address)
+	}
 	if !isStream(resp) {
 		resp.Body = &limitedBody{ReadCloser: resp.Body, left: maxMessageBytes + 1}
 	}
--- a/internal/connection/target/server_test.go
+++ b/internal/connection/target/server_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -31,14 +33,22 @@
 	goesAway
 	// redirects sends a redirect that preserves method and body.
 	redirects
+	// errs sends the status and fields of the server with an error of the Connect protocol as its body.
+	errs
 )
 
+// errorBody is an error that ends a call: the target states that it refuses it.
+const errorBody = `{"code":"failed_precondition","message":"refused"}`
+
 // rawServer counts the requests that arrive completely, on any connection. It reacts to
 // them with the given behaviors in order, and to later ones with a normal response.
 type rawServer struct {
 	listener net.Listener
 	http1    bool
 	response []byte
+	// status is that of responses of the behavior errs, fields are further names and values.
+	status string
+	fields []string
 
 	mu        sync.Mutex // guards the fields below
 	behaviors []behavior
@@ -123,6 +133,9 @@
 		switch s.arrive() {
 		case closes:
 			return
+		case errs:
+			_, _ = io.WriteString(c, s.errorResponse())
+			continue
 		case redirects:
 			resp.StatusCode = http.StatusTemporaryRedirect
 			resp.Header.Set("Location", "http://"+s.address()+req.URL.Path)
@@ -137,6 +150,16 @@
 	}
 }
 
+// errorResponse returns the HTTP/1.1 response of the behavior errs.
+func (s *rawServer) errorResponse() string {
+	fields := ""
+	for pair := range slices.Chunk(s.fields, 2) {
+		fields += pair[0] + ": " + pair[1] + "\r\n"
+	}
+	return "HTTP/1.1 " + s.status + " X\r\nContent-Type: application/json\r\n" + fields +
+		"Content-Length: " + strconv.Itoa(len(errorBody)) + "\r\n\r\n" + errorBody
+}
+
 func (s *rawServer) serveHTTP2(c net.Conn) {
 	if _, err := io.ReadFull(c, make([]byte, len(http2.ClientPreface))); err != nil {
 		return
@@ -180,6 +203,9 @@
 		_ = framer.WriteGoAway(0, http2.ErrCodeNo, nil)
 	case redirects:
 		s.writeHeaders(framer, stream, true, ":status", "307", "location", "http://"+s.address()+"/")
+	case errs:
+		s.writeHeaders(framer, stream, false, append([]string{":status", s.status, "content-type", "application/json"}, s.fields...)...)
+		_ = framer.WriteData(stream, true, []byte(errorBody))
 	default:
 		s.writeHeaders(framer, stream, false, ":status", "200", "content-type", "application/proto")
 		_ = framer.WriteData(stream, true, s.response)
