Tell a reset from the end of a response while the request is being written

What callers saw: a target answers a long request at once, without a length, sends a part of the body and resets the connection while the request is still being written. The caller got that part as a complete success, a stream that was cut after a whole event as a complete one.

Cause: the kernel returns the error of a connection to one call only. A long body is written beside the read of the response; if the write gets ECONNRESET, the read returns the end of the stream as after an orderly close, and nothing looked at the result of the write. The Connect clients have the same fault over HTTP/1.1, as net/http does not compare them; over HTTP/2 an end is marked.

Why the fix works: ending.Conn records the error of writes. When a read returns the end, it closes the connection, which ends a write in progress, and returns the error of the write unless that is this close, or EPIPE, which a write gets only after an orderly end or a read that got the error. Such connections were closed at this point before, so no target sees a difference, and a whole response doesn't wait for the rest of the request. The code of relayed connections that did this is replaced by it.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/abort"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/ending"
 )
 
 const (
@@ -20,7 +21,8 @@
 // conn is one connection to a target.
 type conn struct {
 	raw    net.Conn
-	head   *headReader // reads from raw
+	stream *ending.Conn // reads from raw and writes to it
+	head   *headReader  // reads from stream
 	reader *bufio.Reader
 	// idleUntil is the time from which the idle connection is not used any more, because
 	// the target may close it.
@@ -48,8 +50,9 @@
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 		})
 	}
-	head := &headReader{source: raw}
-	return &conn{raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+	stream := ending.New(raw)
+	head := &headReader{source: stream}
+	return &conn{raw: raw, stream: stream, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // beginHead limits and checks the head of the next response, a part of which may be buffered.
--- /dev/null
+++ b/internal/connection/http1/early_test.go
@@ -0,0 +1,68 @@
+package http1_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/responsetest"
+)
+
+// earlyRuns is the number of requests of each case: which system call returns the error of a connection varies.
+const earlyRuns = 20
+
+// TestEarlyResponseWithoutLength guards against half a response that is taken for a whole one, since its connection
+// was reset while the request was being written: the kernel returned the error to the write. A target may also
+// end a whole response before it has read the request.
+func TestEarlyResponseWithoutLength(t *testing.T) {
+	for name, c := range map[string]struct {
+		end        func(*net.TCPConn, io.Reader)
+		isComplete bool
+	}{
+		"reset":                     {responsetest.Reset, false},
+		"closed after the request":  {responsetest.ReadOn, true},
+		"closed in one direction":   {responsetest.HalfClose, true},
+		"reset after the end of it": {responsetest.HalfCloseAndReset, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, err := responsetest.StartEarlyTarget("HTTP/1.1 200 OK\r\n\r\nhalf", c.end)
+			assert.NilError(t, err)
+			defer x.Close()
+			for range earlyRuns {
+				ctx, cancel := context.WithTimeout(t.Context(), requestTimeout)
+				body, err := postLong(ctx, x.Address)
+				assert.NilError(t, ctx.Err())
+				cancel()
+				assert.Equal(t, err == nil, c.isComplete, "%q, %v", body, err)
+				assert.Assert(t, err != nil || body == "half", "%q", body)
+			}
+		})
+	}
+}
+
+// postLong sends a long request and reads the response.
+func postLong(ctx context.Context, address string) (string, error) {
+	r := &http1.Request{Method: "POST", URI: "/x", Host: "h", Body: make([]byte, responsetest.LongRequest), HasBody: true}
+	x, err := newPool().Send(ctx, address, r)
+	if err != nil {
+		return "", err
+	}
+	response, err := x.ReadResponse()
+	if err != nil {
+		return "", err
+	}
+	body, err := response.ReadAll(maxBodyBytes)
+	if err != nil {
+		response.Abandon()
+		return "", err
+	}
+	response.Finish()
+	var b bytes.Buffer
+	_, err = body.WriteTo(&b)
+	return b.String(), err
+}
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -126,7 +126,7 @@
 	if len(r.Body) < backgroundBodyBytes {
 		head = append(head, r.Body...)
 	}
-	if n, err := c.raw.Write(head); err != nil {
+	if n, err := c.stream.Write(head); err != nil {
 		x.abandon()
 		if n == 0 {
 			return nil, &NotSentError{address, err}
@@ -136,7 +136,7 @@
 	if len(r.Body) >= backgroundBodyBytes {
 		x.bodyWritten = make(chan error, 1)
 		go func() {
-			_, err := c.raw.Write(r.Body)
+			_, err := c.stream.Write(r.Body)
 			x.bodyWritten <- err
 		}()
 	}
@@ -223,7 +223,7 @@
 
 // Read reads from the body. io.EOF means that the body is complete: it reached its
 // announced end or, if it is not self-delimited, the target closed the connection
-// without an error.
+// without an error, whether it had read the request or not.
 func (r *Response) Read(p []byte) (int, error) {
 	return r.body.Read(p)
 }
--- a/internal/connection/relay/link.go
+++ b/internal/connection/relay/link.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,6 +12,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/abort"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/ending"
 )
 
 // TCP keep-alive detects a target that no longer exists or can't be reached.
@@ -24,15 +24,12 @@
 // link forwards bytes between one stream and one connection to a target.
 type link struct {
 	stream *serverStream
-	conn   net.Conn
+	conn   *ending.Conn
 	target string
 	bytes  metrics.Counter
 	notice sync.WaitGroup // of sendClosing
 
 	sendMu sync.Mutex // held while sending to the client
-
-	mu       sync.Mutex // held while writing to conn; guards writeErr
-	writeErr error
 }
 
 // forward returns when the client has closed the stream or is lost. After the end of the
@@ -67,14 +64,9 @@
 	}
 }
 
+// write forwards bytes of the client. An error is ignored: the connection has ended, and Read tells why.
 func (l *link) write(p []byte) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.writeErr != nil {
-		return
-	}
-	var n int
-	n, l.writeErr = l.conn.Write(p)
+	n, _ := l.conn.Write(p)
 	l.bytes.Inc(int64(n))
 }
 
@@ -106,29 +98,15 @@
 
 // sendEnd closes the connection and tells the client why it ended. An error is ignored:
 // the client has left.
-func (l *link) sendEnd(readErr error) {
+func (l *link) sendEnd(err error) {
 	_ = l.conn.Close()
-	err := l.endedBy(readErr)
 	_ = l.send(&chicoryv1.RelayServiceConnectResponse{End: endOf(err), Reason: err.Error()})
 }
 
-// endedBy returns the error that ended the closed connection. The kernel returns an error
-// of a connection to one call only: if that was a write, the read returns io.EOF as after
-// a clean end.
-func (l *link) endedBy(readErr error) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	ownOrLate := errors.Is(l.writeErr, net.ErrClosed) || errors.Is(l.writeErr, syscall.EPIPE)
-	if l.writeErr != nil && !ownOrLate && errors.Is(readErr, io.EOF) {
-		return l.writeErr
-	}
-	return readErr
-}
-
 // abort resets the connection to the target and discards unsent bytes, as the kernel does
 // for a connection that is closed before all its bytes were read. Errors are ignored: the
 // connection may be closed already.
-func (l *link) abort() { _ = abort.Close(l.conn) }
+func (l *link) abort() { _ = abort.Close(l.conn.Conn) }
 
 func keepAlive(conn net.Conn) {
 	if tcp, ok := conn.(interface {
--- a/internal/connection/relay/server.go
+++ b/internal/connection/relay/server.go
@@ -14,6 +14,7 @@
 
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/ending"
 	"github.com/chicoryswitch/chicoryswitch/internal/fault"
 	"github.com/chicoryswitch/chicoryswitch/internal/process/logging"
 )
@@ -118,7 +119,7 @@
 	}
 	s.opened.Inc(1)
 	keepAlive(conn)
-	l := &link{stream: stream, conn: conn, target: first.GetTarget(), bytes: s.bytes}
+	l := &link{stream: stream, conn: ending.New(conn), target: first.GetTarget(), bytes: s.bytes}
 	defer l.abort()
 	if err := stream.Send(&chicoryv1.RelayServiceConnectResponse{}); err != nil {
 		return err
--- a/internal/connection/target/pool.go
+++ b/internal/connection/target/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1/chicoryv1connect"
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/ending"
 )
 
 // Limits of a connection to a target.
@@ -120,8 +121,12 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(opts.HTTP1)
 	protocols.SetUnencryptedHTTP2(!opts.HTTP1)
+	dial := opts.Dial
+	if opts.HTTP1 {
+		dial = dialWithKnownEnd(dial)
+	}
 	return &http.Transport{
-		DialContext:            opts.Dial,
+		DialContext:            dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
@@ -132,3 +137,15 @@
 		},
 	}
 }
+
+// dialWithKnownEnd returns a DialFunc whose connections tell an end by the target from a reset: a
+// response of HTTP/1.1 may end with its connection, while the request is still being written.
+func dialWithKnownEnd(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return ending.New(c), nil
+	}
+}
