Look for unread bytes without taking the error of the connection

What callers may have seen: a stream without a length whose engine was silent and then reset the connection ends as a complete one after the events so far.

Cause: an attempt that is about to be given up looks for bytes that wait to be read, with a receive call beside the read of the stream. If the connection has been reset, that call gets the error, and the read returns the end of the stream as after an orderly close.

Evidence: TestResetIsReadAfterALookForUnreadBytes fails on the code before (expected ECONNRESET, got EOF).

Why the fix works: the number of waiting bytes is asked with an ioctl (SIOCINQ), which leaves the error to the reader. Relayed connections look at their own buffer.

--- a/internal/connection/http1/conn.go
+++ b/internal/connection/http1/conn.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/abort"
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/ending"
 )
@@ -95,13 +97,12 @@
 	if err != nil {
 		return false
 	}
-	unread := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && n > 0
+	unread := 0
+	controlErr := raw.Control(func(fd uintptr) {
+		// Unlike a receive call, this leaves an error of the connection to the reader.
+		unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
 	})
-	return err == nil && unread
+	return controlErr == nil && err == nil && unread > 0
 }
 
 // isIdle reports whether the idle connection is open and has no unread data. A late
