Soak: targets that malform their responses

For some bursts, one target of a service or all of them send responses that are none to the requests that they run: the status is 000, the name of a field has a blank or a control byte, in the final or an informational response. Such a response carries a signature of its own, so a caller that gets it violates the check of signatures. A further generator draws the fault, so the plans of seeds stay otherwise as they were. It is left out beside earlier builds.

--- a/test/soak/harm_test.go
+++ b/test/soak/harm_test.go
@@ -153,7 +153,7 @@
 		t.closeTarget()
 		pause.For(ctx, f.duration)
 		tb.restartTarget(t)
-	case faultHang, faultError, faultLoseAnswers, faultTruncateAnswers, faultSlow, faultBreakStreams, faultCopies, faultBusy:
+	case faultHang, faultError, faultLoseAnswers, faultTruncateAnswers, faultMalform, faultSlow, faultBreakStreams, faultCopies, faultBusy:
 		t.changeBehavior(func(b *standin.Behavior) { setFault(b, f.kind, true) })
 		pause.For(ctx, f.duration)
 		t.changeBehavior(func(b *standin.Behavior) { setFault(b, f.kind, false) })
@@ -176,6 +176,8 @@
 		b.DropsResponses = begins
 	case faultTruncateAnswers:
 		b.TruncatesResponses = begins
+	case faultMalform:
+		b.MalformsResponses = begins
 	case faultCopies:
 		b.SendsLateCopies, b.RunsEvery = begins, 0
 		if begins {
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -27,6 +27,7 @@
 	faultError           = "fail"     // a target answers calls with status 500
 	faultLoseAnswers     = "lose"     // a target's answers are lost
 	faultTruncateAnswers = "spoil"    // a target's answers are truncated
+	faultMalform         = "malform"  // a target's answers have no valid status or names of fields
 	faultSlow            = "slow"     // a target takes five times as long
 	faultBreakStreams    = "break"    // a target closes its streams after some events
 	faultCopies          = "copies"   // a target refuses most requests and sends second copies of its answers, late
@@ -189,6 +190,29 @@
 	return plan
 }
 
+// newMalformFaults returns, for some bursts, targets of a service that malform their answers, one or all.
+func newMalformFaults(r *rand.Rand, length time.Duration, targets int) []plannedFault {
+	var plan []plannedFault
+	for begin := time.Duration(0); begin < length; begin += burstLength + burstGap {
+		f := plannedFault{
+			at: begin + time.Duration(r.Int64N(int64(burstLength))), duration: minFaultTime + time.Duration(r.Int64N(int64(maxFaultTime-minFaultTime))),
+			kind: faultMalform, keeper: -1, entry: -1,
+		}
+		first, count := randomService(r, targets, 2)
+		switch r.IntN(3) {
+		case 0:
+			count = 0
+		case 1:
+			count = 1
+		}
+		for i := range count {
+			f.target = first + i
+			plan = append(plan, f)
+		}
+	}
+	return plan
+}
+
 // newStateFaults returns, for some bursts, targets that state in their responses that they leave, one at a
 // time, and for others all targets of a service that refuse requests for a time.
 func newStateFaults(r *rand.Rand, length time.Duration, targets int) []plannedFault {
@@ -299,5 +323,8 @@
 // newUpgradeRand returns a sixth generator of a seed, for the replacement of the programs.
 func newUpgradeRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 5)) }
 
+// newMalformRand returns a seventh generator of a seed, for the targets that malform their answers.
+func newMalformRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 6)) }
+
 // newLimitRand returns a second generator of a seed, for the faults that newPlan doesn't draw.
 func newLimitRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -28,6 +28,8 @@
 	restartRand *rand.Rand
 	// stateRand draws what targets state in their responses.
 	stateRand *rand.Rand
+	// malformRand draws the targets that malform their answers.
+	malformRand *rand.Rand
 	// upgradeRand draws the replacement of the programs by those of another build.
 	upgradeRand *rand.Rand
 	deadly      *deadlyCalls
@@ -42,7 +44,7 @@
 func runSeed(ctx context.Context, o options, seed uint64) ([]string, error) {
 	s := &seedRun{
 		options: o, rand: newRand(seed), limitRand: newLimitRand(seed), cutRand: newCutRand(seed),
-		restartRand: newRestartRand(seed), stateRand: newStateRand(seed), upgradeRand: newUpgradeRand(seed),
+		restartRand: newRestartRand(seed), stateRand: newStateRand(seed), malformRand: newMalformRand(seed), upgradeRand: newUpgradeRand(seed),
 	}
 	s.history = newHistory(func(text string) { fmt.Printf("seed %d: %s\n", seed, text) })
 	s.history.earlierBuilds = s.options.oldPrograms != ""
@@ -122,8 +124,9 @@
 		plan = append(plan, newRestartFaults(s.restartRand, s.options.faultPhase, len(s.testbed.targets))...)
 		plan = append(plan, newCopyFaults(s.restartRand, s.options.faultPhase, len(s.testbed.targets))...)
 		plan = append(plan, newStateFaults(s.stateRand, s.options.faultPhase, len(s.testbed.targets))...)
+		plan = append(plan, newMalformFaults(s.malformRand, s.options.faultPhase, len(s.testbed.targets))...)
 	} else {
-		// Older builds don't handle what targets say of themselves.
+		// Older builds don't handle what targets say of themselves, and malformed answers.
 		plan = append(plan, newUpgrade(s.upgradeRand, s.options.faultPhase, len(s.testbed.keepers), len(s.testbed.entries), s.options.programs, s.options.oldPrograms)...)
 	}
 	s.deadly = newDeadlyCalls(s.limitRand, s.testbed.fleet, s.options.faultPhase)
