--- a/internal/request/exchange/malformed_test.go
+++ b/internal/request/exchange/malformed_test.go
@@ -1,8 +1,10 @@
 package exchange
 
 import (
+	"maps"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/juju/errors"
@@ -40,14 +42,40 @@
 // its end is malformed.
 func TestResponseWithInvalidTrailersIsNotComplete(t *testing.T) {
 	forEachKind(t, func(t *testing.T, k requestKind) {
-		for name, text := range responsetest.InvalidTrailers(signedBy, k.malformed) {
+		body := k.malformed
+		if k.stream {
+			body = k.sound // its events are forwarded before the trailers arrive
+		}
+		for name, text := range responsetest.InvalidTrailers(signedBy, body) {
 			t.Run(name, func(t *testing.T) { k.checkMalformed(t, text, nil) })
 		}
 	})
 }
 
-// requestKind is a kind of request, the body of a sound response to it and that of a malformed one. A stream that
-// has begun at one target continues at the other, so its bodies are the same.
+// TestStreamDoesNotContinueInAMalformedResponse guards against the same in the response with which a stream is
+// resumed.
+func TestStreamDoesNotContinueInAMalformedResponse(t *testing.T) {
+	rest := strings.TrimPrefix(streamText(eventCount), streamText(3))
+	malformed := strings.ReplaceAll(rest, "token", "malformed")
+	responses := responsetest.InvalidFieldNames(signedBy, malformed)
+	maps.Copy(responses, responsetest.InvalidStatuses(signedBy, malformed))
+	for name, text := range responses {
+		t.Run(name, func(t *testing.T) {
+			first := startRawTarget(t, unframedHead+streamText(3), resetConnection)
+			second, sound := startRawTarget(t, text, endNormally), startSoundTarget(t)
+			s, engines := loopbackService(http1.NewPool(http1.Defaults(), metrics.NewRegistry()), first.address, second.address, sound)
+			listEngines(engines, first.address)
+			first.onRequest = func() { listEngines(engines, second.address) }
+			second.onRequest = func() { listEngines(engines, sound) }
+			rec := httptest.NewRecorder()
+			assert.NilError(t, s.Serve(t.Context(), rec, loopbackRequest("r1", declared.Resumable, true)))
+			assert.Equal(t, rec.Body.String(), streamText(eventCount))
+			assert.Equal(t, second.requests.Load(), int32(1))
+		})
+	}
+}
+
+// requestKind is a kind of request, the body of a sound response to it and that of a malformed one.
 type requestKind struct {
 	retries          declared.RetryPolicy
 	stream           bool
@@ -55,11 +83,13 @@
 }
 
 func forEachKind(t *testing.T, test func(t *testing.T, k requestKind)) {
+	events := streamText(eventCount)
+	malformed := strings.ReplaceAll(events, "token", "malformed")
 	for name, k := range map[string]requestKind{
 		"repeatable call":   {declared.Retryable, false, "ok", "malformed"},
 		"call at most once": {declared.AtMostOnce, false, "ok", "malformed"},
-		"resumable stream":  {declared.Resumable, true, streamText(eventCount), streamText(eventCount)},
-		"stream once":       {declared.AtMostOnce, true, streamText(eventCount), streamText(eventCount)},
+		"resumable stream":  {declared.Resumable, true, events, malformed},
+		"stream once":       {declared.AtMostOnce, true, events, malformed},
 	} {
 		t.Run(name, func(t *testing.T) { test(t, k) })
 	}
