Tests of early responses: one list of ends, and a target that waits

A target that has ended its response in one direction reads nothing more until the test ends, so a client that waits for the rest of the request to be written fails the test. The checks of a head's status stand in one function.

--- a/internal/connection/http1/early_test.go
+++ b/internal/connection/http1/early_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
-	"net"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -20,17 +18,9 @@
 // was reset while the request was being written: the kernel returned the error to the write. A target may also
 // end a whole response before it has read the request.
 func TestEarlyResponseWithoutLength(t *testing.T) {
-	for name, c := range map[string]struct {
-		end        func(*net.TCPConn, io.Reader)
-		isComplete bool
-	}{
-		"reset":                     {responsetest.Reset, false},
-		"closed after the request":  {responsetest.ReadOn, true},
-		"closed in one direction":   {responsetest.HalfClose, true},
-		"reset after the end of it": {responsetest.HalfCloseAndReset, true},
-	} {
+	for name, c := range responsetest.EarlyEnds() {
 		t.Run(name, func(t *testing.T) {
-			x, err := responsetest.StartEarlyTarget("HTTP/1.1 200 OK\r\n\r\nhalf", c.end)
+			x, err := responsetest.StartEarlyTarget("HTTP/1.1 200 OK\r\n\r\nhalf", c.End)
 			assert.NilError(t, err)
 			defer x.Close()
 			for range earlyRuns {
@@ -38,7 +28,7 @@
 				body, err := postLong(ctx, x.Address)
 				assert.NilError(t, ctx.Err())
 				cancel()
-				assert.Equal(t, err == nil, c.isComplete, "%q, %v", body, err)
+				assert.Equal(t, err == nil, c.IsComplete, "%q, %v", body, err)
 				assert.Assert(t, err != nil || body == "half", "%q", body)
 			}
 		})
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -166,17 +166,13 @@
 func (x *Exchange) ReadResponse() (*Response, error) {
 	for range maxInformational + 1 {
 		resp, err := x.readHead()
-		if err == nil && responsecheck.IsInformational(resp.StatusCode) {
-			continue
-		}
-		if err == nil {
-			err = responsecheck.FinalStatus(resp.StatusCode)
-		}
 		if err != nil {
 			x.abandon()
 			return nil, errors.Annotatef(x.connectionError(err), "read from target %s", x.address)
 		}
-		return x.response(resp), nil
+		if !responsecheck.IsInformational(resp.StatusCode) {
+			return x.response(resp), nil
+		}
 	}
 	x.abandon()
 	return nil, errors.Annotatef(&LimitError{LimitInformational, maxInformational}, "read from target %s", x.address)
@@ -191,11 +187,16 @@
 	return &ReusedError{err}
 }
 
+// readHead reads the head of the next response, final or informational.
 func (x *Exchange) readHead() (*http.Response, error) {
 	if err := x.conn.beginHead(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
+	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
+	if err != nil || responsecheck.IsInformational(resp.StatusCode) {
+		return resp, err
+	}
+	return resp, responsecheck.FinalStatus(resp.StatusCode)
 }
 
 // response converts resp to a Response.
--- a/internal/connection/relay/early_test.go
+++ b/internal/connection/relay/early_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,17 +15,9 @@
 func TestEarlyResponseThroughAHelper(t *testing.T) {
 	h := newHelper(t, ServerOptions{})
 	c := newClient(t)
-	for name, test := range map[string]struct {
-		end        func(*net.TCPConn, io.Reader)
-		isComplete bool
-	}{
-		"reset":                     {responsetest.Reset, false},
-		"closed after the request":  {responsetest.ReadOn, true},
-		"closed in one direction":   {responsetest.HalfClose, true},
-		"reset after the end of it": {responsetest.HalfCloseAndReset, true},
-	} {
+	for name, test := range responsetest.EarlyEnds() {
 		t.Run(name, func(t *testing.T) {
-			target, err := responsetest.StartEarlyTarget("HTTP/1.1 200 OK\r\n\r\nhalf", test.end)
+			target, err := responsetest.StartEarlyTarget("HTTP/1.1 200 OK\r\n\r\nhalf", test.End)
 			assert.NilError(t, err)
 			defer target.Close()
 			for range 20 {
@@ -36,7 +26,7 @@
 				body, err := readThrough(ctx, c, h.address, target.Address, r)
 				assert.NilError(t, ctx.Err())
 				cancel()
-				assert.Equal(t, err == nil, test.isComplete, "%q, %v", body, err)
+				assert.Equal(t, err == nil, test.IsComplete, "%q, %v", body, err)
 				assert.Assert(t, err != nil || string(body) == "half", "%q", body)
 			}
 		})
--- a/internal/connection/responsetest/early.go
+++ b/internal/connection/responsetest/early.go
@@ -24,6 +24,15 @@
 	settleTime = 50 * time.Millisecond
 )
 
+// EarlyConn is a connection of an EarlyTarget that has sent its response.
+type EarlyConn struct {
+	*net.TCPConn
+	// Request is the part of the request's body that was not read yet.
+	Request io.Reader
+	// Closing is closed when the target is closed.
+	Closing <-chan struct{}
+}
+
 // EarlyTarget responds to long requests before it has read them. It sends the same bytes in response to each one
 // and then ends the connection.
 type EarlyTarget struct {
@@ -31,6 +40,7 @@
 	Address string
 
 	listener net.Listener
+	closing  chan struct{}
 	serving  sync.WaitGroup
 
 	mu        sync.Mutex // guards the fields below
@@ -40,7 +50,7 @@
 
 // StartEarlyTarget starts a target that serves until Close. end is called once the client had time to receive the
 // response; the connection is closed afterwards.
-func StartEarlyTarget(response string, end func(c *net.TCPConn, request io.Reader)) (*EarlyTarget, error) {
+func StartEarlyTarget(response string, end func(c *EarlyConn)) (*EarlyTarget, error) {
 	smallBuffer := func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
 		err := raw.Control(func(fd uintptr) {
@@ -52,12 +62,12 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &EarlyTarget{Address: ln.Addr().String(), listener: ln, onRequest: func() {}}
+	t := &EarlyTarget{Address: ln.Addr().String(), listener: ln, closing: make(chan struct{}), onRequest: func() {}}
 	t.serving.Go(func() { t.accept(response, end) })
 	return t, nil
 }
 
-func (t *EarlyTarget) accept(response string, end func(c *net.TCPConn, request io.Reader)) {
+func (t *EarlyTarget) accept(response string, end func(c *EarlyConn)) {
 	for {
 		c, err := t.listener.Accept()
 		if err != nil {
@@ -68,22 +78,26 @@
 		t.mu.Unlock()
 		t.serving.Go(func() {
 			defer func() { _ = c.Close() }()
-			r, err := http.ReadRequest(bufio.NewReader(c))
-			if err != nil {
-				return
-			}
-			t.mu.Lock()
-			onRequest := t.onRequest
-			t.mu.Unlock()
-			onRequest()
-			_, _ = io.CopyN(io.Discard, r.Body, readBefore)
-			_, _ = io.WriteString(c, response)
-			time.Sleep(settleTime)
-			end(c.(*net.TCPConn), r.Body)
+			t.serve(c.(*net.TCPConn), response, end)
 		})
 	}
 }
 
+func (t *EarlyTarget) serve(c *net.TCPConn, response string, end func(c *EarlyConn)) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	onRequest := t.onRequest
+	t.mu.Unlock()
+	onRequest()
+	_, _ = io.CopyN(io.Discard, r.Body, readBefore)
+	_, _ = io.WriteString(c, response)
+	time.Sleep(settleTime)
+	end(&EarlyConn{c, r.Body, t.closing})
+}
+
 // OnRequest makes the target call f when it begins to read a request.
 func (t *EarlyTarget) OnRequest(f func()) {
 	t.mu.Lock()
@@ -94,6 +108,7 @@
 // Close stops the target and waits for its connections to end.
 func (t *EarlyTarget) Close() {
 	_ = t.listener.Close()
+	close(t.closing)
 	t.mu.Lock()
 	for _, c := range t.conns {
 		_ = c.Close()
@@ -102,20 +117,37 @@
 	t.serving.Wait()
 }
 
+// EarlyEnd is a way in which an EarlyTarget ends a connection after a response without a length.
+type EarlyEnd struct {
+	End func(c *EarlyConn)
+	// IsComplete: the end is that of the response.
+	IsComplete bool
+}
+
+// EarlyEnds returns ways in which an EarlyTarget may end a connection, by name.
+func EarlyEnds() map[string]EarlyEnd {
+	return map[string]EarlyEnd{
+		"reset":                     {Reset, false},
+		"closed after the request":  {readOn, true},
+		"closed in one direction":   {HalfClose, true},
+		"reset after the end of it": {halfCloseAndReset, true},
+	}
+}
+
 // Reset leaves a part of the request unread, so that the kernel resets the connection when it is closed.
-func Reset(*net.TCPConn, io.Reader) {}
+func Reset(*EarlyConn) {}
 
-// ReadOn reads the rest of the request.
-func ReadOn(_ *net.TCPConn, request io.Reader) { _, _ = io.Copy(io.Discard, request) }
+// readOn reads the rest of the request.
+func readOn(c *EarlyConn) { _, _ = io.Copy(io.Discard, c.Request) }
 
-// HalfClose ends the response and reads nothing more until the client closes the connection.
-func HalfClose(c *net.TCPConn, _ io.Reader) {
+// HalfClose ends the response, and reads nothing more until the target is closed.
+func HalfClose(c *EarlyConn) {
 	_ = c.CloseWrite()
-	time.Sleep(10 * settleTime)
+	<-c.Closing
 }
 
-// HalfCloseAndReset ends the response and resets the connection after that.
-func HalfCloseAndReset(c *net.TCPConn, _ io.Reader) {
+// halfCloseAndReset ends the response and resets the connection after that.
+func halfCloseAndReset(c *EarlyConn) {
 	_ = c.CloseWrite()
 	time.Sleep(settleTime)
 }
--- a/internal/connection/target/early_test.go
+++ b/internal/connection/target/early_test.go
@@ -17,22 +17,13 @@
 func TestEarlyResponseThatIsResetIsNotComplete(t *testing.T) {
 	part, err := proto.Marshal(&chicoryv1.InvokeResponse{CallId: "c"})
 	assert.NilError(t, err)
-	for name, c := range map[string]struct {
-		head       string
-		isComplete bool
-	}{
-		"no length": {"HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n", false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			x, err := responsetest.StartEarlyTarget(c.head+string(part), responsetest.Reset)
-			assert.NilError(t, err)
-			defer x.Close()
-			for range 20 {
-				p := newTestPool(t, true)
-				req := connect.NewRequest(&chicoryv1.InvokeRequest{CallId: "c", Payload: make([]byte, responsetest.LongRequest)})
-				resp, err := p.Clients(x.Address).Transaction.Invoke(WithDispatch(context.Background(), &Dispatch{}), req)
-				assert.Equal(t, err == nil, c.isComplete, "%v, %v", resp, err)
-			}
-		})
+	x, err := responsetest.StartEarlyTarget("HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n\r\n"+string(part), responsetest.Reset)
+	assert.NilError(t, err)
+	defer x.Close()
+	for range 20 {
+		p := newTestPool(t, true)
+		req := connect.NewRequest(&chicoryv1.InvokeRequest{CallId: "c", Payload: make([]byte, responsetest.LongRequest)})
+		resp, err := p.Clients(x.Address).Transaction.Invoke(WithDispatch(context.Background(), &Dispatch{}), req)
+		assert.Assert(t, err != nil, "%v", resp)
 	}
 }
