--- a/internal/connection/target/malformed_test.go
+++ b/internal/connection/target/malformed_test.go
@@ -12,7 +12,7 @@
 	chicoryv1 "github.com/chicoryswitch/chicoryswitch/api/gen/chicory/v1"
 )
 
-// TestResponseWithAnInvalidStatusStatesNothing guards against a response whose status is none and whose body is
+// TestResponseWithAnInvalidStatusStatesNothing guards against a response with an invalid status whose body is
 // taken for what the target states about the call.
 func TestResponseWithAnInvalidStatusStatesNothing(t *testing.T) {
 	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
@@ -53,7 +53,7 @@
 func invokeRefused(t *testing.T, http1 bool, r refusal) error {
 	t.Helper()
 	s := startRawServer(t, http1, refuses)
-	s.refusal = r
+	s.setRefusal(r)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
 	err := invoke(WithDispatch(ctx, &Dispatch{}), newTestPool(t, http1), s.address(), &chicoryv1.InvokeRequest{CallId: "c"})
--- a/internal/connection/target/server_test.go
+++ b/internal/connection/target/server_test.go
@@ -48,7 +48,7 @@
 const refusalBody = `{"code":"failed_precondition","message":"refused"}`
 
 // text returns the HTTP/1.1 response.
-func (r *refusal) text() string {
+func (r refusal) text() string {
 	return "HTTP/1.1 " + r.status + " X\r\nContent-Type: application/json\r\n" + lines(r.fields) + "Transfer-Encoding: chunked\r\n\r\n" +
 		fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(refusalBody), refusalBody) + lines(r.trailers) + "\r\n"
 }
@@ -67,9 +67,9 @@
 	listener net.Listener
 	http1    bool
 	response []byte
-	refusal  refusal
 
 	mu        sync.Mutex // guards the fields below
+	refusal   refusal
 	behaviors []behavior
 	arrivals  int
 	conns     []net.Conn
@@ -131,6 +131,18 @@
 	return b
 }
 
+func (s *rawServer) setRefusal(r refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusal = r
+}
+
+func (s *rawServer) refusalToSend() refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusal
+}
+
 // arrived returns the number of requests so far.
 func (s *rawServer) arrived() int {
 	s.mu.Lock()
@@ -153,7 +165,7 @@
 		case closes:
 			return
 		case refuses:
-			_, _ = io.WriteString(c, s.refusal.text())
+			_, _ = io.WriteString(c, s.refusalToSend().text())
 			continue
 		case redirects:
 			resp.StatusCode = http.StatusTemporaryRedirect
@@ -213,11 +225,12 @@
 	case redirects:
 		s.writeHeaders(framer, stream, true, ":status", "307", "location", "http://"+s.address()+"/")
 	case refuses:
-		head := []string{":status", s.refusal.status, "content-type", "application/json"}
-		s.writeHeaders(framer, stream, false, append(head, s.refusal.fields...)...)
-		_ = framer.WriteData(stream, s.refusal.trailers == nil, []byte(refusalBody))
-		if s.refusal.trailers != nil {
-			s.writeHeaders(framer, stream, true, s.refusal.trailers...)
+		r := s.refusalToSend()
+		head := []string{":status", r.status, "content-type", "application/json"}
+		s.writeHeaders(framer, stream, false, append(head, r.fields...)...)
+		_ = framer.WriteData(stream, r.trailers == nil, []byte(refusalBody))
+		if r.trailers != nil {
+			s.writeHeaders(framer, stream, true, r.trailers...)
 		}
 	default:
 		s.writeHeaders(framer, stream, false, ":status", "200", "content-type", "application/proto")
--- a/internal/request/exchange/malformed_test.go
+++ b/internal/request/exchange/malformed_test.go
@@ -17,7 +17,7 @@
 	"github.com/chicoryswitch/chicoryswitch/internal/version/declared"
 )
 
-// TestResponseWithAnInvalidStatusIsNotForwarded guards against a response whose status is none, or what follows
+// TestResponseWithAnInvalidStatusIsNotForwarded guards against a response with an invalid status, or what follows
 // it on the connection, that a caller gets as the response to its request.
 func TestResponseWithAnInvalidStatusIsNotForwarded(t *testing.T) {
 	forEachKind(t, func(t *testing.T, k requestKind) {
@@ -27,8 +27,8 @@
 	})
 }
 
-// TestResponseWithAnInvalidFieldNameIsNotForwarded guards against a header line that a caller gets or that is
-// dropped although its name is none, and against a body that isn't the target's because of it.
+// TestResponseWithAnInvalidFieldNameIsNotForwarded guards against a header line with an invalid name that is
+// dropped or that a caller gets, and against a body that isn't the target's because of it.
 func TestResponseWithAnInvalidFieldNameIsNotForwarded(t *testing.T) {
 	forEachKind(t, func(t *testing.T, k requestKind) {
 		for name, text := range responsetest.InvalidFieldNames(signedBy, k.malformed) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -126,7 +126,7 @@
 		plan = append(plan, newStateFaults(s.stateRand, s.options.faultPhase, len(s.testbed.targets))...)
 		plan = append(plan, newMalformFaults(s.malformRand, s.options.faultPhase, len(s.testbed.targets))...)
 	} else {
-		// Older builds don't handle what targets say of themselves, and malformed answers.
+		// Older builds don't handle what targets say of themselves, nor malformed answers.
 		plan = append(plan, newUpgrade(s.upgradeRand, s.options.faultPhase, len(s.testbed.keepers), len(s.testbed.entries), s.options.programs, s.options.oldPrograms)...)
 	}
 	s.deadly = newDeadlyCalls(s.limitRand, s.testbed.fleet, s.options.faultPhase)
