Refuse a malformed head whatever packets it arrives in

What callers saw: a response with an invalid name of a field as a success without that line, if the line began a packet. This is a fault of the check of names, and of the limits of heads before it; names with control bytes, which net/http alone refuses, got through as well.

Cause: the check refuses a read, and drops its bytes. After each line, the parser looks for a blank that continues it, and drops an error that it gets there; the next read went on with the bytes after.

Evidence: with a packet for each line, TestInvalidFieldNameIsNoResponse failed for most names ("body", <nil>).

Why the fix works: further reads return the same error, and a head or trailers that were refused fail whatever the parser returned, with the error that refused them.

--- a/internal/connection/http1/chunked_body.go
+++ b/internal/connection/http1/chunked_body.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	_, err := textproto.NewReader(b.conn.reader).ReadMIMEHeader()
-	switch err {
+	switch err := b.conn.head.result(err); err {
 	case nil:
 		return io.EOF
 	case io.EOF:
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -193,8 +193,11 @@
 		return nil, err
 	}
 	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
-	if err != nil || responsecheck.IsInformational(resp.StatusCode) {
-		return resp, err
+	if err := x.conn.head.result(err); err != nil {
+		return nil, err
+	}
+	if responsecheck.IsInformational(resp.StatusCode) {
+		return resp, nil
 	}
 	return resp, responsecheck.FinalStatus(resp.StatusCode)
 }
--- a/internal/connection/http1/limits.go
+++ b/internal/connection/http1/limits.go
@@ -73,6 +73,9 @@
 	inHead bool
 	// inName: the next byte belongs to the name of a field.
 	inName bool
+	// refused is the error of a head or of trailers, or nil. Further reads return it as well: the parser
+	// drops an error that it gets while it looks for a line that continues another one.
+	refused error
 	// lineBytes, lines and bytes count the current head or trailers. lines includes the status line
 	// of a head, and the line of the last chunk before trailers.
 	lineBytes, lines, bytes int
@@ -93,40 +96,56 @@
 // Read implements io.Reader. It fails with a *LimitError when a head exceeds a limit, and with a
 // *FieldNameError.
 func (h *headReader) Read(p []byte) (int, error) {
+	if h.refused != nil {
+		return 0, h.refused
+	}
 	n, err := h.source.Read(p)
-	if headErr := h.count(p[:n]); headErr != nil {
-		return 0, headErr
+	if refused := h.count(p[:n]); refused != nil {
+		return 0, refused
 	}
 	return n, err
 }
 
+// result returns the error that refused the head or the trailers, or else that of their parser, which may have
+// seen a line that was cut short.
+func (h *headReader) result(parser error) error {
+	if h.refused != nil {
+		return h.refused
+	}
+	return parser
+}
+
 // count counts the bytes of p that belong to the head or trailers, which an empty line ends.
 func (h *headReader) count(p []byte) error {
 	for _, b := range p {
 		if !h.inHead {
-			return nil
-		}
-		if err := h.checkName(b); err != nil {
-			return err
-		}
-		h.bytes++
-		switch {
-		case b == '\n' && h.lineBytes == 0 && h.lines > 0:
-			h.inHead = false
-		case b == '\n':
-			h.lines++
-			h.lineBytes = 0
-			h.inName = true
-		case b != '\r':
-			h.lineBytes++
+			break
 		}
-		if err := h.exceeded(); err != nil {
-			return err
+		if h.refused = h.countByte(b); h.refused != nil {
+			return h.refused
 		}
 	}
 	return nil
 }
 
+func (h *headReader) countByte(b byte) error {
+	if err := h.checkName(b); err != nil {
+		return err
+	}
+	h.bytes++
+	switch {
+	case b == '\n' && h.lineBytes == 0 && h.lines > 0:
+		h.inHead = false
+	case b == '\n':
+		h.lines++
+		h.lineBytes = 0
+		h.inName = true
+	case b != '\r':
+		h.lineBytes++
+	}
+	return h.exceeded()
+}
+
 // checkName checks the next byte if it belongs to the name of a field (RFC 9110, section 5.1). A
 // line that continues another one begins with a blank; servers must not send it (RFC 9112, section
 // 5.2), and it can't be told from a field whose name does.
--- a/internal/connection/http1/malformed_test.go
+++ b/internal/connection/http1/malformed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,10 +26,31 @@
 	}
 }
 
+// respondInLines does the same with a packet for each line.
+func respondInLines(text string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		for line := range strings.Lines(text) {
+			_, _ = io.WriteString(c, line)
+			time.Sleep(packetPause)
+		}
+		_, _ = io.Copy(io.Discard, r)
+	}
+}
+
+// packetPause is the time in which bytes on loopback are read before the next ones arrive.
+const packetPause = 2 * time.Millisecond
+
 // assertMalformed checks that a target's response is refused, without waiting for further bytes.
 func assertMalformed(t *testing.T, text string) {
 	t.Helper()
-	x := startTarget(t, respondOnce(text))
+	assertRefused(t, respondOnce(text))
+	assertRefused(t, respondInLines(text))
+}
+
+func assertRefused(t *testing.T, respond func(net.Conn, *bufio.Reader)) {
+	t.Helper()
+	x := startTarget(t, respond)
 	ctx, cancel := context.WithTimeout(t.Context(), requestTimeout)
 	defer cancel()
 	body, err := get(ctx, newPool(), x.address)
@@ -38,16 +60,16 @@
 
 const requestTimeout = 3 * time.Second
 
-// TestInvalidStatusIsNoResponse guards against an invalid status that is taken for that of an informational or
-// a final response.
+// TestInvalidStatusIsNoResponse guards against an invalid status that is taken for that of an informational or a
+// final response.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
 	for name, text := range responsetest.InvalidStatuses("", "body") {
 		t.Run(name, func(t *testing.T) { assertMalformed(t, text) })
 	}
 }
 
-// TestInvalidFieldNameIsNoResponse guards against a header line that is dropped or passed on although its name
-// is none: a length or an encoding in it would be that of the body.
+// TestInvalidFieldNameIsNoResponse guards against a line with an invalid name that is dropped or passed on: a
+// length or an encoding in it is that of the body.
 func TestInvalidFieldNameIsNoResponse(t *testing.T) {
 	for name, text := range responsetest.InvalidFieldNames("X-A: b\r\n", "body") {
 		t.Run("head/"+name, func(t *testing.T) { assertMalformed(t, text) })
