Limit trailers to 8 KiB again

They were limited by the buffer from which net/http reads them. Since http1 reads them itself, the limit of heads applied, 64 KiB; operations/limits.md says 8 KiB. TestTrailersAreLimited failed before.

--- a/internal/connection/http1/limits.go
+++ b/internal/connection/http1/limits.go
@@ -19,6 +19,8 @@
 	LimitHeadLines Limit = "head_lines"
 	// LimitHead is the size of the status line and the headers in bytes.
 	LimitHead Limit = "head"
+	// LimitTrailers is the size of the trailers of a chunked body in bytes.
+	LimitTrailers Limit = "trailers"
 	// LimitInformational is the number of informational responses before the final one.
 	LimitInformational Limit = "informational_responses"
 	// LimitBody is the size of a body in bytes.
@@ -31,11 +33,12 @@
 	LimitUnnumbered Limit = "unnumbered_events"
 )
 
-// Limits of the head of a response.
+// Limits of the head and the trailers of a response.
 const (
 	maxHeadLineBytes = 16 << 10
 	maxHeadLines     = 256
 	maxHeadBytes     = 64 << 10
+	maxTrailerBytes  = 8 << 10
 	// maxInformational is the number of informational responses; servers send one or two.
 	maxInformational = 8
 )
@@ -73,6 +76,8 @@
 	inHead bool
 	// inName: the next byte belongs to the name of a field.
 	inName bool
+	// size is the limit of bytes.
+	size LimitError
 	// refused is the error of a head or of trailers, or nil. Further reads return it as well: the parser
 	// drops an error that it gets while it looks for a line that continues another one.
 	refused error
@@ -83,13 +88,13 @@
 
 // beginHead starts to count a head whose first bytes were read before.
 func (h *headReader) beginHead(buffered []byte) error {
-	*h = headReader{source: h.source, inHead: true}
+	*h = headReader{source: h.source, inHead: true, size: LimitError{LimitHead, maxHeadBytes}}
 	return h.count(buffered)
 }
 
 // beginTrailers does the same for trailers.
 func (h *headReader) beginTrailers(buffered []byte) error {
-	*h = headReader{source: h.source, inHead: true, inName: true, lines: 1}
+	*h = headReader{source: h.source, inHead: true, inName: true, lines: 1, size: LimitError{LimitTrailers, maxTrailerBytes}}
 	return h.count(buffered)
 }
 
@@ -168,8 +173,8 @@
 		return &LimitError{LimitHeadLine, maxHeadLineBytes}
 	case h.lines > maxHeadLines:
 		return &LimitError{LimitHeadLines, maxHeadLines}
-	case h.bytes > maxHeadBytes:
-		return &LimitError{LimitHead, maxHeadBytes}
+	case int64(h.bytes) > h.size.Max:
+		return &LimitError{h.size.Limit, h.size.Max}
 	}
 	return nil
 }
--- a/internal/connection/http1/malformed_test.go
+++ b/internal/connection/http1/malformed_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/chicoryswitch/chicoryswitch/internal/connection/http1"
@@ -104,3 +105,12 @@
 		})
 	}
 }
+
+func TestTrailersAreLimited(t *testing.T) {
+	trailers := strings.Repeat("X-A: "+strings.Repeat("b", 100)+"\r\n", 90)
+	x := startTarget(t, respondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+trailers+"\r\n"))
+	_, err := get(t.Context(), newPool(), x.address)
+	var limit *http1.LimitError
+	assert.Assert(t, errors.As(err, &limit), "%v", err)
+	assert.Equal(t, limit.Limit, http1.LimitTrailers)
+}
