Close idle connections behind the check of responses

What operators saw: each check of a configuration document left a connection to its control VM open.

Cause: http.Client closes idle connections only if its transport has a method for that, and the transport that checks responses had none.

Why the fix works: the transport passes the call on.

--- a/internal/connection/responsecheck/responsecheck.go
+++ b/internal/connection/responsecheck/responsecheck.go
@@ -37,7 +37,10 @@
 }
 
 // FieldNameError states that the name of a field in a header or a trailer is invalid.
-type FieldNameError struct{ Name string }
+type FieldNameError struct {
+	// Name is the name, up to the first invalid byte if no more was read.
+	Name string
+}
 
 // Error returns the name.
 func (e *FieldNameError) Error() string { return fmt.Sprintf("field name %q is not a token", e.Name) }
@@ -61,6 +64,13 @@
 	return resp, nil
 }
 
+// CloseIdleConnections closes those of Base; http.Client calls it.
+func (t Transport) CloseIdleConnections() {
+	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 func checkHead(resp *http.Response) error {
 	// HTTP/2 has no status line, and net/http reads any number.
 	if digits, _, _ := strings.Cut(resp.Status, " "); digits != strconv.Itoa(resp.StatusCode) {
