--- a/internal/connection/http1/chunked_body.go
+++ b/internal/connection/http1/chunked_body.go
@@ -6,7 +6,8 @@
 	"net/textproto"
 )
 
-// chunkedBody reads a body in chunks. Unlike that of net/http, it limits and checks the trailers.
+// chunkedBody reads a body in chunks. Unlike that of net/http, it limits and checks the trailers. Of httputil it
+// uses the decoder of chunks, which is that of net/http, and not the proxy.
 type chunkedBody struct {
 	conn   *conn
 	chunks io.Reader
--- a/internal/connection/http1/early_test.go
+++ b/internal/connection/http1/early_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -14,6 +15,9 @@
 // earlyRuns is the number of requests of each case: which system call returns the error of a connection varies.
 const earlyRuns = 20
 
+// lateReads is how often a response is read only after its connection has ended: each run of this number.
+const lateReads = 4
+
 // TestEarlyResponseWithoutLength guards against half a response that is taken for a whole one, since its connection
 // was reset while the request was being written: the kernel returned the error to the write. A target may also
 // end a whole response before it has read the request.
@@ -23,9 +27,13 @@
 			x, err := responsetest.StartEarlyTarget("HTTP/1.1 200 OK\r\n\r\nhalf", c.End)
 			assert.NilError(t, err)
 			defer x.Close()
-			for range earlyRuns {
+			for run := range earlyRuns {
 				ctx, cancel := context.WithTimeout(t.Context(), requestTimeout)
-				body, err := postLong(ctx, x.Address)
+				delay := time.Duration(0)
+				if run%lateReads == 0 {
+					delay = responsetest.EndTime
+				}
+				body, err := postLong(ctx, x.Address, delay)
 				assert.NilError(t, ctx.Err())
 				cancel()
 				assert.Equal(t, err == nil, c.IsComplete, "%q, %v", body, err)
@@ -35,8 +43,8 @@
 	}
 }
 
-// postLong sends a long request and reads the response.
-func postLong(ctx context.Context, address string) (string, error) {
+// postLong sends a long request and reads the response, its body after a delay.
+func postLong(ctx context.Context, address string, delay time.Duration) (string, error) {
 	r := &http1.Request{Method: "POST", URI: "/x", Host: "h", Body: make([]byte, responsetest.LongRequest), HasBody: true}
 	x, err := newPool().Send(ctx, address, r)
 	if err != nil {
@@ -46,6 +54,7 @@
 	if err != nil {
 		return "", err
 	}
+	time.Sleep(delay)
 	body, err := response.ReadAll(maxBodyBytes)
 	if err != nil {
 		response.Abandon()
--- a/internal/connection/http1/exchange.go
+++ b/internal/connection/http1/exchange.go
@@ -162,7 +162,7 @@
 // ReadResponse reads the status line and headers of the next final response on the
 // connection. It may be called again if the response belongs to another request. It fails
 // with a *LimitError if the head or the number of informational responses exceeds a limit,
-// with a *responsecheck.StatusError if the status is invalid, and with a *FieldNameError.
+// and with a *responsecheck.StatusError or a *responsecheck.FieldNameError.
 func (x *Exchange) ReadResponse() (*Response, error) {
 	for range maxInformational + 1 {
 		resp, err := x.readHead()
--- a/internal/connection/http1/limits.go
+++ b/internal/connection/http1/limits.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/chicoryswitch/chicoryswitch/internal/connection/responsecheck"
 )
 
 // Limit names a limit on what a target may send.
@@ -54,19 +56,6 @@
 	return fmt.Sprintf("response exceeds limit %s of %d", e.Limit, e.Max)
 }
 
-// FieldNameError states that a target sent a byte that names of fields don't have where one must be: before
-// the colon of a line of a header or of trailers.
-type FieldNameError struct {
-	// Line is the number of the line, from 1.
-	Line int
-	Byte byte
-}
-
-// Error returns the byte and the line.
-func (e *FieldNameError) Error() string {
-	return fmt.Sprintf("byte %#02x in the field name of line %d", e.Byte, e.Line)
-}
-
 // headReader passes on what source returns, limits the heads and trailers of responses and checks
 // the names of their fields. The bytes are checked before they are parsed: the parser of net/http
 // has no limits, and accepts names with blanks and lines that continue other ones.
@@ -74,8 +63,9 @@
 	source io.Reader
 	// inHead: the next byte belongs to a head or to trailers.
 	inHead bool
-	// inName: the next byte belongs to the name of a field.
+	// inName: the next byte belongs to the name of a field. name is what was read of it.
 	inName bool
+	name   []byte
 	// size is the limit of bytes.
 	size LimitError
 	// refused is the error of a head or of trailers, or nil. Further reads return it as well: the parser
@@ -99,7 +89,7 @@
 }
 
 // Read implements io.Reader. It fails with a *LimitError when a head exceeds a limit, and with a
-// *FieldNameError.
+// *responsecheck.FieldNameError.
 func (h *headReader) Read(p []byte) (int, error) {
 	if h.refused != nil {
 		return 0, h.refused
@@ -144,7 +134,7 @@
 	case b == '\n':
 		h.lines++
 		h.lineBytes = 0
-		h.inName = true
+		h.inName, h.name = true, h.name[:0]
 	case b != '\r':
 		h.lineBytes++
 	}
@@ -157,14 +147,17 @@
 func (h *headReader) checkName(b byte) error {
 	isEmptyLine := h.lineBytes == 0 && (b == '\r' || b == '\n')
 	switch {
-	case !h.inName || isEmptyLine || httpguts.IsTokenRune(rune(b)):
+	case !h.inName || isEmptyLine:
 		return nil
-	case b == ':' && h.lineBytes > 0:
+	case b == ':' && len(h.name) > 0:
 		h.inName = false
 		return nil
-	default:
-		return &FieldNameError{Line: h.lines, Byte: b}
 	}
+	h.name = append(h.name, b)
+	if !httpguts.IsTokenRune(rune(b)) {
+		return &responsecheck.FieldNameError{Name: string(h.name)}
+	}
+	return nil
 }
 
 func (h *headReader) exceeded() error {
--- a/internal/connection/http1/malformed_test.go
+++ b/internal/connection/http1/malformed_test.go
@@ -72,10 +72,10 @@
 // TestInvalidFieldNameIsNoResponse guards against a line with an invalid name that is dropped or passed on: a
 // length or an encoding in it is that of the body.
 func TestInvalidFieldNameIsNoResponse(t *testing.T) {
-	for name, text := range responsetest.InvalidFieldNames("X-A: b\r\n", "body") {
+	for name, text := range responsetest.MalformedHeads("X-A: b\r\n", "body") {
 		t.Run("head/"+name, func(t *testing.T) { assertMalformed(t, text) })
 	}
-	for name, text := range responsetest.InvalidTrailers("X-A: b\r\n", "body") {
+	for name, text := range responsetest.MalformedTrailers("X-A: b\r\n", "body") {
 		t.Run("trailers/"+name, func(t *testing.T) { assertMalformed(t, text) })
 	}
 }
--- a/internal/connection/relay/malformed_test.go
+++ b/internal/connection/relay/malformed_test.go
@@ -22,10 +22,10 @@
 	for name, text := range responsetest.InvalidStatuses("", "body") {
 		t.Run("status/"+name, func(t *testing.T) { assertMalformed(t, c, h.address, text) })
 	}
-	for name, text := range responsetest.InvalidFieldNames("X-A: b\r\n", "body") {
+	for name, text := range responsetest.MalformedHeads("X-A: b\r\n", "body") {
 		t.Run("head/"+name, func(t *testing.T) { assertMalformed(t, c, h.address, text) })
 	}
-	for name, text := range responsetest.InvalidTrailers("X-A: b\r\n", "body") {
+	for name, text := range responsetest.MalformedTrailers("X-A: b\r\n", "body") {
 		t.Run("trailers/"+name, func(t *testing.T) { assertMalformed(t, c, h.address, text) })
 	}
 }
--- a/internal/connection/responsetest/early.go
+++ b/internal/connection/responsetest/early.go
@@ -22,6 +22,8 @@
 	receiveBuffer = 16 << 10
 	// settleTime lets bytes arrive on loopback before the connection ends.
 	settleTime = 50 * time.Millisecond
+	// EndTime is the time within which an EarlyTarget that doesn't read on has ended the connection.
+	EndTime = 4 * settleTime
 )
 
 // EarlyConn is a connection of an EarlyTarget that has sent its response.
--- a/internal/request/exchange/malformed_test.go
+++ b/internal/request/exchange/malformed_test.go
@@ -31,7 +31,7 @@
 // dropped or that a caller gets, and against a body that isn't the target's because of it.
 func TestResponseWithAnInvalidFieldNameIsNotForwarded(t *testing.T) {
 	forEachKind(t, func(t *testing.T, k requestKind) {
-		for name, text := range responsetest.InvalidFieldNames(signedBy, k.malformed) {
+		for name, text := range responsetest.MalformedHeads(signedBy, k.malformed) {
 			t.Run(name+", kept", func(t *testing.T) { k.checkMalformed(t, text, nil) })
 			t.Run(name+", closed", func(t *testing.T) { k.checkMalformed(t, text, endNormally) })
 		}
@@ -46,7 +46,7 @@
 		if k.stream {
 			body = k.sound // its events are forwarded before the trailers arrive
 		}
-		for name, text := range responsetest.InvalidTrailers(signedBy, body) {
+		for name, text := range responsetest.MalformedTrailers(signedBy, body) {
 			t.Run(name, func(t *testing.T) { k.checkMalformed(t, text, nil) })
 		}
 	})
@@ -57,7 +57,7 @@
 func TestStreamDoesNotContinueInAMalformedResponse(t *testing.T) {
 	rest := strings.TrimPrefix(streamText(eventCount), streamText(3))
 	malformed := strings.ReplaceAll(rest, "token", "malformed")
-	responses := responsetest.InvalidFieldNames(signedBy, malformed)
+	responses := responsetest.MalformedHeads(signedBy, malformed)
 	maps.Copy(responses, responsetest.InvalidStatuses(signedBy, malformed))
 	for name, text := range responses {
 		t.Run(name, func(t *testing.T) {
