Add review case 14: a lost seed keeps the system from starting

The cluster of control VMs is founded only when every seed has answered that it is empty, though the loss of one machine is to be borne.

The script starts five control VMs, one of the three seeds of which is gone from the start and replaced by an empty one at another address, and checks Acks.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]scenario{
 	"descriptors": runDescriptors,
 	"foreign":     runForeign,
+	"founding":    runFounding,
 }
 
 func main() {
