Add review case 15: a manifest with unreadable bytes is acknowledged

The decoder of manifests replaces bytes that are no UTF-8 by U+FFFD. The document is acknowledged, and another key and tenant than the ones that were sent are in force.

The same manifest in readable bytes is served as sent.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,6 +22,7 @@
 	"descriptors": runDescriptors,
 	"foreign":     runForeign,
 	"founding":    runFounding,
+	"unreadable":  runUnreadable,
 }
 
 func main() {
