--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -19,6 +19,7 @@
 type scenario func(folder string, trouble bool, rec *record) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"changes":     runChanges,
 	"descriptors": runDescriptors,
 	"foreign":     runForeign,
 	"founding":    runFounding,
