Add review case 11: sound lookups are refused for 24 hours

A reset counts as a crash of the target by the request, and only an answer with a status under 300 clears the request. A lookup that is answered with 404 comes into quarantine after three lost answers, its trials count as undecided, and after three of them it is refused for 24 hours.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,7 @@
 var scenarios = map[string]scenario{
 	"foreign":    runForeign,
 	"founding":   runFounding,
+	"refused":    runRefused,
 	"unreadable": runUnreadable,
 }
 
